--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+PYTHON ?= python3
+VENV ?= .venv
+RUN = $(VENV)/bin
+
+.PHONY: install demo test lint bench capacity
+
+$(VENV)/installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(RUN)/pip install --quiet --editable '.[development]'
+	touch $(VENV)/installed
+
+install: $(VENV)/installed
+
+demo: install
+	$(RUN)/bilberryturn-demo $(if $(DEMO_ONCE),--once,)
+
+lint: install
+	$(RUN)/ruff format --check src features bench
+	$(RUN)/ruff check src features bench
+	$(RUN)/lint-imports
+
+test: install
+	$(RUN)/python features/run.py $(ARGS)
+
+bench: install
+	$(RUN)/python bench/policies.py
+	$(RUN)/python bench/path.py
+
+capacity: install
+	$(RUN)/python bench/capacity.py
--- /dev/null
+++ b/features/steps/path_steps.py
@@ -0,0 +1,227 @@
+"""Steps on the path of single requests."""
+
+import json
+import pathlib
+import socket
+import time
+
+import behave
+
+from bilberryturn_standins import caller
+from bilberryturn_standins import cluster as cluster_module
+from bilberryturn_standins import engine
+
+PROMPT = "Which mats need new borders?"
+
+
+def body_for(route, stream):
+    if route == "chat/completions":
+        return caller.chat_body(PROMPT, 20, stream)
+    if route == "embeddings":
+        return {"input": PROMPT}
+    return {"prompt": PROMPT, "max_tokens": 20, "stream": stream}
+
+
+def expected_text(body):
+    return "".join(engine.answer_tokens(body))
+
+
+@behave.when('the caller sends these requests with profile "{profile}"')
+def step_requests(context, profile):
+    context.caller.profile = profile
+    context.answers = []
+    for row in context.table:
+        body = body_for(row["route"], row["stream"] == "yes")
+        answer = context.caller.request(
+            "POST", f"/v1/{row['route']}", json.dumps(body).encode()
+        )
+        context.answers.append((body, answer))
+
+
+@behave.then("each answer is complete and equals the engine's own")
+@behave.then("the answer is complete and equals the engine's own")
+def step_answers_equal(context):
+    assert context.answers
+    for body, answer in context.answers:
+        assert answer.complete, (answer.status, answer.body, answer.failure)
+        if "input" in body:
+            assert len(answer.json()["data"][0]["embedding"]) == 8
+            continue
+        assert answer.text == expected_text(body), answer.text
+
+
+@behave.when('the caller chats with model "{model}" and no profile')
+def step_model_profile(context, model):
+    context.caller.profile = ""
+    body = caller.chat_body(PROMPT, 20, True, model)
+    answer = context.caller.request(
+        "POST", "/v1/chat/completions", json.dumps(body).encode()
+    )
+    context.answers = [(body, answer)]
+
+
+@behave.then("these paths answer")
+def step_paths(context):
+    for row in context.table:
+        answer = context.caller.request("GET", row["path"])
+        assert answer.status == int(row["status"]), answer.body
+        assert row["holds"].encode() in answer.body, answer.body
+
+
+def wrong_request(context, case):
+    key = context.key
+    chat = "/v1/chat/completions"
+    good = json.dumps(caller.chat_body("hello")).encode()
+    desk = {"X-Bilberryturn-Profile": "front-desk"}
+    escaped = "".join(f"\\u{ord(c):04x}" for c in key)
+    cases = {
+        "no key": ("POST", chat, good, desk, ""),
+        "unknown key": ("POST", chat, good, desk, "bt_unknown"),
+        "unknown profile": (
+            "POST", chat, good, {"X-Bilberryturn-Profile": "nope"}, key,
+        ),
+        "no profile": ("POST", chat, good, {}, key),
+        "unknown model": (
+            "POST",
+            chat,
+            json.dumps(caller.chat_body("hello", model="gpt")).encode(),
+            desk,
+            key,
+        ),
+        "bad JSON": ("POST", chat, b"{", desk, key),
+        "JSON list": ("POST", chat, b"[1]", desk, key),
+        "no messages": ("POST", chat, b"{}", desk, key),
+        "bad max_tokens": (
+            "POST",
+            chat,
+            json.dumps(caller.chat_body("hello", -1)).encode(),
+            desk,
+            key,
+        ),
+        "body too large": ("POST", chat, b" " * (4 * 2**20 + 500), desk, key),
+        "key in body": (
+            "POST",
+            chat,
+            json.dumps(caller.chat_body(f"my key is {key}")).encode(),
+            desk,
+            key,
+        ),
+        "key escaped": (
+            "POST",
+            chat,
+            good.replace(b"hello", escaped.encode()),
+            desk,
+            key,
+        ),
+        "key in query": (
+            "GET", f"/services/catalogue/x?k={key}", None, {}, key,
+        ),
+        "profile forbidden": (
+            "POST",
+            chat,
+            good,
+            {"X-Bilberryturn-Profile": "history-digest"},
+            context.cluster.grant("workshop-gijon"),
+        ),
+        "unknown route": ("GET", "/v2/nothing", None, {}, key),
+        "wrong method": ("GET", chat, None, {}, key),
+        "unknown service": ("GET", "/services/nothing/x", None, {}, key),
+        "no idempotency": (
+            "POST", "/services/booking/collections", b"{}", {}, key,
+        ),
+        "climbing path": (
+            "GET", "/services/catalogue/search/%2e%2e/x", None, {}, key,
+        ),
+    }  # fmt: skip
+    return cases[case]
+
+
+@behave.when("the caller sends a wrong request: {case}")
+def step_wrong(context, case):
+    method, path, body, headers, key = wrong_request(context, case)
+    sender = context.cluster.caller(key=key)
+    context.answer = sender.request(method, path, body, headers)
+
+
+@behave.then('the error is {status:d} "{code}" and says "{ran}"')
+def step_error(context, status, code, ran):
+    answer = context.answer
+    assert answer.status == status, (answer.status, answer.body)
+    assert answer.code == code, answer.error
+    assert answer.ran == ran, answer.error
+    assert answer.headers["x-bilberryturn-ran"] == ran
+    assert answer.error["remedy"]
+
+
+@behave.then("no backend server has received a request")
+def step_nothing_received(context):
+    for standin in context.cluster.engines.values():
+        assert not standin.received
+    for standin in context.cluster.services.values():
+        assert not standin.received
+
+
+def send_raw(context, tokens):
+    """Send a streamed request over a bare socket."""
+    host, port = context.caller.address.rsplit(":", 1)
+    connection = socket.create_connection((host, int(port)))
+    body = json.dumps(caller.chat_body(PROMPT, tokens)).encode()
+    connection.sendall(
+        b"POST /v1/chat/completions HTTP/1.1\r\nHost: router\r\n"
+        b"Content-Type: application/json\r\n"
+        b"X-Bilberryturn-Profile: quote-draft\r\n"
+        + f"Authorization: Bearer {context.key}\r\n".encode()
+        + f"Content-Length: {len(body)}\r\n\r\n".encode()
+        + body
+    )
+    return connection
+
+
+@behave.when("a caller leaves in the middle of a stream of {tokens:d} tokens")
+def step_leave(context, tokens):
+    connection = send_raw(context, tokens)
+    received = b""
+    while received.count(b"data:") < 5:
+        received += connection.recv(4096)
+    connection.close()
+
+
+@behave.then("the engines stop generating")
+def step_engines_stop(context):
+    def generated():
+        return sum(e.generated_tokens for e in context.cluster.engines.values())
+
+    def has_stopped():
+        before = generated()
+        time.sleep(0.5)
+        return generated() == before
+
+    cluster_module.wait_for(has_stopped, "the engines to stop", 20)
+    assert generated() < 400, generated()
+
+
+def memory_bytes(node):
+    status = pathlib.Path(f"/proc/{node.process.pid}/status").read_text()
+    line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
+    return int(line.split()[1]) * 1024
+
+
+@behave.when(
+    "a caller reads nothing of a stream of {tokens:d} tokens for {seconds:d}"
+    " seconds"
+)
+def step_no_reading(context, tokens, seconds):
+    for standin in context.cluster.engines.values():
+        standin.options = standin.options._replace(token_interval_s=0.0)
+    node = context.cluster.nodes[0]
+    context.memory_before = memory_bytes(node)
+    connection = send_raw(context, tokens)
+    context.closers.append(connection.close)
+    time.sleep(seconds)
+    context.memory_after = memory_bytes(node)
+
+
+@behave.then("the node has not grown by more than {megabytes:d} MB")
+def step_memory(context, megabytes):
+    grown = context.memory_after - context.memory_before
+    assert grown <= megabytes * 1024 * 1024, grown
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Hold what the steps of all features share."""
--- /dev/null
+++ b/src/bilberryturn/backends/stream_loop.py
@@ -0,0 +1,272 @@
+"""Drive all calls to backend servers with one curl multi handle.
+
+Every call uses a connection of its own: on a kept connection that turns out
+to be closed, curl silently sends the request a second time.
+"""
+
+import collections
+import os
+import select
+import threading
+import time
+
+import pycurl
+
+from bilberryturn import events
+from bilberryturn.backends import calls
+
+POLL_LIMIT_S = 1.0
+MAX_HEADER_LINES = 200
+NO_PROXY = ""
+
+
+class StreamLoop:
+    """Owns the thread that reads from all backend servers."""
+
+    def __init__(self):
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
+        self._epoll = select.epoll()
+        self._watched: set[int] = set()
+        self._timer_due_s: float | None = None
+        self._commands: collections.deque = collections.deque()
+        self._calls: dict[pycurl.Curl, calls.Call] = {}
+        self._wake_reader, self._wake_writer = os.pipe()
+        os.set_blocking(self._wake_reader, False)
+        os.set_blocking(self._wake_writer, False)
+        self._epoll.register(self._wake_reader, select.EPOLLIN)
+        self._stopping = False
+        self._thread = threading.Thread(
+            target=self._run, name="backends", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop the thread; running calls end in an error."""
+        self._stopping = True
+        self._wake()
+        self._thread.join(5.0)
+
+    def submit(self, options: calls.CallOptions, deliver) -> calls.Call:
+        """Send a request; its events go to a callback on the loop's thread.
+
+        Args:
+            options: The request.
+            deliver: Takes CallHead, CallData and at last one CallEnd.
+
+        Returns:
+            The call.
+        """
+        call = calls.Call(options, deliver)
+        self._command(self._begin, call)
+        return call
+
+    def cancel(self, call: calls.Call) -> None:
+        """End a call without a further event."""
+        call.is_cancelled = True
+        self._command(self._abort, call)
+
+    def consumed(self, call: calls.Call, size_bytes: int) -> None:
+        """Note that the reader has taken data; continues a paused call."""
+        call.buffered_bytes -= size_bytes
+        if call.is_paused and call.buffered_bytes <= (
+            call.options.buffer_bytes // 2
+        ):
+            self._command(self._resume, call)
+
+    def _command(self, function, call: calls.Call) -> None:
+        self._commands.append((function, call))
+        self._wake()
+
+    def _wake(self) -> None:
+        try:
+            os.write(self._wake_writer, b"x")
+        except BlockingIOError:
+            pass
+
+    def _run(self) -> None:
+        while not self._stopping:
+            try:
+                self._turn()
+            except Exception as error:
+                events.log(
+                    events.JOB_FAILED,
+                    job="backends",
+                    error=f"{type(error).__name__}: {error}",
+                )
+        for call in list(self._calls.values()):
+            self._finish(call, "the node stops")
+        self._epoll.close()
+        os.close(self._wake_reader)
+        os.close(self._wake_writer)
+
+    def _turn(self) -> None:
+        for descriptor, mask in self._epoll.poll(self._timeout_s()):
+            if descriptor == self._wake_reader:
+                self._drain_wakes()
+                continue
+            action = 0
+            if mask & (select.EPOLLIN | select.EPOLLHUP | select.EPOLLERR):
+                action |= pycurl.CSELECT_IN
+            if mask & select.EPOLLOUT:
+                action |= pycurl.CSELECT_OUT
+            self._multi.socket_action(descriptor, action)
+        self._run_commands()
+        if self._timer_due_s is not None and (
+            time.monotonic() >= self._timer_due_s
+        ):
+            self._timer_due_s = None
+            self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+        self._collect()
+
+    def _timeout_s(self) -> float:
+        if self._commands:
+            return 0.0
+        if self._timer_due_s is None:
+            return POLL_LIMIT_S
+        left_s = self._timer_due_s - time.monotonic()
+        return max(0.0, min(POLL_LIMIT_S, left_s))
+
+    def _drain_wakes(self) -> None:
+        try:
+            os.read(self._wake_reader, 65536)
+        except BlockingIOError:
+            pass
+
+    def _run_commands(self) -> None:
+        for _ in range(len(self._commands)):
+            function, call = self._commands.popleft()
+            function(call)
+
+    def _watch_socket(self, what, descriptor, multi, data) -> None:
+        if what == pycurl.POLL_REMOVE:
+            self._watched.discard(descriptor)
+            try:
+                self._epoll.unregister(descriptor)
+            except (OSError, ValueError):
+                pass
+            return
+        mask = 0
+        if what in (pycurl.POLL_IN, pycurl.POLL_INOUT):
+            mask |= select.EPOLLIN
+        if what in (pycurl.POLL_OUT, pycurl.POLL_INOUT):
+            mask |= select.EPOLLOUT
+        try:
+            if descriptor in self._watched:
+                self._epoll.modify(descriptor, mask)
+            else:
+                self._epoll.register(descriptor, mask)
+        except FileNotFoundError:
+            self._epoll.register(descriptor, mask)
+        except FileExistsError:
+            self._epoll.modify(descriptor, mask)
+        self._watched.add(descriptor)
+
+    def _set_timer(self, timeout_ms: int) -> None:
+        self._timer_due_s = None
+        if timeout_ms >= 0:
+            self._timer_due_s = time.monotonic() + timeout_ms / 1000
+
+    def _begin(self, call: calls.Call) -> None:
+        if call.is_cancelled:
+            return
+        options = call.options
+        curl = pycurl.Curl()
+        curl.setopt(pycurl.URL, options.url)
+        curl.setopt(pycurl.CUSTOMREQUEST, options.method)
+        curl.setopt(pycurl.PROXY, NO_PROXY)
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.FRESH_CONNECT, 1)
+        curl.setopt(pycurl.FORBID_REUSE, 1)
+        curl.setopt(pycurl.FOLLOWLOCATION, 0)
+        curl.setopt(pycurl.TCP_NODELAY, 1)
+        curl.setopt(
+            pycurl.CONNECTTIMEOUT_MS, int(options.connect_timeout_s * 1000)
+        )
+        curl.setopt(pycurl.TIMEOUT_MS, max(1, int(options.timeout_s * 1000)))
+        curl.setopt(pycurl.HTTPHEADER, ["Expect:", *options.headers])
+        curl.setopt(pycurl.USERAGENT, "bilberryturn")
+        if options.source_address:
+            curl.setopt(pycurl.INTERFACE, options.source_address)
+        if options.body is not None:
+            curl.setopt(pycurl.POSTFIELDS, options.body)
+        if options.method == "HEAD":
+            curl.setopt(pycurl.NOBODY, 1)
+        curl.setopt(
+            pycurl.HEADERFUNCTION, lambda line: self._header(call, line)
+        )
+        curl.setopt(pycurl.WRITEFUNCTION, lambda data: self._write(call, data))
+        call.curl = curl
+        self._calls[curl] = call
+        self._multi.add_handle(curl)
+
+    def _header(self, call: calls.Call, line: bytes) -> None:
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            parts = text.split(" ", 2)
+            call.status = int(parts[1])
+            call.headers = {}
+            return
+        name, separator, value = text.partition(":")
+        if separator and len(call.headers) < MAX_HEADER_LINES:
+            call.headers[name.lower()] = value.strip()
+
+    def _send_head(self, call: calls.Call) -> None:
+        if call.head_sent:
+            return
+        call.head_sent = True
+        call.deliver(calls.CallHead(call.number, call.status, call.headers))
+
+    def _write(self, call: calls.Call, data: bytes) -> int | None:
+        if call.buffered_bytes > call.options.buffer_bytes:
+            call.is_paused = True
+            return pycurl.WRITEFUNC_PAUSE
+        self._send_head(call)
+        call.buffered_bytes += len(data)
+        call.deliver(calls.CallData(call.number, data))
+        return None
+
+    def _resume(self, call: calls.Call) -> None:
+        if call.curl is None or not call.is_paused:
+            return
+        call.is_paused = False
+        call.curl.pause(pycurl.PAUSE_CONT)
+
+    def _abort(self, call: calls.Call) -> None:
+        if call.curl is None:
+            return
+        self._forget(call)
+
+    def _forget(self, call: calls.Call) -> None:
+        curl, call.curl = call.curl, None
+        self._calls.pop(curl, None)
+        self._multi.remove_handle(curl)
+        curl.close()
+
+    def _collect(self) -> None:
+        while True:
+            left, succeeded, failed = self._multi.info_read()
+            for curl in succeeded:
+                self._finish(self._calls[curl], "")
+            for curl, _, text in failed:
+                self._finish(self._calls[curl], text or "connection failed")
+            if not left:
+                return
+
+    def _finish(self, call: calls.Call, error: str) -> None:
+        sent_bytes = call.curl.getinfo(pycurl.REQUEST_SIZE)
+        connected = call.curl.getinfo(pycurl.CONNECT_TIME) > 0
+        self._forget(call)
+        if call.is_cancelled:
+            return
+        if not error:
+            self._send_head(call)
+        call.deliver(
+            calls.CallEnd(
+                call.number, error, sent_bytes > 0 or not error, connected
+            )
+        )
--- /dev/null
+++ b/src/bilberryturn/brokers/broker.py
@@ -0,0 +1,424 @@
+"""Own the queues of pools; belongs to the control thread."""
+
+from collections.abc import Callable
+import functools
+from typing import NamedTuple
+
+from bilberryturn import declarations
+from bilberryturn import events
+from bilberryturn import membership
+from bilberryturn import messages
+from bilberryturn import metrics
+from bilberryturn import platform
+from bilberryturn import scheduling
+from bilberryturn.brokers import pools
+from bilberryturn.scheduling import types
+
+kinds = messages.kinds
+
+REBUILD_TIMEOUT_S = 0.4
+SYNC_GRACE_S = 1.5
+IDLE_POOL_S = 60.0
+SUMMARY_TIERS = 5
+
+
+class BrokerOptions(NamedTuple):
+    """Sets the policy and the timeouts of a broker."""
+
+    own_address: str
+    grant_timeout_s: float = 4.0
+    pool_options: types.PoolOptions = types.PoolOptions()
+
+
+class Pool:
+    """Holds the queue of a pool and what its entries last told."""
+
+    def __init__(self, name: pools.PoolName, queue: scheduling.PoolQueue):
+        self.name = name
+        self.queue = queue
+        self.awaited: set[str] = set()
+        self.open_at_s = 0.0
+        self.held_back: list[types.WaitingRequest] = []
+        self.entry_heard_s: dict[str, float] = {}
+        self.reply_addresses: dict[str, str] = {}
+        self.granted_s: dict[str, float] = {}
+        self.used_s = 0.0
+
+    def is_open(self, now_s: float) -> bool:
+        """Return whether the counts are rebuilt."""
+        return not self.awaited or now_s >= self.open_at_s
+
+
+class Broker:
+    """Serves grant requests for every pool that it is asked about."""
+
+    def __init__(
+        self,
+        options: BrokerOptions,
+        control: messages.ControlLoop,
+        directory: membership.Directory,
+        clock: Callable[[], float],
+    ):
+        self._options = options
+        self._control = control
+        self._directory = directory
+        self._clock = clock
+        self.counters = scheduling.TokenCounters()
+        self.pools: dict[str, Pool] = {}
+        self._vms: tuple[platform.Vm, ...] = ()
+        self._declared = declarations.Declarations()
+
+    def set_servers(
+        self,
+        listed: tuple[platform.Vm, ...],
+        declared: declarations.Declarations,
+    ) -> None:
+        """Take over a new VM list or new declarations."""
+        self._vms = listed
+        self._declared = declared
+        for pool in self.pools.values():
+            self._update_servers(pool)
+
+    def _update_servers(self, pool: Pool) -> None:
+        now_s = self._clock()
+        specs = pools.server_specs(pool.name, self._vms, self._declared)
+        moving = pool.queue.set_servers(specs, now_s)
+        reclaimed = {vm.name for vm in self._vms if pools.is_reclaimed(vm)}
+        for running in moving:
+            if running.server not in reclaimed:
+                continue
+            request_id = running.request.request_id
+            address = pool.reply_addresses.get(request_id)
+            if address:
+                self._control.send(
+                    address,
+                    kinds.Moved(request_id, str(pool.name), running.server),
+                )
+        self._carry_out(pool, pool.queue.tick(now_s))
+
+    def _pool(self, name: str) -> Pool:
+        pool = self.pools.get(name)
+        now_s = self._clock()
+        if pool is None:
+            pool = self._open_pool(name, now_s)
+        pool.used_s = now_s
+        return pool
+
+    def _open_pool(self, name: str, now_s: float) -> Pool:
+        """Open a pool; grants wait until its members told what they hold."""
+        queue = scheduling.PoolQueue(self._options.pool_options, self.counters)
+        pool = Pool(pools.parse(name), queue)
+        self.pools[name] = pool
+        pool.open_at_s = now_s + REBUILD_TIMEOUT_S
+        own_address = self._options.own_address
+        for member in self._directory.members.values():
+            pool.awaited.add(member.control_address)
+            self._control.send(
+                member.control_address, kinds.HoldQuery(own_address, name)
+            )
+        specs = pools.server_specs(pool.name, self._vms, self._declared)
+        # Servers that an earlier broker used are taken as ramped.
+        queue.set_servers(specs, now_s - self._options.pool_options.ramp_s)
+        events.log(events.BROKER_TOOK_OVER, pool=name)
+        return pool
+
+    def request(self, message: kinds.GrantRequest) -> None:
+        """Take in a grant request."""
+        now_s = self._clock()
+        pool = self._pool(message.pool)
+        pool.entry_heard_s[message.reply_address] = now_s
+        request = types.WaitingRequest(
+            message.request_id,
+            message.tier,
+            message.client_account,
+            max(message.weight, 0.001),
+            message.input_tokens,
+            message.output_tokens,
+            now_s - message.waited_s,
+            now_s + message.wait_budget_s,
+            now_s + message.first_token_target_s,
+            message.cheap,
+            message.prefix_blocks,
+            message.excluded_servers,
+            message.isolated,
+            message.preemptions,
+            message.is_retry,
+            message.reply_address,
+        )
+        pool.reply_addresses[request.request_id] = message.reply_address
+        if request.request_id in pool.queue.table.running:
+            self._repeat_grant(pool, request.request_id)
+            return
+        if not pool.is_open(now_s):
+            pool.held_back.append(request)
+            self._control.send(
+                message.reply_address, kinds.Queued(message.request_id)
+            )
+            return
+        self._submit(pool, request, now_s)
+
+    def _submit(self, pool: Pool, request, now_s: float) -> None:
+        self._carry_out(pool, pool.queue.submit(request, now_s))
+        if pool.queue.is_waiting(request.request_id):
+            self._control.send(
+                request.reply_address, kinds.Queued(request.request_id)
+            )
+
+    def _carry_out(self, pool: Pool, decisions: list[types.Decision]) -> None:
+        for decision in decisions:
+            _carry_out(decision, self, pool)
+
+    def send_grant(self, pool: Pool, grant: types.Grant) -> None:
+        """Tell an entry that its request may run."""
+        request = grant.request
+        pool.granted_s[request.request_id] = self._clock()
+        self._control.send(
+            request.reply_address,
+            kinds.Granted(
+                request.request_id,
+                str(pool.name),
+                grant.server,
+                grant.address,
+                grant.is_cheap,
+            ),
+        )
+
+    def _repeat_grant(self, pool: Pool, request_id: str) -> None:
+        """Send a grant again whose message was lost."""
+        running = pool.queue.table.running[request_id]
+        server = pool.queue.table.servers.get(running.server)
+        address = pool.reply_addresses.get(request_id)
+        if server is None or address is None:
+            return
+        self._control.send(
+            address,
+            kinds.Granted(
+                request_id,
+                str(pool.name),
+                running.server,
+                server.spec.address,
+                server.spec.cheap,
+            ),
+        )
+
+    def send_refusal(self, pool: Pool, refusal: types.Refusal) -> None:
+        """Tell an entry that its request will not run."""
+        request = refusal.request
+        pool.reply_addresses.pop(request.request_id, None)
+        self._control.send(
+            request.reply_address,
+            kinds.Refused(
+                request.request_id, refusal.reason, refusal.retry_after_s
+            ),
+        )
+
+    def send_preemption(self, pool: Pool, preemption: types.Preemption) -> None:
+        """Tell an entry to give a grant back."""
+        address = pool.reply_addresses.get(preemption.request_id)
+        if address is None:
+            return
+        events.log(
+            events.REQUEST_PREEMPTED,
+            request_id=preemption.request_id,
+            victim_tier=preemption.victim_tier,
+            beneficiary_tier=preemption.beneficiary_tier,
+        )
+        self._control.send(
+            address,
+            kinds.Preempted(
+                preemption.request_id, str(pool.name), preemption.server
+            ),
+        )
+
+    def release(self, message: kinds.Release) -> None:
+        """Take in the end of a wait or a grant."""
+        pool = self.pools.get(message.pool)
+        if pool is None:
+            return
+        now_s = self._clock()
+        running = pool.queue.table.running.get(message.request_id)
+        if running is not None and message.server not in (
+            "",
+            running.server,
+        ):
+            return
+        pool.reply_addresses.pop(message.request_id, None)
+        pool.granted_s.pop(message.request_id, None)
+        pool.held_back = [
+            request
+            for request in pool.held_back
+            if request.request_id != message.request_id
+        ]
+        pool.queue.cancel(message.request_id)
+        entry = pool.queue.table.running.get(message.request_id)
+        cached_share = None
+        if entry is not None and message.cached_tokens >= 0:
+            tokens = max(1, entry.request.input_tokens)
+            cached_share = min(1.0, message.cached_tokens / tokens)
+        decisions = pool.queue.finish(
+            message.request_id,
+            message.outcome,
+            message.output_tokens,
+            now_s,
+            message.first_token_s,
+            message.duration_s,
+            cached_share,
+        )
+        self._carry_out(pool, decisions)
+
+    def sync(self, message: kinds.EntrySync) -> None:
+        """Compare what an entry waits for and runs with the own counts."""
+        now_s = self._clock()
+        pool = self._pool(message.pool)
+        address = message.reply_address
+        pool.entry_heard_s[address] = now_s
+        pool.awaited.discard(address)
+        for grant in message.running:
+            self._adopt(pool, grant, address, now_s)
+            pool.queue.progress(grant.request_id, grant.output_tokens, now_s)
+        self._forget_missing(pool, message, now_s)
+        for request_id in message.waiting:
+            if request_id in pool.queue.table.running:
+                self._repeat_grant(pool, request_id)
+        held_back = {request.request_id for request in pool.held_back}
+        unknown = tuple(
+            request_id
+            for request_id in message.waiting
+            if not pool.queue.is_waiting(request_id)
+            and request_id not in pool.queue.table.running
+            and request_id not in held_back
+        )
+        if unknown:
+            self._control.send(
+                address, kinds.SyncUnknown(message.pool, unknown)
+            )
+        if pool.is_open(now_s):
+            self._submit_held_back(pool, now_s)
+
+    def _adopt(self, pool: Pool, grant, address: str, now_s: float) -> None:
+        if grant.request_id in pool.queue.table.running:
+            return
+        request = types.WaitingRequest(
+            grant.request_id,
+            grant.tier,
+            grant.client_account,
+            1.0,
+            0,
+            0,
+            now_s,
+            now_s,
+            now_s,
+            grant.cheap,
+            reply_address=address,
+        )
+        pool.reply_addresses[grant.request_id] = address
+        pool.granted_s[grant.request_id] = now_s
+        pool.queue.adopt(request, grant.server, now_s)
+
+    def _forget_missing(self, pool: Pool, message, now_s: float) -> None:
+        """End grants whose release was lost, and waits that were given up."""
+        known = {grant.request_id for grant in message.running}
+        known.update(message.waiting)
+        for request_id, address in list(pool.reply_addresses.items()):
+            if address != message.reply_address or request_id in known:
+                continue
+            granted_s = pool.granted_s.get(request_id)
+            if granted_s is None or now_s - granted_s < SYNC_GRACE_S:
+                continue
+            self._drop(pool, request_id, now_s)
+
+    def _drop(self, pool: Pool, request_id: str, now_s: float) -> None:
+        pool.reply_addresses.pop(request_id, None)
+        pool.granted_s.pop(request_id, None)
+        pool.queue.cancel(request_id)
+        decisions = pool.queue.finish(request_id, "cancelled", 0, now_s)
+        self._carry_out(pool, decisions)
+
+    def _submit_held_back(self, pool: Pool, now_s: float) -> None:
+        held_back, pool.held_back = pool.held_back, []
+        for request in held_back:
+            self._submit(pool, request, now_s)
+
+    def tick(self) -> None:
+        """Expire waits, grants of silent entries and idle pools."""
+        now_s = self._clock()
+        for name, pool in list(self.pools.items()):
+            if pool.held_back and pool.is_open(now_s):
+                self._submit_held_back(pool, now_s)
+            self._expire_entries(pool, now_s)
+            self._carry_out(pool, pool.queue.tick(now_s))
+            if pool.queue.waiting_count or pool.queue.table.running:
+                pool.used_s = now_s
+            if now_s - pool.used_s > IDLE_POOL_S:
+                del self.pools[name]
+
+    def _expire_entries(self, pool: Pool, now_s: float) -> None:
+        horizon_s = now_s - self._options.grant_timeout_s
+        silent = {a for a, s in pool.entry_heard_s.items() if s < horizon_s}
+        if not silent:
+            return
+        for address in silent:
+            del pool.entry_heard_s[address]
+        for request_id, address in list(pool.reply_addresses.items()):
+            if address in silent:
+                events.log(
+                    events.GRANT_EXPIRED,
+                    request_id=request_id,
+                    pool=str(pool.name),
+                )
+                self._drop(pool, request_id, now_s)
+
+    def summaries(self) -> tuple[kinds.PoolSummary, ...]:
+        """Return the load of each pool and update its metrics."""
+        now_s = self._clock()
+        found = []
+        for name, pool in self.pools.items():
+            table = pool.queue.table
+            waits_s = tuple(
+                round(pool.queue.estimate_wait_s(tier, "", now_s), 3)
+                for tier in range(SUMMARY_TIERS)
+            )
+            found.append(
+                kinds.PoolSummary(
+                    name,
+                    table.free_slots(now_s),
+                    waits_s,
+                    table.free_slots(now_s, cheap_only=True),
+                    table.slots(now_s),
+                    len(table.running),
+                    pool.queue.waiting_count,
+                    pool.queue.cheap_waiting_count(),
+                    tuple(
+                        server.spec.name
+                        for server in table.servers.values()
+                        if server.spec.leaving and server.running
+                    ),
+                )
+            )
+            labels = {"pool": name}
+            metrics.set_gauge(metrics.POOL_RUNNING, labels, len(table.running))
+            for tier, count in pool.queue.waiting_by_tier().items():
+                metrics.set_gauge(
+                    metrics.POOL_WAITING, {**labels, "tier": str(tier)}, count
+                )
+        return tuple(found)
+
+
+@functools.singledispatch
+def _carry_out(decision, broker: Broker, pool: Pool) -> None:
+    raise TypeError(f"unknown decision {decision!r}")
+
+
+@_carry_out.register
+def _(decision: types.Grant, broker: Broker, pool: Pool) -> None:
+    broker.send_grant(pool, decision)
+
+
+@_carry_out.register
+def _(decision: types.Refusal, broker: Broker, pool: Pool) -> None:
+    broker.send_refusal(pool, decision)
+
+
+@_carry_out.register
+def _(decision: types.Preemption, broker: Broker, pool: Pool) -> None:
+    broker.send_preemption(pool, decision)
--- /dev/null
+++ b/src/bilberryturn/brokers/client.py
@@ -0,0 +1,225 @@
+"""Ask brokers for grants; belongs to the control thread.
+
+The thread that serves the caller gets every answer through a callback.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from bilberryturn import membership
+from bilberryturn import messages
+from bilberryturn.brokers import pools
+
+kinds = messages.kinds
+
+
+class Wait:
+    """Holds a request that waits for a grant."""
+
+    def __init__(self, message: kinds.GrantRequest, deliver, now_s: float):
+        self.message = message
+        self.deliver = deliver
+        self.arrived_s = now_s
+        self.asked_s = now_s
+        self.broker = ""
+        self.is_confirmed = False
+
+
+class Holding:
+    """Holds a grant; the serving thread updates output_tokens."""
+
+    def __init__(self, message: kinds.GrantRequest, server: str, deliver):
+        self.message = message
+        self.server = server
+        self.deliver = deliver
+        self.output_tokens = 0
+
+
+class GrantClient:
+    """Keeps the waits and grants of one entry."""
+
+    def __init__(
+        self,
+        own_address: str,
+        reply_timeout_s: float,
+        control: messages.ControlLoop,
+        directory: membership.Directory,
+        clock: Callable[[], float],
+    ):
+        self._own_address = own_address
+        self._reply_timeout_s = reply_timeout_s
+        self._control = control
+        self._directory = directory
+        self._clock = clock
+        self.waits: dict[str, Wait] = {}
+        self.holdings: dict[str, Holding] = {}
+
+    def ask(
+        self,
+        message: kinds.GrantRequest,
+        deliver: Callable[[kinds.Message], None],
+    ) -> None:
+        """Ask for a grant; the answer goes to a callback."""
+        wait = Wait(message, deliver, self._clock())
+        self.waits[message.request_id] = wait
+        self._send(wait)
+
+    def _broker(self, pool: str) -> tuple[str, str] | None:
+        name = pools.parse(pool)
+        ranked = self._directory.brokers(
+            name.failure_domain, pool, self._clock()
+        )
+        return ranked[0] if ranked else None
+
+    def _send(self, wait: Wait) -> None:
+        broker = self._broker(wait.message.pool)
+        now_s = self._clock()
+        wait.asked_s = now_s
+        wait.is_confirmed = False
+        if broker is None:
+            wait.broker = ""
+            return
+        wait.broker = broker[0]
+        waited_s = now_s - wait.arrived_s
+        message = msgspec.structs.replace(
+            wait.message,
+            wait_budget_s=max(0.0, wait.message.wait_budget_s - waited_s),
+            first_token_target_s=wait.message.first_token_target_s - waited_s,
+            waited_s=wait.message.waited_s + waited_s,
+        )
+        self._control.send(broker[1], message)
+
+    def granted(self, message: kinds.Granted) -> None:
+        """Pass a grant on, or give it back if nobody waits for it."""
+        wait = self.waits.pop(message.request_id, None)
+        if wait is None:
+            holding = self.holdings.get(message.request_id)
+            if holding is not None and holding.server == message.server:
+                return
+            self._send_release(
+                message.request_id, message.pool, message.server, "cancelled"
+            )
+            return
+        self.holdings[message.request_id] = Holding(
+            wait.message, message.server, wait.deliver
+        )
+        wait.deliver(message)
+
+    def queued(self, message: kinds.Queued) -> None:
+        """Note that the broker knows a wait."""
+        wait = self.waits.get(message.request_id)
+        if wait is not None:
+            wait.is_confirmed = True
+
+    def refused(self, message: kinds.Refused) -> None:
+        """Pass a refusal on."""
+        wait = self.waits.pop(message.request_id, None)
+        if wait is not None:
+            wait.deliver(message)
+
+    def revoked(self, message: kinds.Preempted | kinds.Moved) -> None:
+        """Pass a preemption or a move on to the holder of the grant."""
+        holding = self.holdings.get(message.request_id)
+        if holding is not None and holding.server == message.server:
+            holding.deliver(message)
+
+    def give_up(self, request_id: str) -> None:
+        """End a wait."""
+        wait = self.waits.pop(request_id, None)
+        if wait is not None:
+            self._send_release(request_id, wait.message.pool, "", "cancelled")
+
+    def release(
+        self,
+        request_id: str,
+        outcome: str,
+        output_tokens: int,
+        first_token_s: float,
+        duration_s: float,
+        cached_tokens: int,
+    ) -> None:
+        """End a grant."""
+        holding = self.holdings.pop(request_id, None)
+        if holding is None:
+            return
+        self._send_release(
+            request_id, holding.message.pool, holding.server, outcome,
+            output_tokens, first_token_s, duration_s, cached_tokens,
+        )  # fmt: skip
+
+    def _send_release(
+        self, request_id, pool, server, outcome, output_tokens=0,
+        first_token_s=0.0, duration_s=0.0, cached_tokens=-1,
+    ) -> None:  # fmt: skip
+        broker = self._broker(pool)
+        if broker is None:
+            return
+        self._control.send(
+            broker[1],
+            kinds.Release(
+                request_id, pool, server, outcome, output_tokens,
+                first_token_s, duration_s, cached_tokens,
+            ),
+        )  # fmt: skip
+
+    def tick(self) -> None:
+        """Ask the next broker where the last one gave no answer."""
+        now_s = self._clock()
+        for wait in list(self.waits.values()):
+            if wait.is_confirmed:
+                continue
+            if now_s - wait.asked_s < self._reply_timeout_s:
+                continue
+            if wait.broker:
+                self._directory.suspect(wait.broker, now_s)
+            self._send(wait)
+
+    def members_changed(self) -> None:
+        """Ask again where the broker of a wait is no longer the first."""
+        for wait in list(self.waits.values()):
+            broker = self._broker(wait.message.pool)
+            if broker is not None and broker[0] != wait.broker:
+                self._send(wait)
+
+    def sync(self) -> None:
+        """Tell the brokers what this entry waits for and runs."""
+        names = {wait.message.pool for wait in self.waits.values()}
+        names.update(h.message.pool for h in self.holdings.values())
+        for pool in names:
+            broker = self._broker(pool)
+            if broker is not None:
+                self._control.send(broker[1], self._entry_sync(pool))
+
+    def answer_query(self, message: kinds.HoldQuery) -> None:
+        """Tell a new broker what this entry waits for and runs."""
+        self._control.send(
+            message.reply_address, self._entry_sync(message.pool)
+        )
+
+    def _entry_sync(self, pool: str) -> kinds.EntrySync:
+        waiting = tuple(
+            request_id
+            for request_id, wait in self.waits.items()
+            if wait.message.pool == pool
+        )
+        running = tuple(
+            kinds.RunningGrant(
+                request_id,
+                holding.server,
+                holding.message.tier,
+                holding.message.client_account,
+                holding.output_tokens,
+                holding.message.cheap,
+            )
+            for request_id, holding in self.holdings.items()
+            if holding.message.pool == pool
+        )
+        return kinds.EntrySync(self._own_address, pool, waiting, running)
+
+    def sync_unknown(self, message: kinds.SyncUnknown) -> None:
+        """Ask again for waits that the broker does not know."""
+        for request_id in message.request_ids:
+            wait = self.waits.get(request_id)
+            if wait is not None and wait.is_confirmed:
+                self._send(wait)
--- /dev/null
+++ b/src/bilberryturn/checks/__init__.py
@@ -0,0 +1,11 @@
+"""Check INI text against typed sections and report all faults at once."""
+
+from bilberryturn.checks import messages
+from bilberryturn.checks import sections
+
+CheckMessage = messages.CheckMessage
+format_messages = messages.format_messages
+parse_ini = sections.parse_ini
+read_section = sections.read_section
+
+__all__ = ["CheckMessage", "format_messages", "parse_ini", "read_section"]
--- /dev/null
+++ b/src/bilberryturn/conf/checks.py
@@ -0,0 +1,143 @@
+"""Check a settings file as a whole."""
+
+import difflib
+import ipaddress
+import logging
+import pathlib
+
+from bilberryturn import checks
+from bilberryturn.conf import global_settings
+
+ADDRESS_OPTIONS = frozenset(
+    {
+        "caller_address",
+        "control_address",
+        "admin_address",
+        "advertised_control_address",
+        "table_address",
+        "objects_address",
+        "vms_address",
+        "ordering_address",
+        "reporting_address",
+        "seeds",
+    }
+)
+
+
+def check_text(
+    text: str, file: str
+) -> tuple[global_settings.Settings | None, list[checks.CheckMessage]]:
+    """Check the text of a settings file.
+
+    Args:
+        text: Content of the file.
+        file: Name used in messages.
+
+    Returns:
+        The settings, or None when a fault was found, and all faults.
+    """
+    raw_sections, faults = checks.parse_ini(text, file)
+    if faults:
+        return None, faults
+    for name in raw_sections:
+        if name not in global_settings.SECTIONS:
+            faults.append(_unknown_section(name, file))
+    values = {}
+    for name, section_class in global_settings.SECTIONS.items():
+        value, section_faults = checks.read_section(
+            section_class, raw_sections.get(name, {}), file, name
+        )
+        faults.extend(section_faults)
+        if value is None:
+            continue
+        values[name] = value
+        faults.extend(_check_values(value, file, name))
+    if faults:
+        return None, faults
+    return global_settings.Settings(**values), []
+
+
+def _unknown_section(name: str, file: str) -> checks.CheckMessage:
+    nearest = difflib.get_close_matches(
+        name, list(global_settings.SECTIONS), 1, 0.4
+    )
+    remedy = f"Did you mean [{nearest[0]}]" if nearest else "Remove it"
+    return checks.CheckMessage(
+        "E201", file, name, "", "the section is not known", remedy
+    )
+
+
+def _check_values(value, file: str, section: str) -> list[checks.CheckMessage]:
+    faults = []
+    for option in value._fields:
+        setting = getattr(value, option)
+        if option in ADDRESS_OPTIONS:
+            many = setting if isinstance(setting, tuple) else (setting,)
+            faults.extend(
+                _address_fault(address, file, section, option)
+                for address in many
+                if address and not is_address(address)
+            )
+        if option.endswith("_file") and setting:
+            faults.extend(_check_file(setting, file, section, option))
+    if section == "logging" and not _is_level(value.level):
+        faults.append(
+            checks.CheckMessage(
+                "E204", file, section, "level",
+                f"{value.level!r} is not a level",
+                "Write debug, info, warning or error",
+            )
+        )  # fmt: skip
+    if section == "timing" and value.lease_ttl_s <= 2 * value.lease_margin_s:
+        faults.append(
+            checks.CheckMessage(
+                "E205", file, section, "lease_ttl_s",
+                "the lease is not longer than twice its margin",
+                "Raise lease_ttl_s or lower lease_margin_s",
+            )
+        )  # fmt: skip
+    if section == "security" and bool(value.tls_certificate_file) != bool(
+        value.tls_private_key_file
+    ):
+        faults.append(
+            checks.CheckMessage(
+                "E206", file, section, "tls_certificate_file",
+                "a certificate needs its private key and the reverse",
+                "Set both tls_certificate_file and tls_private_key_file",
+            )
+        )  # fmt: skip
+    return faults
+
+
+def _is_level(level: str) -> bool:
+    return level.upper() in logging.getLevelNamesMapping()
+
+
+def is_address(text: str) -> bool:
+    """Return whether a text is an IP number with a port."""
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit() or int(port) > 65535:
+        return False
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return True
+
+
+def _address_fault(address, file, section, option) -> checks.CheckMessage:
+    return checks.CheckMessage(
+        "E202", file, section, option, f"{address!r} is not an address",
+        "Write an IP number and a port such as 127.0.0.1:8080",
+    )  # fmt: skip
+
+
+def _check_file(path, file, section, option) -> list[checks.CheckMessage]:
+    if pathlib.Path(path).is_file():
+        return []
+    return [
+        checks.CheckMessage(
+            "E203", file, section, option, f"the file {path!r} does not exist",
+            "Create the file or correct the path",
+        )
+    ]  # fmt: skip
--- /dev/null
+++ b/src/bilberryturn/conf/loader.py
@@ -0,0 +1,46 @@
+"""Load settings from a file."""
+
+import pathlib
+
+import expression
+
+from bilberryturn import checks
+from bilberryturn.conf import checks as settings_checks
+from bilberryturn.conf import global_settings
+
+
+def load(
+    path: str,
+) -> expression.Result[global_settings.Settings, list[checks.CheckMessage]]:
+    """Read and check a settings file.
+
+    Args:
+        path: Path of the INI file.
+
+    Returns:
+        The settings, or every fault found.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        return expression.Error(
+            [
+                checks.CheckMessage(
+                    "E200", path, "", "", f"the file cannot be read: {error}",
+                    "Name a readable UTF-8 file with --settings",
+                )
+            ]
+        )  # fmt: skip
+    settings, faults = settings_checks.check_text(text, path)
+    if settings is None:
+        return expression.Error(faults)
+    return expression.Ok(settings)
+
+
+def read_secret(path: str) -> str:
+    """Return the content of a secret file without surrounding space.
+
+    Raises:
+        OSError: The file cannot be read.
+    """
+    return pathlib.Path(path).read_text(encoding="utf-8").strip()
--- /dev/null
+++ b/src/bilberryturn/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Wire the libraries to the daemon bilberryturnd."""
--- /dev/null
+++ b/src/bilberryturn/daemon/jobs.py
@@ -0,0 +1,84 @@
+"""Run jobs that block, each at its own interval."""
+
+from collections.abc import Callable
+import concurrent.futures
+import random
+import threading
+import time
+
+from bilberryturn import events
+
+JOB_WORKERS = 8
+JITTER_SHARE = 0.2
+SCHEDULER_STEP_S = 0.05
+
+
+class _Job:
+    def __init__(self, name: str, interval_s, function):
+        self.name = name
+        self.interval_s = interval_s
+        self.function = function
+        self.due_s = time.monotonic() + random.random() * interval_s()
+        self.is_running = False
+
+
+class JobRunner:
+    """Runs jobs on a pool of threads; a job never overlaps itself."""
+
+    def __init__(self):
+        self._jobs: list[_Job] = []
+        self._stopping = threading.Event()
+        self._executor = concurrent.futures.ThreadPoolExecutor(
+            JOB_WORKERS, "job"
+        )
+        self._thread = threading.Thread(
+            target=self._run, name="jobs", daemon=True
+        )
+
+    def every(
+        self,
+        name: str,
+        interval_s: Callable[[], float],
+        function: Callable[[], object],
+    ) -> None:
+        """Run a function at an interval that may change, with jitter."""
+        self._jobs.append(_Job(name, interval_s, function))
+
+    def start(self) -> None:
+        """Start running jobs."""
+        self._thread.start()
+
+    def submit(self, function: Callable, *arguments):
+        """Run a function once; returns its future."""
+        return self._executor.submit(function, *arguments)
+
+    def stop(self) -> None:
+        """Start no further job and wait for those that run."""
+        self._stopping.set()
+        if self._thread.is_alive():
+            self._thread.join()
+        self._executor.shutdown(wait=True)
+
+    def _run(self) -> None:
+        while not self._stopping.wait(SCHEDULER_STEP_S):
+            now_s = time.monotonic()
+            for job in self._jobs:
+                if job.is_running or now_s < job.due_s:
+                    continue
+                job.is_running = True
+                self._executor.submit(self._run_job, job)
+
+    def _run_job(self, job: _Job) -> None:
+        try:
+            job.function()
+        except Exception as error:
+            events.log(
+                events.JOB_FAILED,
+                job=job.name,
+                error=f"{type(error).__name__}: {error}",
+            )
+        finally:
+            interval_s = job.interval_s()
+            jitter_s = random.uniform(-1, 1) * JITTER_SHARE * interval_s
+            job.due_s = time.monotonic() + interval_s + jitter_s
+            job.is_running = False
--- /dev/null
+++ b/src/bilberryturn/daemon/main.py
@@ -0,0 +1,72 @@
+"""Run the daemon bilberryturnd."""
+
+import argparse
+import logging
+import signal
+import sys
+import threading
+
+import zmq
+
+from bilberryturn import checks
+from bilberryturn import events
+from bilberryturn.conf import loader
+from bilberryturn.daemon import node
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_BAD_SETTINGS = 3
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run until a signal asks for a stop; returns the exit status."""
+    parser = argparse.ArgumentParser(
+        prog="bilberryturnd",
+        description="Route language-model traffic for callers.",
+    )
+    parser.add_argument("--settings", required=True, help="INI file to read")
+    options = parser.parse_args(arguments)
+    result = loader.load(options.settings)
+    if result.is_error():
+        print(checks.format_messages(result.error), file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    settings = result.ok
+    level = logging.getLevelNamesMapping()[settings.logging.level.upper()]
+    events.configure(settings.node.name, level)
+    return _run(node.Node(settings, options.settings))
+
+
+def _run(running: node.Node) -> int:
+    wake = threading.Event()
+    asked: list[int] = []
+
+    def ask(number, frame) -> None:
+        asked.append(number)
+        wake.set()
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, ask)
+    try:
+        running.start()
+    except (OSError, zmq.ZMQError) as error:
+        print(
+            f"An address cannot be used: {error}. Change the addresses in"
+            " [node] or stop the program that listens there.",
+            file=sys.stderr,
+        )
+        return EXIT_FAILED
+    while True:
+        wake.wait()
+        wake.clear()
+        while asked:
+            if asked.pop(0) != signal.SIGHUP:
+                running.stop()
+                # A second signal must not end the interpreter's shutdown.
+                signal.signal(signal.SIGTERM, signal.SIG_IGN)
+                signal.signal(signal.SIGINT, signal.SIG_IGN)
+                return EXIT_OK
+            running.reload()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/bilberryturn/daemon/usage_keeper.py
@@ -0,0 +1,242 @@
+"""Record usage, let peers hold it, flush it and take over for dead peers."""
+
+import threading
+import time
+from typing import NamedTuple
+
+from bilberryturn import events
+from bilberryturn import membership
+from bilberryturn import messages
+from bilberryturn import usage
+from bilberryturn.usage import ledger
+
+kinds = messages.kinds
+
+HOLDERS = 2
+HELD_TIMEOUT_S = 0.1
+TAKEOVER_DELAY_S = 2.0
+
+
+class Held(NamedTuple):
+    """Lets a caller wait until a peer holds a batch."""
+
+    event: threading.Event
+
+    def wait(self) -> None:
+        """Wait for a short time until a peer has confirmed."""
+        self.event.wait(HELD_TIMEOUT_S)
+
+
+class UsageKeeper:
+    """Makes sure that recorded usage reaches the table service once."""
+
+    def __init__(
+        self,
+        owner: str,
+        own_ledger: usage.Ledger,
+        store: usage.UsageStore,
+        control: messages.ControlLoop,
+        directory: membership.Directory,
+    ):
+        self._owner = owner
+        self._ledger = own_ledger
+        self._store = store
+        self._control = control
+        self._directory = directory
+        self._lock = threading.Lock()
+        self._waiting: dict[tuple[str, int], threading.Event] = {}
+        self._lost_owners: dict[str, float] = {}
+        self._last_flush_failed = False
+
+    def record(
+        self,
+        client_account: str,
+        profile: str,
+        requests: int,
+        input_tokens: int,
+        output_tokens: int,
+    ) -> Held:
+        """Count usage and let peers hold it."""
+        row = ledger.UsageRow(
+            client_account, profile, requests, input_tokens, output_tokens
+        )
+        batch = self._ledger.add(row, time.time())
+        event = threading.Event()
+        with self._lock:
+            self._waiting[(batch.batch_id, batch.revision)] = event
+        self._control.submit(self._spread, batch, event)
+        return Held(event)
+
+    def _spread(
+        self, batch: usage.Batch, event: threading.Event | None = None
+    ) -> None:
+        """Send a batch to the peers that should hold it."""
+        names = [n for n in self._directory.members
+                 if n != self._directory.own_name]  # fmt: skip
+        holders = membership.rank(names, f"usage/{batch.owner}")[:HOLDERS]
+        if not holders and event is not None:
+            with self._lock:
+                self._waiting.pop((batch.batch_id, batch.revision), None)
+            event.set()
+        for name in holders:
+            self._send_hold(
+                self._directory.members[name].control_address, batch
+            )
+
+    def _send_hold(self, address: str, batch: usage.Batch) -> None:
+        rows = tuple(tuple(row) for row in batch.rows)
+        self._control.send(
+            address,
+            kinds.UsageHold(
+                batch.owner,
+                batch.batch_id,
+                batch.window,
+                batch.revision,
+                rows,
+                self._control.options.own_address,
+            ),
+        )
+
+    def receive_hold(self, message: kinds.UsageHold) -> None:
+        """Hold a batch for a peer."""
+        if message.owner == self._owner:
+            return
+        rows = tuple(ledger.UsageRow(*row) for row in message.rows)
+        self._ledger.hold(
+            ledger.Batch(
+                message.batch_id,
+                message.owner,
+                message.window,
+                message.revision,
+                rows,
+            )
+        )
+        if message.reply_address:
+            self._control.send(
+                message.reply_address,
+                kinds.UsageHeld(message.batch_id, message.revision),
+            )
+
+    def receive_held(self, message: kinds.UsageHeld) -> None:
+        """Wake the thread that waits for a holder."""
+        with self._lock:
+            event = self._waiting.pop(
+                (message.batch_id, message.revision), None
+            )
+        if event is not None:
+            event.set()
+
+    def receive_flushed(self, message: kinds.UsageFlushed) -> None:
+        """Forget batches that are in the table service."""
+        for batch_id in message.batch_ids:
+            self._ledger.flushed(batch_id)
+
+    def flush(self) -> bool:
+        """Store own batches; returns whether all are stored. Blocks."""
+        if self._last_flush_failed:
+            batches = self._ledger.unflushed()
+            self._control.submit(self._spread_all, batches)
+        done = []
+        is_complete = True
+        for batch in self._ledger.seal():
+            if not self._flush_batch(batch):
+                is_complete = False
+                break
+            done.append(batch.batch_id)
+        self._last_flush_failed = not is_complete
+        self._announce(done)
+        self._forget_waiting()
+        return is_complete
+
+    def _spread_all(self, batches: list[usage.Batch]) -> None:
+        for batch in batches:
+            self._spread(batch)
+
+    def _forget_waiting(self) -> None:
+        """Bound the events that no peer will ever set."""
+        with self._lock:
+            while len(self._waiting) > 1000:
+                self._waiting.pop(next(iter(self._waiting)))
+
+    def _flush_batch(self, batch: usage.Batch) -> bool:
+        window = self._ledger.window_of(time.time())
+        result = self._store.flush(batch, window)
+        if result.is_error():
+            events.log(
+                events.USAGE_FLUSH_FAILED,
+                batch_id=batch.batch_id,
+                error=str(result.error),
+            )
+            return False
+        rest = ledger.subtract_rows(batch.rows, result.ok.stored_rows)
+        if rest and batch.owner == self._owner:
+            # A peer took over while this node was frozen and knew less.
+            for row in rest:
+                self._ledger.add(row, time.time())
+        self._ledger.flushed(batch.batch_id)
+        return True
+
+    def _announce(self, batch_ids: list[str]) -> None:
+        if not batch_ids:
+            return
+        message = kinds.UsageFlushed(tuple(batch_ids))
+
+        def send() -> None:
+            for member in self._directory.members.values():
+                if member.name != self._directory.own_name:
+                    self._control.send(member.control_address, message)
+
+        self._control.submit(send)
+
+    def check_owners(self) -> None:
+        """Note owners that are gone and share what is held for them.
+
+        Runs on the control thread. Holders first exchange what they have, so
+        that the newest revision of each batch is flushed.
+        """
+        alive = {
+            owner_name(m.name, m.incarnation)
+            for m in self._directory.members.values()
+        }
+        now_s = time.monotonic()
+        for owner in self._ledger.held_owners():
+            if owner in alive:
+                self._lost_owners.pop(owner, None)
+            elif owner not in self._lost_owners:
+                self._lost_owners[owner] = now_s
+                self._share(self._ledger.held_of(owner))
+
+    def _share(self, batches: list[usage.Batch]) -> None:
+        for member in self._directory.members.values():
+            if member.name == self._directory.own_name:
+                continue
+            for batch in batches:
+                self._send_hold(member.control_address, batch)
+
+    def take_over(self) -> None:
+        """Store what is held for owners that are gone. Blocks."""
+        now_s = time.monotonic()
+        for owner, lost_s in list(self._lost_owners.items()):
+            if now_s - lost_s < TAKEOVER_DELAY_S:
+                continue
+            batches = self._ledger.held_of(owner)
+            done = [b.batch_id for b in batches if self._flush_batch(b)]
+            self._announce(done)
+            if done:
+                events.log(
+                    events.USAGE_TAKEN_OVER, owner=owner, batches=len(done)
+                )
+            if len(done) == len(batches):
+                self._lost_owners.pop(owner, None)
+
+    def hand_off(self) -> None:
+        """Give everything that is not flushed to all peers."""
+        batches = self._ledger.unflushed()
+        for owner in self._ledger.held_owners():
+            batches.extend(self._ledger.held_of(owner))
+        self._control.submit(self._share, batches)
+
+
+def owner_name(node_name: str, incarnation: int) -> str:
+    """Return the owner of the batches of one run of a node."""
+    return f"{node_name}/{incarnation}"
--- /dev/null
+++ b/src/bilberryturn/declarations/checks.py
@@ -0,0 +1,196 @@
+"""Check declarations as a whole."""
+
+import difflib
+import pathlib
+
+from bilberryturn import checks
+from bilberryturn.declarations import models
+
+CHEAP_WORDS = (
+    models.CHEAP_NEVER,
+    models.CHEAP_RESERVED,
+    models.CHEAP_ALWAYS,
+)
+VM_MARKS = ("leaving", "joining")
+MAX_NAME_CHARACTERS = 100
+
+
+def read_files(
+    path: str,
+) -> tuple[
+    dict[str, dict[str, str]], dict[str, str], list[checks.CheckMessage]
+]:
+    """Read one INI file or all *.ini files of a folder.
+
+    Returns:
+        Options by section, file by section, and the faults found.
+    """
+    root = pathlib.Path(path)
+    files = sorted(root.glob("*.ini")) if root.is_dir() else [root]
+    sections: dict[str, dict[str, str]] = {}
+    origin: dict[str, str] = {}
+    faults: list[checks.CheckMessage] = []
+    if not files:
+        faults.append(
+            checks.CheckMessage(
+                "E300", path, "", "", "the folder holds no *.ini file",
+                "Name the folder that holds the declarations",
+            )
+        )  # fmt: skip
+    for file in files:
+        try:
+            text = file.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            faults.append(
+                checks.CheckMessage(
+                    "E300", str(file), "", "", f"cannot be read: {error}",
+                    "Name a readable UTF-8 file",
+                )
+            )  # fmt: skip
+            continue
+        found, file_faults = checks.parse_ini(text, str(file))
+        faults.extend(file_faults)
+        for name, options in found.items():
+            if name in sections:
+                faults.append(
+                    checks.CheckMessage(
+                        "E301", str(file), name, "",
+                        f"the section stands in {origin[name]} too",
+                        "Keep one of them",
+                    )
+                )  # fmt: skip
+            sections[name] = options
+            origin[name] = str(file)
+    return sections, origin, faults
+
+
+def check_files(
+    path: str,
+) -> tuple[dict[str, dict[str, str]], list[checks.CheckMessage]]:
+    """Read and check declaration files without a network.
+
+    Args:
+        path: File or folder.
+
+    Returns:
+        Sections by name and every fault found.
+    """
+    sections, origin, faults = read_files(path)
+    for name in sections:
+        kind = models.kind_of(name)
+        if kind in models.SECTION_KINDS and kind not in models.FILE_KINDS:
+            faults.append(
+                checks.CheckMessage(
+                    "E305", origin[name], name, "",
+                    f"sections of kind {kind!r} are not declared in files",
+                    "Use the commands `key`, `vm` and `backend` instead",
+                )
+            )  # fmt: skip
+    faults.extend(check_sections(sections, origin))
+    return sections, faults
+
+
+def check_sections(
+    sections: dict[str, dict[str, str]], origin: dict[str, str] | None = None
+) -> list[checks.CheckMessage]:
+    """Check all sections and the references between them.
+
+    Args:
+        sections: Options by section name.
+        origin: File of each section, for messages.
+
+    Returns:
+        Every fault found.
+    """
+    origin = origin or {}
+    faults: list[checks.CheckMessage] = []
+    typed: dict[str, dict] = {kind: {} for kind in models.SECTION_KINDS}
+    for name, options in sections.items():
+        file = origin.get(name, "")
+        kind, _, title = name.partition(" ")
+        if kind not in models.SECTION_KINDS:
+            faults.append(_unknown_kind(kind, file, name))
+            continue
+        if not title or len(title) > MAX_NAME_CHARACTERS or " " in title:
+            faults.append(
+                checks.CheckMessage(
+                    "E303", file, name, "", "the section has no usable name",
+                    f"Write [{kind} NAME] with a NAME without spaces",
+                )
+            )  # fmt: skip
+            continue
+        value, section_faults = checks.read_section(
+            models.SECTION_KINDS[kind], options, file, name
+        )
+        faults.extend(section_faults)
+        if value is not None:
+            typed[kind][title] = value
+    for kind, values in typed.items():
+        for title, value in values.items():
+            name = f"{kind} {title}"
+            faults.extend(
+                _check_value(kind, value, sections, origin.get(name, ""), name)
+            )
+    return faults
+
+
+def _unknown_kind(kind: str, file: str, name: str) -> checks.CheckMessage:
+    nearest = difflib.get_close_matches(
+        kind, list(models.SECTION_KINDS), 1, 0.4
+    )
+    remedy = "Remove it"
+    if nearest:
+        remedy = f"Did you mean [{nearest[0]} NAME]"
+    return checks.CheckMessage(
+        "E302", file, name, "", "the kind of section is not known", remedy
+    )
+
+
+def _check_value(kind, value, sections, file, name):
+    faults = []
+
+    def fault(number: str, option: str, problem: str, remedy: str) -> None:
+        faults.append(
+            checks.CheckMessage(number, file, name, option, problem, remedy)
+        )
+
+    def refer(target_kind: str, title: str, option: str) -> None:
+        if f"{target_kind} {title}" in sections:
+            return
+        fault(
+            "E304",
+            option,
+            f"{target_kind} {title!r} is not declared",
+            f"Declare [{target_kind} {title}] or correct the name",
+        )
+
+    if kind == "profile":
+        if not 0 <= value.tier <= models.MAX_TIER:
+            fault("E306", "tier", f"{value.tier} is not a tier",
+                  f"Write a tier from 0 to {models.MAX_TIER}")  # fmt: skip
+        if value.cheap not in CHEAP_WORDS:
+            fault("E307", "cheap", f"{value.cheap!r} is not a choice",
+                  "Write never, reserved or always")  # fmt: skip
+        if value.deadline_s <= 0:
+            fault("E308", "deadline_s", "the deadline is zero",
+                  "Write the longest time a request may take")  # fmt: skip
+    if kind == "client_account":
+        for profile in value.profiles:
+            refer("profile", profile, "profiles")
+        if not 0 < value.weight <= 1000:
+            fault("E309", "weight", f"{value.weight} is not a weight",
+                  "Write a number above 0 and up to 1000")  # fmt: skip
+    if kind == "service":
+        refer("profile", value.profile, "profile")
+    if kind == "key":
+        refer("client_account", value.client_account, "client_account")
+    if kind == "vm" and value.mark not in VM_MARKS:
+        fault("E310", "mark", f"{value.mark!r} is not a mark",
+              "Write leaving or joining")  # fmt: skip
+    if kind == "backend_server" and value.mark != "draining":
+        fault("E310", "mark", f"{value.mark!r} is not a mark",
+              "Write draining")  # fmt: skip
+    if kind == "region_path" and len(value.regions) != 2:
+        fault("E311", "regions", "a path joins two regions",
+              "Write two region names")  # fmt: skip
+    return faults
--- /dev/null
+++ b/src/bilberryturn/declarations/models.py
@@ -0,0 +1,227 @@
+"""Define the kinds of declared sections and their typed view."""
+
+from typing import Any
+from typing import NamedTuple
+
+from bilberryturn import checks
+
+CHEAP_NEVER = "never"
+CHEAP_RESERVED = "reserved"
+CHEAP_ALWAYS = "always"
+MAX_TIER = 9
+
+
+class Profile(NamedTuple):
+    """Describes a class of work.
+
+    Attributes:
+        tier: Service tier; 0 is the highest.
+        cheap: Whether the work may run on cheap backend servers: "never",
+            "reserved" (only while the paid ones could take it over) or
+            "always".
+        open_to_all: Whether callers need no key.
+    """
+
+    tier: int
+    models: tuple[str, ...] = ()
+    first_token_target_s: float = 0.65
+    token_gap_target_s: float = 0.066
+    max_wait_s: float = 30.0
+    deadline_s: float = 300.0
+    max_output_tokens: int = 4096
+    expected_output_tokens: int = 128
+    cheap: str = CHEAP_RESERVED
+    open_to_all: bool = False
+
+
+class ClientAccount(NamedTuple):
+    """Describes one client account; no profiles means all of them."""
+
+    weight: float = 1.0
+    profiles: tuple[str, ...] = ()
+
+
+class Service(NamedTuple):
+    """Describes a plain service.
+
+    Attributes:
+        profile: Profile that sets tier and deadline.
+        repeatable_methods: Methods that may be sent again.
+        repeatable_paths: Path prefixes of which each call may be sent again.
+    """
+
+    profile: str
+    repeatable_methods: tuple[str, ...] = ("GET", "HEAD", "OPTIONS")
+    repeatable_paths: tuple[str, ...] = ()
+
+
+class FailureDomain(NamedTuple):
+    """Describes a failure domain and the fleet that may run in it."""
+
+    region: str
+    min_running: int = 1
+    idle_stop_s: float = 300.0
+    orders_per_minute: float = 6.0
+
+
+class RegionPath(NamedTuple):
+    """Describes the path between two regions."""
+
+    regions: tuple[str, ...]
+    delay_s: float = 0.03
+    cost_per_gb: float = 0.0
+
+
+class BackendServerMark(NamedTuple):
+    """Holds an operator's mark on a backend server: "draining"."""
+
+    mark: str
+    author: str = ""
+
+
+class VmMark(NamedTuple):
+    """Holds an operator's mark on a VM: "leaving" or "joining"."""
+
+    mark: str
+    author: str = ""
+
+
+class Key(NamedTuple):
+    """Holds a granted key; the section is named by the key's hash."""
+
+    client_account: str
+    label: str = ""
+    author: str = ""
+
+
+SECTION_KINDS: dict[str, type] = {
+    "profile": Profile,
+    "client_account": ClientAccount,
+    "service": Service,
+    "failure_domain": FailureDomain,
+    "region_path": RegionPath,
+    "backend_server": BackendServerMark,
+    "vm": VmMark,
+    "key": Key,
+}
+FILE_KINDS = (
+    "profile",
+    "client_account",
+    "service",
+    "failure_domain",
+    "region_path",
+)
+
+
+class Declarations:
+    """Holds one version of all sections with a typed view by kind.
+
+    Instances are not changed after they are built, so threads may share them.
+    Keys are held as a plain mapping from hash to account name because they
+    are the most numerous sections.
+
+    Attributes:
+        version: Number of the last change that it holds.
+        sections: Option texts by section name.
+    """
+
+    def __init__(
+        self,
+        version: int = 0,
+        sections: dict[str, dict[str, str]] | None = None,
+        typed: dict[str, dict[str, Any]] | None = None,
+    ):
+        self.version = version
+        self.sections = sections if sections is not None else {}
+        self._typed = typed if typed is not None else _build(self.sections)
+
+    @property
+    def profiles(self) -> dict[str, Profile]:
+        """Return the profiles by name."""
+        return self._typed["profile"]
+
+    @property
+    def client_accounts(self) -> dict[str, ClientAccount]:
+        """Return the client accounts by name."""
+        return self._typed["client_account"]
+
+    @property
+    def services(self) -> dict[str, Service]:
+        """Return the plain services by name."""
+        return self._typed["service"]
+
+    @property
+    def failure_domains(self) -> dict[str, FailureDomain]:
+        """Return the failure domains by name."""
+        return self._typed["failure_domain"]
+
+    @property
+    def region_paths(self) -> dict[str, RegionPath]:
+        """Return the paths between regions by name."""
+        return self._typed["region_path"]
+
+    @property
+    def backend_server_marks(self) -> dict[str, BackendServerMark]:
+        """Return the marks on backend servers by name."""
+        return self._typed["backend_server"]
+
+    @property
+    def vm_marks(self) -> dict[str, VmMark]:
+        """Return the marks on VMs by name."""
+        return self._typed["vm"]
+
+    @property
+    def keys(self) -> dict[str, str]:
+        """Return the client account of each key hash."""
+        return self._typed["key"]
+
+    def with_change(
+        self,
+        version: int,
+        changed: dict[str, dict[str, str]],
+        removed: tuple[str, ...] | list[str],
+    ) -> "Declarations":
+        """Return the declarations after a change."""
+        sections = dict(self.sections)
+        typed = dict(self._typed)
+        touched = {kind_of(name) for name in (*changed, *removed)}
+        for kind in touched & set(typed):
+            typed[kind] = dict(typed[kind])
+        for name in removed:
+            sections.pop(name, None)
+            kind, _, title = name.partition(" ")
+            typed.get(kind, {}).pop(title, None)
+        for name, options in changed.items():
+            sections[name] = options
+            _add_typed(typed, name, options)
+        return Declarations(version, sections, typed)
+
+
+def kind_of(section: str) -> str:
+    """Return the kind of a section name such as "profile chat"."""
+    return section.partition(" ")[0]
+
+
+def _build(sections: dict[str, dict[str, str]]) -> dict[str, dict[str, Any]]:
+    typed: dict[str, dict[str, Any]] = {kind: {} for kind in SECTION_KINDS}
+    for name, options in sections.items():
+        _add_typed(typed, name, options)
+    return typed
+
+
+def _add_typed(typed, name: str, options: dict[str, str]) -> None:
+    """Add the typed form; sections of a newer release are passed over."""
+    kind, _, title = name.partition(" ")
+    if kind == "key":
+        typed["key"][title] = options.get("client_account", "")
+        return
+    if kind not in SECTION_KINDS:
+        return
+    known = {
+        option: text
+        for option, text in options.items()
+        if option in SECTION_KINDS[kind]._fields
+    }
+    value, _ = checks.read_section(SECTION_KINDS[kind], known, "", name)
+    if value is not None:
+        typed[kind][title] = value
--- /dev/null
+++ b/src/bilberryturn/entry/application.py
@@ -0,0 +1,427 @@
+"""Route the requests of callers."""
+
+from collections.abc import Iterator
+import math
+from typing import Any
+
+import msgspec
+import werkzeug.exceptions
+import werkzeug.routing
+import werkzeug.wrappers
+
+from bilberryturn import declarations
+from bilberryturn import events
+from bilberryturn import metrics
+from bilberryturn.entry import bodies
+from bilberryturn.entry import completions
+from bilberryturn.entry import context
+from bilberryturn.entry import exceptions
+from bilberryturn.entry import exchange
+from bilberryturn.entry import server
+from bilberryturn.entry import services
+
+PROFILE_HEADER = "X-Bilberryturn-Profile"
+RAN_HEADER = "X-Bilberryturn-Ran"
+REQUEST_ID_HEADER = "X-Request-Id"
+STOPPING_RETRY_AFTER_S = 1.0
+ISOLATED_RETRY_AFTER_S = 10.0
+
+ROUTES = werkzeug.routing.Map(
+    [
+        werkzeug.routing.Rule(
+            "/v1/chat/completions", endpoint="model", methods=["POST"]
+        ),
+        werkzeug.routing.Rule(
+            "/v1/completions", endpoint="model", methods=["POST"]
+        ),
+        werkzeug.routing.Rule(
+            "/v1/embeddings", endpoint="model", methods=["POST"]
+        ),
+        werkzeug.routing.Rule("/v1/models", endpoint="models", methods=["GET"]),
+        werkzeug.routing.Rule(
+            "/services/<service>/", endpoint="service", defaults={"path": ""}
+        ),
+        werkzeug.routing.Rule(
+            "/services/<service>/<path:path>", endpoint="service"
+        ),
+        werkzeug.routing.Rule("/healthz", endpoint="healthz", methods=["GET"]),
+        werkzeug.routing.Rule("/readyz", endpoint="readyz", methods=["GET"]),
+        werkzeug.routing.Rule("/metrics", endpoint="metrics", methods=["GET"]),
+    ],
+    strict_slashes=False,
+    merge_slashes=False,
+)
+
+Request = werkzeug.wrappers.Request
+Response = werkzeug.wrappers.Response
+
+
+class Application:
+    """Is the WSGI application that callers see."""
+
+    def __init__(self, node: context.EntryContext):
+        self._node = node
+
+    def __call__(self, environ, start_response):
+        """Answer one request."""
+        request = Request(environ)
+        response = self._respond(request)
+        if self._node.is_draining:
+            response.headers["Connection"] = "close"
+        return response(environ, start_response)
+
+    def _respond(self, request: Request) -> Response:
+        adapter = ROUTES.bind_to_environ(request.environ)
+        try:
+            endpoint, arguments = adapter.match()
+        except werkzeug.exceptions.MethodNotAllowed:
+            return error_response(exceptions.MethodNotAllowedError(), False)
+        except werkzeug.exceptions.HTTPException:
+            return error_response(exceptions.UnknownRouteError(), False)
+        if endpoint == "healthz":
+            return Response("alive\n", mimetype="text/plain")
+        if endpoint == "readyz":
+            return self._readyz()
+        if endpoint == "metrics":
+            body, headers = metrics.render()
+            return Response(body, headers=headers)
+        return self._follow(request, endpoint, arguments)
+
+    def _readyz(self) -> Response:
+        if self._node.is_draining:
+            return Response("stopping\n", 503, mimetype="text/plain")
+        if self._node.declared.version == 0:
+            return Response("no declarations\n", 503, mimetype="text/plain")
+        return Response("ready\n", mimetype="text/plain")
+
+    def _follow(
+        self, request: Request, endpoint: str, arguments: dict[str, Any]
+    ) -> Response:
+        """Run a request that is counted, cancelled and traced."""
+        node = self._node
+        key = _caller_key(request)
+        key_hash = node.hasher.hash(key) if key else ""
+        followed = exchange.Exchange(
+            node.running.new_id(),
+            key_hash,
+            request.environ.get(server.CONNECTION_KEY),
+        )
+        # The key is looked up after the request is indexed: a withdrawal
+        # then either is seen here or finds the request in the index.
+        node.running.add(followed)
+        is_streaming = False
+        try:
+            self._admit(followed)
+            handler = getattr(self, f"_serve_{endpoint}")
+            response = handler(request, followed, key, **arguments)
+            is_streaming = response.is_streamed
+            response.headers[REQUEST_ID_HEADER] = followed.request_id
+            return response
+        except exceptions.RequestError as error:
+            return self._fail(followed, error)
+        except Exception as error:
+            events.log(
+                events.REQUEST_FAILED,
+                request_id=followed.request_id,
+                error=f"{type(error).__name__}: {error}",
+            )
+            return self._fail(followed, exceptions.RequestError())
+        finally:
+            if not is_streaming:
+                node.running.remove(followed)
+
+    def _admit(self, followed: exchange.Exchange) -> None:
+        """Refuse requests that the node cannot serve now."""
+        node = self._node
+        if node.is_stopping:
+            raise exceptions.StoppingError(retry_after_s=STOPPING_RETRY_AFTER_S)
+        limit = node.settings.limits.max_concurrent_requests
+        if node.running.count() > limit:
+            raise exceptions.OverloadedError(
+                f"the node runs {limit} requests",
+                retry_after_s=STOPPING_RETRY_AFTER_S,
+            )
+
+    def _fail(
+        self, followed: exchange.Exchange, error: exceptions.RequestError
+    ) -> Response:
+        followed.note("error", code=error.code)
+        metrics.add(metrics.REFUSALS, {"kind": error.code})
+        exchange.log_end(followed, error.code)
+        response = error_response(error, followed.may_have_run)
+        response.headers[REQUEST_ID_HEADER] = followed.request_id
+        return response
+
+    def _identify(
+        self,
+        followed: exchange.Exchange,
+        key: str,
+        profile_name: str,
+    ) -> None:
+        """Set the account and the profile of a request.
+
+        Raises:
+            RequestError: The key or the profile does not allow the request.
+        """
+        declared = self._node.declared
+        profile = declared.profiles.get(profile_name)
+        account = declared.keys.get(followed.key_hash) if key else None
+        if profile is not None and profile.open_to_all:
+            followed.client_account = account or "open"
+        else:
+            self._check_key(key, account)
+            followed.client_account = account
+        if profile is None:
+            raise exceptions.UnknownProfileError(profile_name[:100])
+        allowed = declared.client_accounts.get(
+            followed.client_account, declarations.models.ClientAccount()
+        ).profiles
+        if allowed and profile_name not in allowed:
+            raise exceptions.ProfileNotAllowedError(profile_name)
+        followed.profile_name = profile_name
+        followed.profile = profile
+        followed.deadline_s = followed.arrived_s + profile.deadline_s
+
+    def _check_key(self, key: str, account: str | None) -> None:
+        if not key:
+            raise exceptions.MissingKeyError()
+        if account is None:
+            raise exceptions.UnknownKeyError()
+        if self._node.is_isolated:
+            raise exceptions.IsolatedError(retry_after_s=ISOLATED_RETRY_AFTER_S)
+
+    def _read_body(self, request: Request) -> bytes:
+        """Return the body within the limit.
+
+        Raises:
+            RequestError: It is too large or has no length.
+        """
+        limit = self._node.settings.limits.max_body_bytes
+        if request.content_length is None:
+            encoding = request.headers.get("Transfer-Encoding", "")
+            if "chunked" not in encoding.lower():
+                return b""
+            body = request.environ["wsgi.input"].read(limit + 1)
+            if len(body) > limit:
+                raise exceptions.BodyTooLargeError(f"{limit} bytes at most")
+            return body
+        if request.content_length > limit:
+            raise exceptions.BodyTooLargeError(f"{limit} bytes at most")
+        return request.get_data(cache=False)
+
+    def _serve_model(
+        self, request: Request, followed: exchange.Exchange, key: str
+    ) -> Response:
+        route = request.path.removeprefix("/v1/")
+        self._check_known_key(followed, key)
+        body = bodies.parse_model_request(route, self._read_body(request))
+        profile_name, model = _profile_and_model(request, body)
+        self._identify(followed, key, profile_name)
+        models = self._models(followed, model)
+        bodies.check_holds_no_key(key, bodies.canonical(body.fields))
+        run = completions.ModelRun(self._node, followed, body, models)
+        if body.is_stream:
+            return self._stream(followed, run)
+        answer, content_type = run.whole()
+        exchange.log_end(followed, "done", output_tokens=run.output_tokens)
+        return Response(answer, content_type=content_type)
+
+    def _check_known_key(self, followed: exchange.Exchange, key: str) -> None:
+        """Refuse an unknown key before the body is read."""
+        if key and followed.key_hash not in self._node.declared.keys:
+            raise exceptions.UnknownKeyError()
+
+    def _models(
+        self, followed: exchange.Exchange, model: str
+    ) -> tuple[str, ...]:
+        """Return the models that may serve a request, the wanted one only."""
+        allowed = followed.profile.models
+        if not model:
+            if not allowed:
+                raise exceptions.UnknownModelError("the body names no model")
+            return allowed
+        if model not in allowed:
+            raise exceptions.UnknownModelError(model[:100])
+        return (model,)
+
+    def _stream(
+        self, followed: exchange.Exchange, run: completions.ModelRun
+    ) -> Response:
+        """Start a stream once its first event is there.
+
+        Up to then a refusal can still have a status of its own.
+        """
+        chunks = run.stream()
+        first = next(chunks)
+        response = Response(
+            _Stream(self._node, followed, run, first, chunks),
+            content_type="text/event-stream",
+            direct_passthrough=True,
+        )
+        response.headers["Cache-Control"] = "no-cache"
+        return response
+
+    def _serve_models(
+        self, request: Request, followed: exchange.Exchange, key: str
+    ) -> Response:
+        declared = self._node.declared
+        account = declared.keys.get(followed.key_hash) if key else None
+        self._check_key(key, account)
+        allowed = declared.client_accounts.get(
+            account, declarations.models.ClientAccount()
+        ).profiles
+        names: dict[str, None] = {}
+        for name, profile in declared.profiles.items():
+            if allowed and name not in allowed:
+                continue
+            names[bodies.PROFILE_MODEL_PREFIX + name] = None
+            names.update(dict.fromkeys(profile.models))
+        data = [
+            {"id": name, "object": "model", "created": 0,
+             "owned_by": "bilberryturn"}
+            for name in names
+        ]  # fmt: skip
+        return _json_response({"object": "list", "data": data})
+
+    def _serve_service(
+        self,
+        request: Request,
+        followed: exchange.Exchange,
+        key: str,
+        service: str,
+        path: str,
+    ) -> Response:
+        declared = self._node.declared.services.get(service)
+        self._check_known_key(followed, key)
+        if declared is None:
+            self._check_key(
+                key, self._node.declared.keys.get(followed.key_hash)
+            )
+            raise exceptions.UnknownServiceError(service[:100])
+        self._identify(followed, key, declared.profile)
+        idempotency_key = request.headers.get("Idempotency-Key", "")
+        call = services.ServiceCall(
+            service,
+            request.method,
+            path,
+            request.query_string.decode("latin-1"),
+            {k.lower(): v for k, v in request.headers.items()},
+            self._read_body(request),
+            idempotency_key,
+        )
+        services.check_call(call)
+        services.check_holds_no_key(key, call)
+        run = services.ServiceRun(self._node, followed, call, declared)
+        answer = run.run()
+        exchange.log_end(followed, "done")
+        response = Response(
+            answer.body, answer.status, content_type=answer.content_type
+        )
+        if answer.is_recorded:
+            response.headers["Idempotent-Replayed"] = "true"
+        return response
+
+
+class _Stream:
+    """Is the body of a streamed answer; its end is always noted."""
+
+    def __init__(self, node, followed, run, first: bytes, chunks):
+        self._node = node
+        self._followed = followed
+        self._run = run
+        self._first: bytes | None = first
+        self._chunks: Iterator[bytes] = chunks
+        self._outcome = ""
+
+    def __iter__(self):
+        return self
+
+    def __next__(self) -> bytes:
+        if self._first is not None:
+            first, self._first = self._first, None
+            return first
+        if self._outcome:
+            raise StopIteration
+        try:
+            return next(self._chunks)
+        except StopIteration:
+            self._outcome = "done"
+            raise
+        except exceptions.RequestError as error:
+            self._outcome = error.code
+            metrics.add(metrics.REFUSALS, {"kind": error.code})
+            return _error_event(error, self._followed)
+
+    def close(self) -> None:
+        """End the run; called when the answer is sent or the caller left."""
+        self._chunks.close()
+        self._node.running.remove(self._followed)
+        exchange.log_end(
+            self._followed,
+            self._outcome or exceptions.CallerGoneError.code,
+            output_tokens=self._run.output_tokens,
+        )
+
+
+def _caller_key(request: Request) -> str:
+    """Return the key of the Authorization header, or an empty text."""
+    scheme, _, key = request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer":
+        return ""
+    return key.strip()
+
+
+def _profile_and_model(
+    request: Request, body: bodies.ModelRequest
+) -> tuple[str, str]:
+    """Return the profile's name and the wanted model, which may be empty."""
+    prefix = bodies.PROFILE_MODEL_PREFIX
+    header = request.headers.get(PROFILE_HEADER, "")
+    if body.model.startswith(prefix):
+        return header or body.model.removeprefix(prefix), ""
+    if not header:
+        raise exceptions.UnknownProfileError(
+            "none is given",
+            f"Send {PROFILE_HEADER}: NAME or the model `{prefix}NAME`",
+        )
+    return header, body.model
+
+
+def _json_response(value: Any, status: int = 200) -> Response:
+    return Response(
+        msgspec.json.encode(value), status, content_type="application/json"
+    )
+
+
+def _error_body(
+    error: exceptions.RequestError, may_have_run: bool
+) -> dict[str, Any]:
+    return {
+        "error": {
+            "message": str(error),
+            "type": error.kind,
+            "code": error.code,
+            "param": None,
+            "remedy": error.remedy,
+            "ran": exceptions.run_statement(may_have_run),
+        }
+    }
+
+
+def error_response(
+    error: exceptions.RequestError, may_have_run: bool
+) -> Response:
+    """Return an error in the OpenAI form."""
+    response = _json_response(_error_body(error, may_have_run), error.status)
+    response.headers[RAN_HEADER] = exceptions.run_statement(may_have_run)
+    if error.retry_after_s is not None:
+        seconds = max(1, math.ceil(error.retry_after_s))
+        response.headers["Retry-After"] = str(seconds)
+    return response
+
+
+def _error_event(
+    error: exceptions.RequestError, followed: exchange.Exchange
+) -> bytes:
+    body = _error_body(error, followed.may_have_run)
+    return b"data: " + msgspec.json.encode(body) + b"\n\n"
--- /dev/null
+++ b/src/bilberryturn/entry/context.py
@@ -0,0 +1,156 @@
+"""Hold what the threads that serve callers share."""
+
+import collections
+from collections.abc import Callable
+import itertools
+import threading
+import time
+from typing import Any
+from typing import NamedTuple
+
+from bilberryturn import backends
+from bilberryturn import brokers
+from bilberryturn import conf
+from bilberryturn import declarations
+from bilberryturn import messages
+from bilberryturn import platform
+from bilberryturn import scheduling
+
+TRACES_KEPT = 2000
+
+
+class Cancelled(NamedTuple):
+    """Ends an exchange from outside; the reason is a RequestError class."""
+
+    error: Exception
+
+
+class RunningRequests:
+    """Indexes running requests by key, and keeps traces of ended ones."""
+
+    def __init__(self, node_name: str, incarnation: int):
+        self._prefix = f"{node_name}-{incarnation:x}"
+        self._numbers = itertools.count(1)
+        self._lock = threading.Lock()
+        self._running: dict[str, Any] = {}
+        self._traces: collections.OrderedDict[str, list] = (
+            collections.OrderedDict()
+        )
+
+    def new_id(self) -> str:
+        """Return a request identifier that is unique for ever."""
+        return f"{self._prefix}-{next(self._numbers):x}"
+
+    def add(self, exchange) -> None:
+        """Note a running request."""
+        with self._lock:
+            self._running[exchange.request_id] = exchange
+
+    def remove(self, exchange) -> None:
+        """Forget a request but keep its trace."""
+        with self._lock:
+            self._running.pop(exchange.request_id, None)
+            self._traces[exchange.request_id] = exchange.trace
+            while len(self._traces) > TRACES_KEPT:
+                self._traces.popitem(last=False)
+
+    def count(self) -> int:
+        """Return how many requests run."""
+        with self._lock:
+            return len(self._running)
+
+    def all(self) -> list:
+        """Return the running requests."""
+        with self._lock:
+            return list(self._running.values())
+
+    def trace(self, request_id: str) -> list | None:
+        """Return what happened to a request, or None if it is unknown."""
+        with self._lock:
+            running = self._running.get(request_id)
+            if running is not None:
+                return list(running.trace)
+            return self._traces.get(request_id)
+
+
+class SharedSuspects:
+    """Guards the suspect registry and tells peers of changes."""
+
+    def __init__(self, announce: Callable[[messages.kinds.SuspectMark], None]):
+        self._registry = scheduling.SuspectRegistry()
+        self._lock = threading.Lock()
+        self._announce = announce
+
+    def verdict(self, fingerprint: str) -> str:
+        """Return the verdict on a fingerprint."""
+        with self._lock:
+            return self._registry.verdict(fingerprint, time.monotonic())
+
+    def crashed(self, fingerprint: str) -> int:
+        """Mark a fingerprint; returns its number of marks."""
+        now_s = time.monotonic()
+        with self._lock:
+            marks = self._registry.crashed(fingerprint, now_s)
+            ttl_s = self._registry.remaining_s(fingerprint, now_s)
+        self._announce(messages.kinds.SuspectMark(fingerprint, marks, ttl_s))
+        return marks
+
+    def succeeded(self, fingerprint: str) -> None:
+        """Clear the marks of a fingerprint."""
+        with self._lock:
+            had_marks = self._registry.succeeded(fingerprint)
+        if had_marks:
+            self._announce(messages.kinds.SuspectMark(fingerprint, 0, 0.0))
+
+    def merge(self, message: messages.kinds.SuspectMark) -> None:
+        """Take over a mark from a peer."""
+        with self._lock:
+            self._registry.merge(
+                message.fingerprint,
+                message.marks,
+                message.ttl_s,
+                time.monotonic(),
+            )
+
+    def quarantined(self) -> dict[str, float]:
+        """Return the quarantined fingerprints and their seconds left."""
+        with self._lock:
+            return self._registry.quarantined(time.monotonic())
+
+
+class EntryContext:
+    """Bundles what a request needs from the node.
+
+    Attributes:
+        is_isolated: Whether withdrawals could be missed for too long.
+        is_draining: Whether the balancer should look for another node.
+        is_stopping: Whether the node refuses new requests.
+    """
+
+    def __init__(
+        self,
+        settings: conf.Settings,
+        hasher: declarations.KeyHasher,
+        control: messages.ControlLoop,
+        grants: brokers.GrantClient,
+        router: brokers.PoolRouter,
+        stream_loop: backends.StreamLoop,
+        table: platform.TableService,
+        running: RunningRequests,
+        suspects: SharedSuspects,
+        record_usage: Callable[[str, str, int, int, int], Any],
+    ):
+        self.settings = settings
+        self.hasher = hasher
+        self.control = control
+        self.grants = grants
+        self.router = router
+        self.stream_loop = stream_loop
+        self.table = table
+        self.running = running
+        self.suspects = suspects
+        self.record_usage = record_usage
+        self.declared = declarations.Declarations()
+        self.is_isolated = False
+        self.is_draining = False
+        self.is_stopping = False
--- /dev/null
+++ b/src/bilberryturn/entry/exceptions.py
@@ -0,0 +1,293 @@
+"""Define every error that a caller can get.
+
+Each kind has a status, a code and a remedy. Whether the request ran is a
+property of the request, not of the kind; see run_statement.
+"""
+
+from bilberryturn import exceptions
+
+NOT_RUN = "not run"
+MAY_HAVE_RUN = "may have run"
+
+
+def run_statement(may_have_run: bool) -> str:
+    """Return what a refusal says about the request.
+
+    Args:
+        may_have_run: Whether any byte of the request may have reached a
+            backend server.
+    """
+    return MAY_HAVE_RUN if may_have_run else NOT_RUN
+
+
+class RequestError(exceptions.BilberryturnError):
+    """Is the base of all errors towards callers.
+
+    Attributes:
+        retry_after_s: When to try again, or None if that does not help.
+    """
+
+    status = 500
+    code = "internal_error"
+    kind = "server_error"
+    problem = "The router failed"
+    remedy = "Try again; tell the operators the request identifier"
+
+    def __init__(
+        self,
+        detail: str = "",
+        remedy: str = "",
+        retry_after_s: float | None = None,
+    ):
+        problem = f"{self.problem}: {detail}" if detail else self.problem
+        super().__init__(problem, remedy or self.remedy)
+        self.retry_after_s = retry_after_s
+
+
+class InvalidBodyError(RequestError):
+    """Reports a body that is not what the route takes."""
+
+    status = 400
+    code = "invalid_body"
+    kind = "invalid_request_error"
+    problem = "The body cannot be used"
+    remedy = "Send a JSON object as described in docs/REFERENCE.md"
+
+
+class BodyTooLargeError(RequestError):
+    """Reports a body beyond the limit."""
+
+    status = 413
+    code = "body_too_large"
+    kind = "invalid_request_error"
+    problem = "The body is too large"
+    remedy = "Send a shorter body"
+
+
+class LengthRequiredError(RequestError):
+    """Reports a body without a declared length."""
+
+    status = 411
+    code = "length_required"
+    kind = "invalid_request_error"
+    problem = "The body has no declared length"
+    remedy = "Send a Content-Length header instead of a chunked body"
+
+
+class MissingKeyError(RequestError):
+    """Reports a request without a key."""
+
+    status = 401
+    code = "missing_key"
+    kind = "authentication_error"
+    problem = "The request carries no key"
+    remedy = "Send your key as `Authorization: Bearer KEY`"
+
+
+class UnknownKeyError(RequestError):
+    """Reports a key that is not granted, or no longer."""
+
+    status = 401
+    code = "key_not_valid"
+    kind = "authentication_error"
+    problem = "The key is not granted or has been withdrawn"
+    remedy = "Ask your operator for a new key"
+
+
+class KeyInRequestError(RequestError):
+    """Reports a key outside the Authorization header."""
+
+    status = 400
+    code = "key_in_request"
+    kind = "invalid_request_error"
+    problem = "The key stands in the path, the query or the body"
+    remedy = "Send the key in the Authorization header only"
+
+
+class ProfileNotAllowedError(RequestError):
+    """Reports a profile that the account may not use."""
+
+    status = 403
+    code = "profile_not_allowed"
+    kind = "permission_error"
+    problem = "The client account may not use this profile"
+    remedy = "Pick an allowed profile or ask your operator"
+
+
+class UnknownProfileError(RequestError):
+    """Reports a profile that is not declared."""
+
+    status = 404
+    code = "unknown_profile"
+    kind = "invalid_request_error"
+    problem = "The profile is not declared"
+    remedy = "List the profiles with GET /v1/models"
+
+
+class UnknownModelError(RequestError):
+    """Reports a model that the profile does not name."""
+
+    status = 404
+    code = "unknown_model"
+    kind = "invalid_request_error"
+    problem = "The model is not available under this profile"
+    remedy = "List the models with GET /v1/models"
+
+
+class UnknownServiceError(RequestError):
+    """Reports a plain service that is not declared."""
+
+    status = 404
+    code = "unknown_service"
+    kind = "invalid_request_error"
+    problem = "The service is not declared"
+    remedy = "Correct the path /services/NAME/..."
+
+
+class UnknownRouteError(RequestError):
+    """Reports a path that the router does not serve."""
+
+    status = 404
+    code = "unknown_route"
+    kind = "invalid_request_error"
+    problem = "There is no such route"
+    remedy = "See docs/REFERENCE.md for the routes"
+
+
+class MethodNotAllowedError(RequestError):
+    """Reports a method that the route does not take."""
+
+    status = 405
+    code = "method_not_allowed"
+    kind = "invalid_request_error"
+    problem = "The route does not take this method"
+    remedy = "See docs/REFERENCE.md for the routes"
+
+
+class QuarantinedError(RequestError):
+    """Reports a request that has crashed servers."""
+
+    status = 422
+    code = "quarantined"
+    kind = "invalid_request_error"
+    problem = "This request has crashed backend servers"
+    remedy = "Change the request; the same one is refused for some minutes"
+
+
+class OverloadedError(RequestError):
+    """Reports that capacity is short for this class."""
+
+    status = 503
+    code = "overloaded"
+    kind = "overloaded_error"
+    problem = "There is no capacity for this class of request in time"
+    remedy = "Try again after the time in Retry-After"
+
+
+class NoServerError(RequestError):
+    """Reports that no backend server can serve the request."""
+
+    status = 503
+    code = "no_server"
+    kind = "overloaded_error"
+    problem = "No backend server for this request can be reached"
+    remedy = "Try again after the time in Retry-After"
+
+
+class StoppingError(RequestError):
+    """Reports that the node is stopping."""
+
+    status = 503
+    code = "stopping"
+    kind = "overloaded_error"
+    problem = "This node is stopping"
+    remedy = "Connect again; the balancer picks another node"
+
+
+class IsolatedError(RequestError):
+    """Reports that withdrawals of keys cannot be learnt."""
+
+    status = 503
+    code = "isolated"
+    kind = "overloaded_error"
+    problem = "The node has been cut off for too long to trust keys"
+    remedy = "Try again after the time in Retry-After or at another site"
+
+
+class UpstreamFailedError(RequestError):
+    """Reports that backend servers failed."""
+
+    status = 502
+    code = "backend_failed"
+    kind = "server_error"
+    problem = "The backend server failed while it ran the request"
+    remedy = "Try again if running the request twice does no harm"
+
+
+class UpstreamRefusedError(RequestError):
+    """Passes on that the backend server found the request wrong."""
+
+    status = 400
+    code = "backend_refused"
+    kind = "invalid_request_error"
+    problem = "The backend server refused the request"
+    remedy = "Correct the request"
+
+
+class DeadlineExceededError(RequestError):
+    """Reports that the deadline of the class has passed."""
+
+    status = 504
+    code = "deadline_exceeded"
+    kind = "server_error"
+    problem = "The deadline of this class has passed"
+    remedy = "Ask for a shorter answer or use another profile"
+
+
+class StoreUnavailableError(RequestError):
+    """Reports that an unrepeatable call cannot be recorded."""
+
+    status = 503
+    code = "store_unavailable"
+    kind = "overloaded_error"
+    problem = "The call may run only once and cannot be recorded now"
+    remedy = "Try again with the same Idempotency-Key"
+
+
+class MissingIdempotencyKeyError(RequestError):
+    """Reports an unrepeatable call without an idempotency key."""
+
+    status = 400
+    code = "missing_idempotency_key"
+    kind = "invalid_request_error"
+    problem = "The call may run only once and carries no Idempotency-Key"
+    remedy = "Send an Idempotency-Key header that is unique for this call"
+
+
+class IdempotencyKeyReusedError(RequestError):
+    """Reports an idempotency key that came with another call."""
+
+    status = 422
+    code = "idempotency_key_reused"
+    kind = "invalid_request_error"
+    problem = "The Idempotency-Key belongs to a different call"
+    remedy = "Use a new Idempotency-Key for a new call"
+
+
+class OutcomeUnknownError(RequestError):
+    """Reports an earlier run of the same call without known outcome."""
+
+    status = 409
+    code = "outcome_unknown"
+    kind = "server_error"
+    problem = "The call was started before and its outcome is not known"
+    remedy = "Ask the service whether it took effect; it is not run again"
+
+
+class CallerGoneError(RequestError):
+    """Ends a request whose caller has closed the connection."""
+
+    status = 499
+    code = "caller_gone"
+    problem = "The caller closed the connection"
+    remedy = "Nothing needs to be done"
--- /dev/null
+++ b/src/bilberryturn/entry/idempotency.py
@@ -0,0 +1,145 @@
+"""Record unrepeatable calls so that each runs at most once.
+
+The row of a call is inserted before its first byte is sent. Whoever finds
+the row gets the recorded outcome, or hears that it is not known.
+"""
+
+import base64
+import hashlib
+from typing import Any
+from typing import NamedTuple
+import uuid
+
+from bilberryturn import platform
+from bilberryturn.entry import exceptions
+from bilberryturn.platform import tables
+
+STARTED = "started"
+DONE = "done"
+NOT_RUN = "not_run"
+MAX_RECORDED_BODY_BYTES = 64 * 1024
+STORE_ATTEMPTS = 3
+
+
+class RecordedAnswer(NamedTuple):
+    """Holds the outcome of an earlier run."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class CallRecord:
+    """Guards one unrepeatable call."""
+
+    def __init__(
+        self,
+        table: platform.TableService,
+        client_account: str,
+        service: str,
+        idempotency_key: str,
+        content: bytes,
+    ):
+        digest = hashlib.blake2b(idempotency_key.encode(), digest_size=16)
+        self._table = table
+        self._key = f"once/{client_account}/{service}/{digest.hexdigest()}"
+        self._content = hashlib.blake2b(content, digest_size=16).hexdigest()
+        self._token = uuid.uuid4().hex
+        self._row_version = 0
+
+    def find(self) -> RecordedAnswer | None:
+        """Return the outcome of an earlier run, or None if there is no run.
+
+        Raises:
+            StoreUnavailableError: The row cannot be read.
+            OutcomeUnknownError: An earlier run has no recorded outcome.
+            IdempotencyKeyReusedError: The key came with another call.
+        """
+        result = self._table.read(self._key)
+        if result.is_error():
+            raise exceptions.StoreUnavailableError(retry_after_s=2.0)
+        return self._interpret(result.ok)
+
+    def _interpret(self, row: tables.Row) -> RecordedAnswer | None:
+        self._row_version = row.version
+        value = row.value
+        if value is None:
+            return None
+        if value["content"] != self._content:
+            raise exceptions.IdempotencyKeyReusedError()
+        if value["state"] == NOT_RUN:
+            return None
+        if value["state"] == DONE and value["body"] is not None:
+            return RecordedAnswer(
+                value["status"],
+                value["content_type"],
+                base64.b64decode(value["body"]),
+            )
+        raise exceptions.OutcomeUnknownError()
+
+    def start(self) -> RecordedAnswer | None:
+        """Insert the row; None means that this process may send the call.
+
+        Raises:
+            RequestError: The call must not be sent.
+        """
+        value = {
+            "state": STARTED,
+            "token": self._token,
+            "content": self._content,
+        }
+        result = self._table.transact(
+            {self._key: self._row_version}, {self._key: value}
+        )
+        if result.is_ok() and isinstance(result.ok, tables.Committed):
+            self._row_version += 1
+            return None
+        row_result = self._table.read(self._key)
+        if row_result.is_error():
+            raise exceptions.StoreUnavailableError(retry_after_s=2.0)
+        row = row_result.ok
+        if row.value is not None and row.value.get("token") == self._token:
+            self._row_version = row.version
+            return None
+        recorded = self._interpret(row)
+        if recorded is None:
+            # Another writer's attempt ended as not run in between.
+            raise exceptions.StoreUnavailableError(retry_after_s=1.0)
+        return recorded
+
+    def finish(self, status: int, content_type: str, body: bytes) -> bool:
+        """Record the outcome; returns whether that succeeded."""
+        encoded = None
+        if len(body) <= MAX_RECORDED_BODY_BYTES:
+            encoded = base64.b64encode(body).decode()
+        return self._write(
+            {
+                "state": DONE,
+                "status": status,
+                "content_type": content_type,
+                "body": encoded,
+            }
+        )
+
+    def withdraw(self) -> bool:
+        """Record that the call was not sent after all."""
+        return self._write({"state": NOT_RUN})
+
+    def _write(self, fields: dict[str, Any]) -> bool:
+        """Replace the own row; repeated because the answer may be lost."""
+        value = {**fields, "token": self._token, "content": self._content}
+        for _ in range(STORE_ATTEMPTS):
+            row = self._table.read(self._key)
+            if row.is_error():
+                continue
+            known = row.ok.value
+            if known is None or known.get("token") != self._token:
+                return False
+            if known["state"] == fields["state"]:
+                return True
+            result = self._table.transact(
+                {self._key: row.ok.version}, {self._key: value}
+            )
+            if result.is_ok() and isinstance(result.ok, tables.Committed):
+                return True
+        return False
--- /dev/null
+++ b/src/bilberryturn/entry/services.py
@@ -0,0 +1,234 @@
+"""Route calls to plain services, unrepeatable ones at most once."""
+
+from typing import NamedTuple
+import urllib.parse
+
+from bilberryturn import backends
+from bilberryturn import brokers
+from bilberryturn import declarations
+from bilberryturn import metrics
+from bilberryturn.entry import bodies
+from bilberryturn.entry import context
+from bilberryturn.entry import exceptions
+from bilberryturn.entry import exchange
+from bilberryturn.entry import grants
+from bilberryturn.entry import idempotency
+
+MAX_ATTEMPTS = 3
+MAX_IDEMPOTENCY_KEY_CHARACTERS = 255
+FORWARDED_HEADERS = ("content-type", "accept", "accept-language")
+SERVICE_INPUT_TOKENS = 100
+PATH_CHARACTERS = "/:@!$&'()*+,;=~"
+
+
+class ServiceCall(NamedTuple):
+    """Describes a call as the caller sent it."""
+
+    service: str
+    method: str
+    path: str
+    query: str
+    headers: dict[str, str]
+    body: bytes
+    idempotency_key: str
+
+
+class ServiceAnswer(NamedTuple):
+    """Holds the whole answer of a service."""
+
+    status: int
+    content_type: str
+    body: bytes
+    is_recorded: bool = False
+
+
+class ServiceRun:
+    """Runs one call to a plain service."""
+
+    def __init__(
+        self,
+        node: context.EntryContext,
+        request: exchange.Exchange,
+        call: ServiceCall,
+        service: declarations.models.Service,
+    ):
+        self._node = node
+        self._exchange = request
+        self._call = call
+        self._is_repeatable = is_repeatable(call, service)
+        target = brokers.pools.service_target(call.service)
+        self._demand = grants.Demand(
+            (target,), SERVICE_INPUT_TOKENS, 0, len(call.body)
+        )
+        self._holder = grants.GrantHolder(node, request, self._demand)
+        self._upstream: backends.Call | None = None
+
+    def run(self) -> ServiceAnswer:
+        """Return the answer.
+
+        Raises:
+            RequestError: There is none; the exchange says if it may have run.
+        """
+        try:
+            if self._is_repeatable:
+                answer = self._run_repeatable()
+            else:
+                answer = self._run_once()
+        finally:
+            if self._upstream is not None:
+                self._node.stream_loop.cancel(self._upstream)
+            self._holder.release("cancelled")
+        if not answer.is_recorded:
+            self._node.record_usage(
+                self._exchange.client_account,
+                self._exchange.profile_name,
+                1,
+                0,
+                0,
+            ).wait()
+        return answer
+
+    def _run_repeatable(self) -> ServiceAnswer:
+        while True:
+            self._holder.obtain()
+            self._demand.attempts += 1
+            server = self._holder.grant.server
+            end, answer = self._send()
+            if answer is not None:
+                return answer
+            self._exchange.note("failed", server=server, why=end.error)
+            self._demand.excluded_servers += (server,)
+            if self._demand.attempts >= MAX_ATTEMPTS:
+                raise exceptions.UpstreamFailedError(end.error)
+            metrics.add(metrics.RETRIES, {"reason": "failed"})
+
+    def _run_once(self) -> ServiceAnswer:
+        call = self._call
+        if not call.idempotency_key:
+            raise exceptions.MissingIdempotencyKeyError()
+        content = "\n".join((call.method, call.path, call.query)).encode()
+        record = idempotency.CallRecord(
+            self._node.table,
+            self._exchange.client_account,
+            call.service,
+            call.idempotency_key,
+            content + b"\n" + call.body,
+        )
+        recorded = record.find()
+        if recorded is not None:
+            return ServiceAnswer(*recorded, is_recorded=True)
+        self._holder.obtain()
+        recorded = record.start()
+        if recorded is not None:
+            return ServiceAnswer(*recorded, is_recorded=True)
+        end, answer = self._send()
+        if answer is not None:
+            record.finish(answer.status, answer.content_type, answer.body)
+            return answer
+        if not end.may_have_run:
+            record.withdraw()
+            raise exceptions.NoServerError(end.error, retry_after_s=1.0)
+        raise exceptions.UpstreamFailedError(
+            end.error,
+            "Ask the service whether the call took effect; it is not repeated",
+        )
+
+    def _send(self) -> tuple[backends.CallEnd, ServiceAnswer | None]:
+        """Send the call to the granted server and read the whole answer."""
+        call, request = self._call, self._exchange
+        path = "/" + urllib.parse.quote(call.path, safe=PATH_CHARACTERS)
+        if call.query:
+            path = f"{path}?{call.query}"
+        upstream = self._holder.send(
+            call.method, path, self._headers(), call.body or None
+        )
+        self._upstream = upstream
+        head, parts, size = None, [], 0
+        while True:
+            event = request.next_event()
+            if getattr(event, "number", None) != upstream.number:
+                continue
+            if isinstance(event, backends.CallHead):
+                head = event
+            elif isinstance(event, backends.CallData):
+                self._node.stream_loop.consumed(upstream, len(event.data))
+                parts.append(event.data)
+                size += len(event.data)
+                if size > self._node.settings.limits.max_answer_bytes:
+                    raise exceptions.UpstreamFailedError(
+                        "the answer is too long"
+                    )
+            else:
+                self._upstream = None
+                break
+        if event.error:
+            if not event.may_have_run:
+                self._holder.note_not_sent()
+            outcome = "failed" if event.may_have_run else "not_sent"
+            self._holder.release(outcome)
+            return event, None
+        self._holder.release("done")
+        content_type = head.headers.get(
+            "content-type", "application/octet-stream"
+        )
+        return event, ServiceAnswer(head.status, content_type, b"".join(parts))
+
+    def _headers(self) -> tuple[str, ...]:
+        """Return the headers that are sent on; the key is not among them."""
+        call = self._call
+        lines = [
+            f"{name}: {call.headers[name]}"
+            for name in FORWARDED_HEADERS
+            if call.headers.get(name, "").isascii() and call.headers.get(name)
+        ]
+        if call.idempotency_key:
+            lines.append(f"Idempotency-Key: {call.idempotency_key}")
+        lines.append(f"X-Request-Id: {self._exchange.request_id}")
+        lines.append(f"X-Client-Account: {self._exchange.client_account}")
+        return tuple(lines)
+
+
+def is_repeatable(
+    call: ServiceCall, service: declarations.models.Service
+) -> bool:
+    """Return whether a call may be sent more than once."""
+    if call.method in service.repeatable_methods:
+        return True
+    return any(
+        call.path.startswith(prefix.lstrip("/"))
+        for prefix in service.repeatable_paths
+    )
+
+
+def check_call(call: ServiceCall) -> None:
+    """Refuse what cannot be sent on safely.
+
+    Raises:
+        InvalidBodyError: The path climbs or a text is not ASCII.
+    """
+    if ".." in call.path.split("/"):
+        raise exceptions.InvalidBodyError(
+            "the path holds `..`", "Send the path without `..`"
+        )
+    if not call.query.isascii() or not call.query.isprintable():
+        raise exceptions.InvalidBodyError(
+            "the query holds characters that must be percent-encoded",
+            "Percent-encode the query",
+        )
+    key = call.idempotency_key
+    if len(key) > MAX_IDEMPOTENCY_KEY_CHARACTERS or not (
+        key.isascii() and (key.isprintable() or not key)
+    ):
+        raise exceptions.InvalidBodyError(
+            "the Idempotency-Key cannot be used",
+            f"Use up to {MAX_IDEMPOTENCY_KEY_CHARACTERS} printable ASCII"
+            " characters",
+        )
+
+
+def check_holds_no_key(key: str, call: ServiceCall) -> None:
+    """Refuse a call that would carry the key to the service."""
+    forwarded = [call.headers.get(name, "") for name in FORWARDED_HEADERS]
+    bodies.check_holds_no_key(
+        key, call.path, call.query, call.body, call.idempotency_key, *forwarded
+    )
--- /dev/null
+++ b/src/bilberryturn/events.py
@@ -0,0 +1,100 @@
+"""Define the numbered log events and write them as JSON lines.
+
+The catalogue for readers is docs/EVENTS.md; a test compares it with this file.
+"""
+
+import logging
+import sys
+from typing import Any
+from typing import NamedTuple
+
+import structlog
+
+
+class Event(NamedTuple):
+    """Names one kind of log line."""
+
+    number: int
+    name: str
+    level: int
+
+
+NODE_STARTED = Event(1001, "node_started", logging.INFO)
+NODE_STOPPING = Event(1002, "node_stopping", logging.INFO)
+NODE_STOPPED = Event(1003, "node_stopped", logging.INFO)
+SETTINGS_RELOADED = Event(1004, "settings_reloaded", logging.INFO)
+SETTINGS_REFUSED = Event(1005, "settings_refused", logging.ERROR)
+JOB_FAILED = Event(1006, "job_failed", logging.ERROR)
+
+MEMBER_JOINED = Event(1101, "member_joined", logging.INFO)
+MEMBER_LOST = Event(1102, "member_lost", logging.WARNING)
+FRAME_REFUSED = Event(1103, "frame_refused", logging.WARNING)
+DOMAIN_UNREACHABLE = Event(1104, "domain_unreachable", logging.WARNING)
+
+CONFIG_APPLIED = Event(1201, "config_applied", logging.INFO)
+CONFIG_COMMITTED = Event(1202, "config_committed", logging.INFO)
+CONFIG_CONFLICT = Event(1203, "config_conflict", logging.WARNING)
+CONFIG_STALE = Event(1204, "config_stale", logging.WARNING)
+KEY_WITHDRAWN_IN_USE = Event(1205, "key_withdrawn_in_use", logging.INFO)
+PLATFORM_UNREACHABLE = Event(1206, "platform_unreachable", logging.WARNING)
+PLATFORM_REACHABLE = Event(1207, "platform_reachable", logging.INFO)
+
+REQUEST_REFUSED = Event(1301, "request_refused", logging.INFO)
+REQUEST_ENDED = Event(1302, "request_ended", logging.INFO)
+REQUEST_FAILED = Event(1303, "request_failed", logging.WARNING)
+REQUEST_RETRIED = Event(1304, "request_retried", logging.INFO)
+REQUEST_QUARANTINED = Event(1305, "request_quarantined", logging.WARNING)
+REQUEST_PREEMPTED = Event(1306, "request_preempted", logging.INFO)
+CALLER_GONE = Event(1307, "caller_gone", logging.INFO)
+
+BROKER_TOOK_OVER = Event(1401, "broker_took_over", logging.INFO)
+SERVER_CIRCUIT_OPEN = Event(1402, "server_circuit_open", logging.WARNING)
+SERVER_LEAVING = Event(1403, "server_leaving", logging.INFO)
+GRANT_EXPIRED = Event(1404, "grant_expired", logging.WARNING)
+
+LEASE_ACQUIRED = Event(1501, "lease_acquired", logging.INFO)
+LEASE_LOST = Event(1502, "lease_lost", logging.WARNING)
+ORDER_SENT = Event(1503, "order_sent", logging.INFO)
+ORDER_REFUSED = Event(1504, "order_refused", logging.WARNING)
+
+USAGE_FLUSH_FAILED = Event(1601, "usage_flush_failed", logging.WARNING)
+USAGE_WINDOW_FROZEN = Event(1602, "usage_window_frozen", logging.INFO)
+USAGE_WINDOW_REPORTED = Event(1603, "usage_window_reported", logging.INFO)
+USAGE_TAKEN_OVER = Event(1604, "usage_taken_over", logging.INFO)
+
+ALL_EVENTS: tuple[Event, ...] = tuple(
+    value for value in list(globals().values()) if isinstance(value, Event)
+)
+
+
+def configure(node_name: str, level: int = logging.INFO) -> None:
+    """Write JSON lines to standard error, each with the node's name."""
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.JSONRenderer(sort_keys=True),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    structlog.contextvars.clear_contextvars()
+    global _node_name
+    _node_name = node_name
+
+
+_node_name = ""
+_logger = structlog.get_logger()
+
+
+def log(event: Event, **fields: Any) -> None:
+    """Write one event; fields must never hold a key, prompt or answer."""
+    _logger.log(
+        event.level,
+        event.name,
+        number=event.number,
+        node=_node_name,
+        severity=logging.getLevelName(event.level).lower(),
+        **fields,
+    )
--- /dev/null
+++ b/src/bilberryturn/fleet/controller.py
@@ -0,0 +1,217 @@
+"""Scale the backend servers of one failure domain.
+
+An order is first written as an intent in a transaction that checks the
+lease's epoch; the lease is checked once more right before the order is sent.
+A server is stopped only after no broker runs a request on it.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+import uuid
+
+from bilberryturn import declarations
+from bilberryturn import events
+from bilberryturn import leases
+from bilberryturn import messages
+from bilberryturn import platform
+from bilberryturn import scheduling
+from bilberryturn.platform import tables
+from bilberryturn.platform import vms
+from bilberryturn.scheduling import scaling
+
+kinds = messages.kinds
+
+AUTHOR = "fleet-controller"
+DRAIN_SECTION = "backend_server"
+
+
+class ControllerOptions(NamedTuple):
+    """Names the failure domain and how long a new holder waits.
+
+    Attributes:
+        settle_s: Time between taking the lease and the first order, in which
+            an order that the last holder had already sent takes effect.
+    """
+
+    failure_domain: str
+    settle_s: float = 3.0
+
+
+class FleetView(NamedTuple):
+    """Holds what brokers of the domain tell about their pools."""
+
+    pools: tuple[kinds.PoolSummary, ...]
+    declared: declarations.Declarations
+
+
+class Controller:
+    """Gives orders while it holds the lease of the failure domain."""
+
+    def __init__(
+        self,
+        options: ControllerOptions,
+        lease: leases.Lease,
+        table: platform.TableService,
+        ordering: platform.Ordering,
+        store: declarations.DeclarationStore,
+        clock: Callable[[], float],
+    ):
+        self._options = options
+        self._lease = lease
+        self._table = table
+        self._ordering = ordering
+        self._store = store
+        self._clock = clock
+        self._settled_epoch = 0
+        self._acquired_s = 0.0
+        self._scalers: dict[str, scheduling.Scaler] = {}
+        self._scaler_options: scaling.ScalerOptions | None = None
+
+    def run(self, view: FleetView) -> int:
+        """Give the orders that are due; returns how many were accepted."""
+        if not self._lease.believes() or not self._is_settled():
+            return 0
+        result = self._ordering.servers(self._options.failure_domain)
+        if result.is_error():
+            return 0
+        servers = result.ok
+        self._note_options(view.declared)
+        orders = self._finish_drains(servers, view)
+        for target in sorted({t for s in servers for t in s["serves"]}):
+            orders.extend(self._decide(target, servers, view))
+        return sum(self._give(order) for order in orders)
+
+    def _is_settled(self) -> bool:
+        """Return whether orders of the last holder have taken effect."""
+        if self._settled_epoch != self._lease.epoch:
+            self._settled_epoch = self._lease.epoch
+            self._acquired_s = self._clock()
+            self._scalers.clear()
+        waited_s = self._clock() - self._acquired_s
+        return waited_s >= self._options.settle_s
+
+    def _note_options(self, declared: declarations.Declarations) -> None:
+        domain = declared.failure_domains.get(self._options.failure_domain)
+        options = scaling.ScalerOptions()
+        if domain is not None:
+            options = options._replace(
+                min_running=domain.min_running,
+                idle_stop_s=domain.idle_stop_s,
+                orders_per_minute=domain.orders_per_minute,
+            )
+        if options != self._scaler_options:
+            self._scaler_options = options
+            self._scalers.clear()
+
+    def _decide(
+        self, target: str, servers: list[dict], view: FleetView
+    ) -> list[scaling.ScaleOrder]:
+        serving = [s for s in servers if target in s["serves"]]
+        names = (target, f"service:{target}")
+        wanted = {f"{self._options.failure_domain}/{name}" for name in names}
+        summaries = [p for p in view.pools if p.pool in wanted]
+        busy = sum(p.busy for p in summaries)
+        marks = view.declared.backend_server_marks
+        views = [
+            scaling.ServerView(
+                server["name"],
+                server.get("state", vms.RUNNING) == vms.RUNNING
+                and server["name"] not in marks,
+                server.get("cheap", False),
+                server.get("slots", 8),
+                0 if busy == 0 else 1,
+            )
+            for server in serving
+        ]
+        running = sum(1 for v in views if v.is_running)
+        per_server = busy // running if running else 0
+        views = [v._replace(busy=per_server) for v in views]
+        scaler = self._scalers.setdefault(
+            target, scheduling.Scaler(self._scaler_options)
+        )
+        orders = scaler.decide(
+            views,
+            sum(p.waiting for p in summaries),
+            sum(p.cheap_waiting for p in summaries),
+            self._clock(),
+        )
+        kept = [order for order in orders if order.desired == vms.RUNNING]
+        for order in orders:
+            if order.desired == vms.STOPPED:
+                self._mark_draining(order.server, view.declared)
+        return [
+            order
+            for order in kept
+            if not self._clear_mark(order.server, view.declared)
+        ]
+
+    def _mark_draining(self, server: str, declared) -> None:
+        """Let the brokers stop giving work to a server."""
+        section = f"{DRAIN_SECTION} {server}"
+        mark = {"mark": "draining", "author": AUTHOR}
+        self._store.commit(declared, AUTHOR, {section: mark}, ())
+
+    def _clear_mark(self, server: str, declared) -> bool:
+        """Remove an own mark; returns whether the order has to wait for it."""
+        mark = declared.backend_server_marks.get(server)
+        if mark is None or mark.author != AUTHOR:
+            return False
+        section = f"{DRAIN_SECTION} {server}"
+        self._store.commit(declared, AUTHOR, {}, (section,))
+        return True
+
+    def _finish_drains(
+        self, servers: list[dict], view: FleetView
+    ) -> list[scaling.ScaleOrder]:
+        """Return stop orders for servers that no longer run a request."""
+        busy = {name for pool in view.pools for name in pool.busy_leaving}
+        return [
+            scaling.ScaleOrder(server["name"], vms.STOPPED)
+            for server in servers
+            if self._is_own_drain(server["name"], view.declared)
+            and server["name"] not in busy
+            and server.get("state", vms.RUNNING) == vms.RUNNING
+        ]
+
+    def _is_own_drain(self, server: str, declared) -> bool:
+        mark = declared.backend_server_marks.get(server)
+        return mark is not None and mark.author == AUTHOR
+
+    def _give(self, order: scaling.ScaleOrder) -> bool:
+        """Write the intent, check the lease and send the order."""
+        domain = self._options.failure_domain
+        key = f"order/{domain}/{order.server}"
+        row = self._table.read(key)
+        if row.is_error() or not self._lease.believes():
+            return False
+        epoch = self._lease.epoch
+        intent = {
+            "order_id": uuid.uuid4().hex,
+            "desired": order.desired,
+            "epoch": epoch,
+        }
+        result = self._table.transact(
+            {key: row.ok.version, **self._lease.epoch_check()}, {key: intent}
+        )
+        if result.is_error() or not isinstance(result.ok, tables.Committed):
+            return False
+        if not self._lease.believes():
+            return False
+        sent = self._ordering.send(
+            intent["order_id"], domain, order.server, order.desired, epoch
+        )
+        if sent.is_error():
+            events.log(
+                events.ORDER_REFUSED,
+                interface="ordering",
+                server=order.server,
+                error=str(sent.error),
+            )
+            return False
+        events.log(
+            events.ORDER_SENT,
+            server=order.server,
+            desired=order.desired,
+            epoch=epoch,
+        )
+        return True
--- /dev/null
+++ b/src/bilberryturn/leases/lease.py
@@ -0,0 +1,188 @@
+"""Hold one lease.
+
+The holder believes in its lease until the time before the last successful
+renewal was sent, plus the time to live, minus a margin. Another process takes
+the lease over only after it has seen the row unchanged for the time to live
+plus the margin on its own clock. No wall clock is compared.
+"""
+
+from collections.abc import Callable
+import threading
+import time
+from typing import NamedTuple
+import uuid
+
+from bilberryturn import events
+from bilberryturn import metrics
+from bilberryturn import platform
+from bilberryturn.platform import tables
+
+
+def boottime_s() -> float:
+    """Return seconds since boot, suspended time included."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class LeaseOptions(NamedTuple):
+    """Sets the times of a lease."""
+
+    ttl_s: float = 10.0
+    margin_s: float = 1.0
+
+
+class Lease:
+    """Acquires, renews and releases one lease.
+
+    Attributes:
+        epoch: Fencing number; grows with each change of holder.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        holder: str,
+        options: LeaseOptions,
+        table: platform.TableService,
+        clock: Callable[[], float] = boottime_s,
+    ):
+        self.name = name
+        self.epoch = 0
+        self._holder = f"{holder}/{uuid.uuid4().hex[:8]}"
+        self._options = options
+        self._table = table
+        self._clock = clock
+        self._key = f"lease/{name}"
+        self._epoch_key = f"lease-epoch/{name}"
+        self._epoch_version = 0
+        self._believe_until_s = 0.0
+        self._held = False
+        self._observed_version = -1
+        self._observed_s = 0.0
+        self._lock = threading.Lock()
+
+    @property
+    def renew_interval_s(self) -> float:
+        """Return how often to call step."""
+        return self._options.ttl_s / 4
+
+    def believes(self) -> bool:
+        """Return whether this process may act as the holder now."""
+        return self._held and self._clock() < self._believe_until_s
+
+    def epoch_check(self) -> dict[str, int]:
+        """Return the transaction check that fails under a newer epoch."""
+        return {self._epoch_key: self._epoch_version}
+
+    def step(self) -> bool:
+        """Renew the lease or try to acquire it; returns whether it is held."""
+        with self._lock:
+            sent_s = self._clock()
+            if self._held and sent_s >= self._believe_until_s:
+                self._lose("not renewed in time")
+            result = self._table.read(self._key)
+            if result.is_ok():
+                self._step_from(result.ok, sent_s)
+            held = self.believes()
+            metrics.set_gauge(
+                metrics.LEASE_HELD, {"lease": self.name}, float(held)
+            )
+            return held
+
+    def _step_from(self, row: tables.Row, sent_s: float) -> None:
+        value = row.value or {}
+        if self._held:
+            if value.get("holder") != self._holder:
+                self._lose("another holder has it")
+                return
+            self._renew(row, sent_s)
+            return
+        if self._may_acquire(row, value):
+            self._acquire(row)
+
+    def _may_acquire(self, row: tables.Row, value: dict) -> bool:
+        if row.version == 0 or not value.get("holder"):
+            return True
+        if row.version != self._observed_version:
+            self._observed_version = row.version
+            self._observed_s = self._clock()
+            return False
+        waited_s = self._clock() - self._observed_s
+        return waited_s >= self._options.ttl_s + self._options.margin_s
+
+    def _renew(self, row: tables.Row, sent_s: float) -> None:
+        """Write the next renewal.
+
+        A lost answer needs no settling here: the belief simply does not grow
+        until the next renewal is confirmed.
+        """
+        value = {
+            "holder": self._holder,
+            "epoch": self.epoch,
+            "renewal": row.value["renewal"] + 1,
+        }
+        result = self._table.transact(
+            {self._key: row.version, **self.epoch_check()}, {self._key: value}
+        )
+        if result.is_ok() and isinstance(result.ok, tables.Committed):
+            self._believe_until_s = self._belief(sent_s)
+
+    def _belief(self, sent_s: float) -> float:
+        return sent_s + self._options.ttl_s - self._options.margin_s
+
+    def _acquire(self, row: tables.Row) -> None:
+        sent_s = self._clock()
+        epoch_result = self._table.read(self._epoch_key)
+        if epoch_result.is_error():
+            return
+        epoch_row = epoch_result.ok
+        epoch = (epoch_row.value or {}).get("epoch", 0) + 1
+        value = {"holder": self._holder, "epoch": epoch, "renewal": 0}
+        result = self._table.transact(
+            {self._key: row.version, self._epoch_key: epoch_row.version},
+            {
+                self._key: value,
+                self._epoch_key: {"epoch": epoch, "holder": self._holder},
+            },
+        )
+        if result.is_ok() and isinstance(result.ok, tables.Failed):
+            return
+        if result.is_error() and not self._is_own(epoch):
+            return
+        self.epoch = epoch
+        self._epoch_version = epoch_row.version + 1
+        self._held = True
+        self._believe_until_s = self._belief(sent_s)
+        events.log(events.LEASE_ACQUIRED, lease=self.name, epoch=epoch)
+
+    def _is_own(self, epoch: int) -> bool:
+        """Settle a lost answer by reading the row back."""
+        result = self._table.read(self._key)
+        if result.is_error() or result.ok.value is None:
+            return False
+        value = result.ok.value
+        return value["holder"] == self._holder and value["epoch"] == epoch
+
+    def _lose(self, reason: str) -> None:
+        self._held = False
+        self._believe_until_s = 0.0
+        self._observed_version = -1
+        events.log(
+            events.LEASE_LOST, lease=self.name, epoch=self.epoch, reason=reason
+        )
+
+    def release(self) -> None:
+        """Give the lease up so that a successor need not wait."""
+        with self._lock:
+            if not self._held:
+                return
+            self._lose("released")
+            result = self._table.read(self._key)
+            if result.is_error() or result.ok.value is None:
+                return
+            if result.ok.value["holder"] != self._holder:
+                return
+            value = {"holder": "", "epoch": self.epoch, "renewal": 0}
+            self._table.transact(
+                {self._key: result.ok.version, **self.epoch_check()},
+                {self._key: value},
+            )
--- /dev/null
+++ b/src/bilberryturn/membership/directory.py
@@ -0,0 +1,188 @@
+"""Keep the view that a node has of the other nodes."""
+
+from typing import NamedTuple
+
+from bilberryturn import messages
+from bilberryturn.membership import rendezvous
+
+RELAYS_PER_DOMAIN = 2
+SUMMARY_TIMEOUT_S = 5.0
+SUSPECT_S = 2.0
+
+kinds = messages.kinds
+
+
+class Member(NamedTuple):
+    """Describes a live node of the own failure domain."""
+
+    name: str
+    control_address: str
+    incarnation: int
+    config_version: int
+    leaving: bool
+    heard_s: float
+    platform_age_s: float
+    pools: tuple[kinds.PoolSummary, ...] = ()
+
+
+class RemoteDomain(NamedTuple):
+    """Describes another failure domain as its relays last told."""
+
+    name: str
+    region: str
+    members: dict[str, str]
+    lowest_version: int
+    pools: dict[str, kinds.PoolSummary]
+    heard_s: float
+    platform_age_s: float
+
+
+class Directory:
+    """Holds members and remote domains; belongs to the control thread."""
+
+    def __init__(
+        self,
+        own: Member,
+        failure_domain: str,
+        region: str,
+        member_timeout_s: float,
+    ):
+        self.own_name = own.name
+        self.failure_domain = failure_domain
+        self.region = region
+        self._timeout_s = member_timeout_s
+        self.members: dict[str, Member] = {own.name: own}
+        self.remote_domains: dict[str, RemoteDomain] = {}
+        self._summary_sequences: dict[str, int] = {}
+        self._suspected: dict[str, float] = {}
+        self._incarnations: dict[str, int] = {}
+
+    def hear(self, heartbeat: kinds.Heartbeat, now_s: float) -> bool:
+        """Take in a heartbeat; returns whether the member is new."""
+        if heartbeat.failure_domain != self.failure_domain:
+            return False
+        if heartbeat.name == self.own_name:
+            return False
+        if heartbeat.incarnation < self._incarnations.get(heartbeat.name, 0):
+            return False
+        known = self.members.get(heartbeat.name)
+        self._incarnations[heartbeat.name] = heartbeat.incarnation
+        self.members[heartbeat.name] = Member(
+            heartbeat.name,
+            heartbeat.control_address,
+            heartbeat.incarnation,
+            heartbeat.config_version,
+            heartbeat.leaving,
+            now_s,
+            heartbeat.platform_age_s,
+            heartbeat.pools,
+        )
+        return known is None or known.incarnation != heartbeat.incarnation
+
+    def hear_summary(self, summary: kinds.DomainSummary, now_s: float) -> bool:
+        """Take in a summary; returns whether it is newer than the last."""
+        if summary.failure_domain == self.failure_domain:
+            return False
+        if summary.sequence <= self._summary_sequences.get(summary.sender, 0):
+            return False
+        self._summary_sequences[summary.sender] = summary.sequence
+        self.remote_domains[summary.failure_domain] = RemoteDomain(
+            summary.failure_domain,
+            summary.region,
+            {m.name: m.control_address for m in summary.members},
+            summary.lowest_version,
+            {p.pool: p for p in summary.pools},
+            now_s,
+            summary.platform_age_s,
+        )
+        return True
+
+    def update_own(self, now_s: float, **fields) -> None:
+        """Change what this node tells about itself."""
+        own = self.members[self.own_name]
+        self.members[self.own_name] = own._replace(heard_s=now_s, **fields)
+
+    def expire(self, now_s: float) -> list[Member]:
+        """Forget silent members; returns them."""
+        lost = [
+            member
+            for member in self.members.values()
+            if member.name != self.own_name
+            and now_s - member.heard_s > self._timeout_s
+        ]
+        for member in lost:
+            del self.members[member.name]
+        return lost
+
+    def suspect(self, name: str, now_s: float) -> None:
+        """Pass over a node for a while because it gave no answer."""
+        if name != self.own_name:
+            self._suspected[name] = now_s + SUSPECT_S
+
+    def brokers(
+        self, failure_domain: str, pool: str, now_s: float
+    ) -> list[tuple[str, str]]:
+        """Return name and address of a pool's brokers in order of rank.
+
+        Members that are leaving or gave no answer lately come last.
+        """
+        addresses = self._addresses(failure_domain, now_s)
+        ranked = rendezvous.rank(addresses, pool)
+        late = [n for n in ranked if self._is_passed_over(n, now_s)]
+        order = [n for n in ranked if n not in late] + late
+        return [(name, addresses[name]) for name in order]
+
+    def _addresses(self, failure_domain: str, now_s: float) -> dict[str, str]:
+        if failure_domain == self.failure_domain:
+            return {m.name: m.control_address for m in self.members.values()}
+        domain = self.remote_domains.get(failure_domain)
+        if domain is None or now_s - domain.heard_s > SUMMARY_TIMEOUT_S:
+            return {}
+        return domain.members
+
+    def _is_passed_over(self, name: str, now_s: float) -> bool:
+        member = self.members.get(name)
+        if member is not None and member.leaving:
+            return True
+        return self._suspected.get(name, 0.0) > now_s
+
+    def live_domains(self, now_s: float) -> list[RemoteDomain]:
+        """Return the other failure domains heard of lately."""
+        return [
+            domain
+            for domain in self.remote_domains.values()
+            if now_s - domain.heard_s <= SUMMARY_TIMEOUT_S
+        ]
+
+    def is_relay(self, name: str | None = None) -> bool:
+        """Return whether a member relays for the own failure domain."""
+        name = name or self.own_name
+        return name in self.relays()
+
+    def relays(self) -> list[str]:
+        """Return the names of the members that relay for the domain."""
+        role = f"relay/{self.failure_domain}"
+        stable = [m.name for m in self.members.values() if not m.leaving]
+        ranked = rendezvous.rank(stable or self.members, role)
+        return ranked[:RELAYS_PER_DOMAIN]
+
+    def relay_targets(self, domain: RemoteDomain) -> list[str]:
+        """Return the addresses of another domain's relays."""
+        ranked = rendezvous.rank(domain.members, f"relay/{domain.name}")
+        return [domain.members[n] for n in ranked[:RELAYS_PER_DOMAIN]]
+
+    def lowest_version(self) -> int:
+        """Return the lowest declarations version among the members."""
+        return min(m.config_version for m in self.members.values())
+
+    def platform_age_s(self, now_s: float) -> float:
+        """Return the seconds since anyone reachable heard the platform."""
+        ages = [
+            m.platform_age_s + (now_s - m.heard_s)
+            for m in self.members.values()
+        ]
+        ages.extend(
+            d.platform_age_s + (now_s - d.heard_s)
+            for d in self.live_domains(now_s)
+        )
+        return min(ages)
--- /dev/null
+++ b/src/bilberryturn/platform/http.py
@@ -0,0 +1,129 @@
+"""Make short HTTP calls with one curl handle for each thread."""
+
+import io
+import math
+import threading
+import time
+from typing import Any
+from typing import NamedTuple
+
+import expression
+import msgspec
+import pycurl
+
+from bilberryturn.platform import exceptions
+
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+class Answer(NamedTuple):
+    """Holds the status and the body of an answer."""
+
+    status: int
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the decoded JSON body."""
+        return msgspec.json.decode(self.body)
+
+
+class HttpClient:
+    """Calls one interface; safe to use from many threads.
+
+    Attributes:
+        heard_s: Monotonic time of the last answer.
+    """
+
+    def __init__(
+        self,
+        interface: str,
+        address: str,
+        timeout_s: float,
+        source_address: str = "",
+    ):
+        self.interface = interface
+        self.address = address
+        self._timeout_ms = int(timeout_s * 1000)
+        self._source_address = source_address
+        self._local = threading.local()
+        self.heard_s = -math.inf
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        raw: bytes | None = None,
+        headers: tuple[str, ...] = (),
+    ) -> expression.Result[Answer, exceptions.PlatformError]:
+        """Send one request and wait for the answer.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: Value sent as JSON when not None.
+            raw: Bytes sent as they are when not None.
+            headers: Further header lines.
+
+        Returns:
+            The answer, or PlatformUnreachableError.
+        """
+        handle = getattr(self._local, "handle", None)
+        if handle is None:
+            handle = self._local.handle = pycurl.Curl()
+        handle.reset()
+        buffer = io.BytesIO()
+        payload = raw if body is None else msgspec.json.encode(body)
+        lines = ["Expect:", *headers]
+        if body is not None:
+            lines.append("Content-Type: application/json")
+        handle.setopt(pycurl.URL, f"http://{self.address}{path}")
+        handle.setopt(pycurl.CUSTOMREQUEST, method)
+        handle.setopt(pycurl.PROXY, "")
+        handle.setopt(pycurl.NOSIGNAL, 1)
+        handle.setopt(pycurl.TIMEOUT_MS, self._timeout_ms)
+        handle.setopt(pycurl.CONNECTTIMEOUT_MS, self._timeout_ms)
+        handle.setopt(pycurl.WRITEDATA, buffer)
+        handle.setopt(pycurl.MAXFILESIZE, MAX_ANSWER_BYTES)
+        handle.setopt(pycurl.HTTPHEADER, lines)
+        if self._source_address:
+            handle.setopt(pycurl.INTERFACE, self._source_address)
+        if method != "GET":
+            # On a kept connection that turns out to be closed, curl would
+            # silently send the request a second time.
+            handle.setopt(pycurl.FRESH_CONNECT, 1)
+        if payload is not None:
+            handle.setopt(pycurl.POSTFIELDS, payload)
+        try:
+            handle.perform()
+        except pycurl.error as error:
+            self._local.handle = None
+            handle.close()
+            return expression.Error(
+                exceptions.PlatformUnreachableError(
+                    self.interface, str(error.args[-1])
+                )
+            )
+        self.heard_s = time.monotonic()
+        status = handle.getinfo(pycurl.RESPONSE_CODE)
+        return expression.Ok(Answer(status, buffer.getvalue()))
+
+    def call_json(
+        self, method: str, path: str, body: Any = None
+    ) -> expression.Result[Any, exceptions.PlatformError]:
+        """Send one request; any status but 200 becomes an error."""
+        result = self.call(method, path, body)
+        if result.is_error():
+            return expression.Error(result.error)
+        if result.ok.status != 200:
+            return expression.Error(
+                exceptions.PlatformRefusedError(
+                    self.interface, result.ok.status
+                )
+            )
+        try:
+            return expression.Ok(result.ok.json())
+        except msgspec.DecodeError:
+            return expression.Error(
+                exceptions.PlatformRefusedError(self.interface, 200)
+            )
--- /dev/null
+++ b/src/bilberryturn/platform/ordering.py
@@ -0,0 +1,72 @@
+"""Order backend servers by failure domain."""
+
+import urllib.parse
+
+import expression
+
+from bilberryturn.platform import exceptions
+from bilberryturn.platform import http
+
+STALE_STATUS = 412
+
+
+class Ordering:
+    """Speaks the ordering interface; each order is absolute."""
+
+    def __init__(self, client: http.HttpClient):
+        self._client = client
+
+    def send(
+        self,
+        order_id: str,
+        failure_domain: str,
+        server: str,
+        desired: str,
+        fencing_number: int,
+    ) -> expression.Result[None, exceptions.PlatformError]:
+        """Order the desired state of one server.
+
+        Args:
+            order_id: Identifier that makes a repetition harmless.
+            failure_domain: Failure domain of the server.
+            server: Name of the server.
+            desired: "running" or "stopped".
+            fencing_number: Epoch of the lease under which the order is given.
+        """
+        result = self._client.call(
+            "POST",
+            "/orders",
+            {
+                "order_id": order_id,
+                "failure_domain": failure_domain,
+                "server": server,
+                "desired": desired,
+                "fencing_number": fencing_number,
+            },
+        )
+        return interpret_fenced_answer(result, "ordering", fencing_number)
+
+    def servers(
+        self, failure_domain: str
+    ) -> expression.Result[list[dict], exceptions.PlatformError]:
+        """Return the present state of the servers of a failure domain."""
+        query = urllib.parse.urlencode({"failure_domain": failure_domain})
+        result = self._client.call_json("GET", f"/servers?{query}")
+        if result.is_error():
+            return expression.Error(result.error)
+        return expression.Ok(result.ok["servers"])
+
+
+def interpret_fenced_answer(result, interface: str, fencing_number: int):
+    """Turn an answer into a result; 412 means an old fencing number."""
+    if result.is_error():
+        return expression.Error(result.error)
+    if result.ok.status == STALE_STATUS:
+        return expression.Error(
+            exceptions.StaleFencingNumberError(interface, fencing_number)
+        )
+    if result.ok.status != 200:
+        return expression.Error(
+            exceptions.PlatformRefusedError(interface, result.ok.status)
+        )
+    return expression.Ok(None)
--- /dev/null
+++ b/src/bilberryturn/platform/tables.py
@@ -0,0 +1,114 @@
+"""Read and change rows of the platform's transactional table service."""
+
+from typing import Any
+from typing import NamedTuple
+import urllib.parse
+
+import expression
+
+from bilberryturn.platform import exceptions
+from bilberryturn.platform import http
+
+SCAN_PAGE_ROWS = 500
+
+
+class Row(NamedTuple):
+    """Holds a row; a version of 0 means that it does not exist."""
+
+    key: str
+    version: int
+    value: Any
+
+
+class Committed(NamedTuple):
+    """Says that a transaction took effect."""
+
+
+class Failed(NamedTuple):
+    """Says that a transaction had no effect: a checked row had changed."""
+
+    keys: tuple[str, ...]
+
+
+class TableService:
+    """Speaks the table service's HTTP interface."""
+
+    def __init__(self, client: http.HttpClient):
+        self._client = client
+
+    def read(
+        self, key: str
+    ) -> expression.Result[Row, exceptions.PlatformError]:
+        """Return a row."""
+        path = "/v1/rows/" + urllib.parse.quote(key, safe="/")
+        result = self._client.call_json("GET", path)
+        if result.is_error():
+            return expression.Error(result.error)
+        answer = result.ok
+        return expression.Ok(Row(key, answer["version"], answer["value"]))
+
+    def scan(
+        self, prefix: str, after: str = "", limit: int = 0
+    ) -> expression.Result[list[Row], exceptions.PlatformError]:
+        """Return the rows whose key starts with a prefix, in key order.
+
+        Args:
+            prefix: Start of the keys.
+            after: Only keys greater than this one.
+            limit: Most rows to return; 0 for all.
+        """
+        rows: list[Row] = []
+        while True:
+            page = (
+                min(SCAN_PAGE_ROWS, limit - len(rows))
+                if limit
+                else (SCAN_PAGE_ROWS)
+            )
+            query = urllib.parse.urlencode(
+                {"prefix": prefix, "after": after, "limit": page}
+            )
+            result = self._client.call_json("GET", f"/v1/rows?{query}")
+            if result.is_error():
+                return expression.Error(result.error)
+            found = [
+                Row(r["key"], r["version"], r["value"])
+                for r in result.ok["rows"]
+            ]
+            rows.extend(found)
+            if len(found) < page or len(rows) == limit:
+                return expression.Ok(rows)
+            after = rows[-1].key
+
+    def transact(
+        self, checks: dict[str, int], writes: dict[str, Any]
+    ) -> expression.Result[Committed | Failed, exceptions.PlatformError]:
+        """Write rows if every checked row still has the given version.
+
+        Args:
+            checks: Expected version by key; 0 for a row that must not exist.
+            writes: New value by key.
+
+        Returns:
+            Committed or Failed; PlatformUnreachableError when it is not known
+            whether the transaction took effect.
+        """
+        result = self._client.call(
+            "POST", "/v1/transact", {"checks": checks, "writes": writes}
+        )
+        if result.is_error():
+            return expression.Error(result.error)
+        answer = result.ok
+        if answer.status == 409:
+            failed = tuple(f["key"] for f in answer.json()["failed"])
+            return expression.Ok(Failed(failed))
+        if answer.status != 200:
+            return expression.Error(
+                exceptions.PlatformRefusedError("table", answer.status)
+            )
+        return expression.Ok(Committed())
+
+    def insert(
+        self, key: str, value: Any
+    ) -> expression.Result[Committed | Failed, exceptions.PlatformError]:
+        """Insert a row if it does not exist."""
+        return self.transact({key: 0}, {key: value})
--- /dev/null
+++ b/src/bilberryturn/scheduling/breakers.py
@@ -0,0 +1,56 @@
+"""Keep requests away from a server that fails."""
+
+FAILURES_TO_OPEN = 3
+FIRST_OPEN_S = 1.0
+LONGEST_OPEN_S = 30.0
+
+
+class CircuitBreaker:
+    """Opens after consecutive failures and lets single probes through."""
+
+    def __init__(self):
+        self._failures = 0
+        self._open_until_s = 0.0
+        self._open_s = FIRST_OPEN_S
+        self._is_open = False
+        self._probing = False
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the last outcome left the breaker open."""
+        return self._is_open
+
+    def allows(self, now_s: float) -> bool:
+        """Return whether a request may go to the server now."""
+        if not self._is_open:
+            return True
+        return now_s >= self._open_until_s and not self._probing
+
+    def started(self, now_s: float) -> None:
+        """Note a dispatch; an open breaker admits one probe at a time."""
+        if self._is_open:
+            self._probing = True
+
+    def succeeded(self) -> None:
+        """Close the breaker."""
+        self._failures = 0
+        self._is_open = False
+        self._probing = False
+        self._open_s = FIRST_OPEN_S
+
+    def failed(self, now_s: float) -> bool:
+        """Note a failure; returns whether this opened the breaker."""
+        self._failures += 1
+        was_open = self._is_open
+        self._probing = False
+        if self._failures < FAILURES_TO_OPEN and not was_open:
+            return False
+        if was_open:
+            self._open_s = min(self._open_s * 2, LONGEST_OPEN_S)
+        self._is_open = True
+        self._open_until_s = now_s + self._open_s
+        return not was_open
+
+    def abandoned(self) -> None:
+        """Note the end of a probe that tells nothing."""
+        self._probing = False
--- /dev/null
+++ b/src/bilberryturn/scheduling/queue.py
@@ -0,0 +1,433 @@
+"""Order the requests of one pool and hand out grants."""
+
+import collections
+import itertools
+
+from bilberryturn.scheduling import fairness
+from bilberryturn.scheduling import retries
+from bilberryturn.scheduling import servers
+from bilberryturn.scheduling import types
+
+DEFAULT_SERVICE_S = 1.0
+SERVICE_SMOOTHING = 0.1
+SHORTEST_RETRY_AFTER_S = 1.0
+
+OUTCOME_DONE = "done"
+OUTCOME_FAILED = "failed"
+OUTCOME_CANCELLED = "cancelled"
+OUTCOME_PREEMPTED = "preempted"
+OUTCOME_NOT_SENT = "not_sent"
+
+
+class PoolQueue:
+    """Owns the queue and the server table of a pool.
+
+    Tiers are strict. Within a tier the client account with the lowest token
+    counter goes first, and an account's own requests keep their order.
+    """
+
+    def __init__(
+        self,
+        options: types.PoolOptions,
+        counters: fairness.TokenCounters,
+    ):
+        self._options = options
+        self._counters = counters
+        self.table = servers.ServerTable(options)
+        self._waiting: dict[str, types.WaitingRequest] = {}
+        self._tiers: dict[
+            int, dict[str, collections.deque[types.WaitingRequest]]
+        ] = {}
+        self._passed_over: dict[int, int] = {}
+        self._service_s = 0.0
+        self._retries = retries.RetryBudget()
+        self._preempting: dict[str, int] = {}
+        self._empty_since_s: float | None = None
+
+    @property
+    def waiting_count(self) -> int:
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    def waiting_by_tier(self) -> dict[int, int]:
+        """Return how many requests wait in each tier."""
+        return {
+            tier: sum(len(requests) for requests in accounts.values())
+            for tier, accounts in self._tiers.items()
+        }
+
+    def cheap_waiting_count(self) -> int:
+        """Return how many waiting requests may run on cheap servers."""
+        return sum(
+            1
+            for request in self._waiting.values()
+            if request.cheap != types.NEVER_CHEAP
+        )
+
+    def is_waiting(self, request_id: str) -> bool:
+        """Return whether a request waits."""
+        return request_id in self._waiting
+
+    def set_servers(
+        self, specs: list[types.ServerSpec], now_s: float
+    ) -> list[servers.Running]:
+        """Replace the servers; returns the requests on leaving ones."""
+        return self.table.update(specs, now_s)
+
+    def submit(
+        self, request: types.WaitingRequest, now_s: float
+    ) -> list[types.Decision]:
+        """Queue a request and return what follows from it."""
+        if request.request_id in self._waiting:
+            return []
+        if request.request_id in self.table.running:
+            return []
+        if not request.is_retry:
+            self._retries.note_request()
+        elif not self._retries.take():
+            return [self._refuse(request, types.REASON_RETRY_BUDGET)]
+        if self._options.admission and request.preemptions == 0:
+            wait_s = self.estimate_wait_s(
+                request.tier, request.client_account, now_s
+            )
+            if now_s + wait_s > request.wait_limit_s:
+                return [self._refuse(request, types.REASON_DEADLINE, wait_s)]
+        decisions: list[types.Decision] = []
+        if len(self._waiting) >= self._options.max_waiting:
+            victim = self._shed_for(request)
+            if victim is None:
+                return [self._refuse(request, types.REASON_QUEUE_FULL)]
+            decisions.append(self._refuse(victim, types.REASON_SHED))
+        self._enqueue(request)
+        decisions.extend(self.dispatch(now_s))
+        return decisions
+
+    def cancel(self, request_id: str) -> bool:
+        """Remove a waiting request; returns whether it waited."""
+        request = self._waiting.get(request_id)
+        if request is None:
+            return False
+        self._remove(request)
+        for server in self.table.servers.values():
+            if server.reserved_for == request_id:
+                server.reserved_for = ""
+        return True
+
+    def adopt(
+        self, request: types.WaitingRequest, server: str, now_s: float
+    ) -> None:
+        """Count a grant that an earlier broker of the pool gave."""
+        if request.request_id not in self._waiting:
+            self.table.adopt(request, server, now_s)
+
+    def progress(
+        self, request_id: str, output_tokens: int, now_s: float
+    ) -> None:
+        """Charge newly generated tokens to the account."""
+        entry = self.table.running.get(request_id)
+        fresh = self.table.progress(request_id, output_tokens, now_s)
+        if entry is None or fresh <= 0:
+            return
+        self._counters.charge(
+            entry.request.client_account,
+            entry.request.weight,
+            output_tokens=fresh,
+        )
+
+    def finish(
+        self,
+        request_id: str,
+        outcome: str,
+        output_tokens: int,
+        now_s: float,
+        first_token_s: float = 0.0,
+        duration_s: float = 0.0,
+        cached_share: float | None = None,
+    ) -> list[types.Decision]:
+        """End a grant and return what follows from the free slot.
+
+        Args:
+            request_id: Request that ended.
+            outcome: One of the OUTCOME constants.
+            output_tokens: Tokens generated in all.
+            now_s: Present time.
+            first_token_s: Time to the first token, 0 if there was none.
+            duration_s: Time from dispatch to the end.
+            cached_share: Share of the prompt that the engine had cached, or
+                None if it is not known.
+        """
+        self.progress(request_id, output_tokens, now_s)
+        self._preempting.pop(request_id, None)
+        entry, server = self.table.finish(request_id)
+        if entry is not None and server is not None:
+            self._learn(
+                entry, server, outcome, now_s, first_token_s, duration_s,
+                output_tokens, cached_share,
+            )  # fmt: skip
+        return self.dispatch(now_s)
+
+    def _learn(
+        self, entry, server, outcome, now_s, first_token_s, duration_s,
+        output_tokens, cached_share,
+    ) -> None:  # fmt: skip
+        if outcome in (OUTCOME_FAILED, OUTCOME_NOT_SENT):
+            server.breaker.failed(now_s)
+            return
+        if outcome != OUTCOME_DONE:
+            server.breaker.abandoned()
+            return
+        server.breaker.succeeded()
+        if first_token_s > 0:
+            server.observe_first_token(first_token_s)
+        if output_tokens > 1 and duration_s > first_token_s > 0:
+            server.observe_gap(
+                (duration_s - first_token_s) / (output_tokens - 1)
+            )
+        if cached_share is not None:
+            server.forget_prefix(entry.request.prefix_blocks, cached_share)
+            server.remember_prefix(entry.request.prefix_blocks)
+        if self._service_s == 0.0:
+            self._service_s = duration_s
+        self._service_s += SERVICE_SMOOTHING * (duration_s - self._service_s)
+
+    def tick(self, now_s: float) -> list[types.Decision]:
+        """Refuse what has waited too long and dispatch what can run."""
+        decisions: list[types.Decision] = []
+        self._note_servers(now_s)
+        for request in list(self._waiting.values()):
+            if now_s >= request.wait_limit_s:
+                self.cancel(request.request_id)
+                decisions.append(self._refuse(request, types.REASON_DEADLINE))
+            elif self._has_no_server(request, now_s):
+                self.cancel(request.request_id)
+                decisions.append(self._refuse(request, types.REASON_NO_SERVER))
+        decisions.extend(self.dispatch(now_s))
+        return decisions
+
+    def _note_servers(self, now_s: float) -> None:
+        if any(not s.spec.leaving for s in self.table.servers.values()):
+            self._empty_since_s = None
+        elif self._empty_since_s is None:
+            self._empty_since_s = now_s
+
+    def _has_no_server(self, request, now_s: float) -> bool:
+        """Return whether a request has waited in vain for any server."""
+        waited_s = now_s - request.arrived_s
+        if waited_s < self._options.no_server_wait_s:
+            return False
+        return not self.table.can_ever_serve(request)
+
+    def estimate_wait_s(
+        self, tier: int, client_account: str, now_s: float
+    ) -> float:
+        """Return the expected wait of a new request."""
+        slots = self.table.slots(now_s)
+        if slots == 0:
+            return 0.0
+        ahead = self._count_ahead(tier, client_account)
+        if ahead < self.table.free_slots(now_s):
+            return 0.0
+        service_s = self._service_s or DEFAULT_SERVICE_S
+        lower_running = 0
+        if self._options.preemption:
+            lower_running = sum(
+                1
+                for entry in self.table.running.values()
+                if entry.request.tier > tier
+            )
+        if ahead < lower_running:
+            return 0.0
+        return (ahead + 1 - lower_running) * service_s / slots
+
+    def _count_ahead(self, tier: int, client_account: str) -> int:
+        """Return how many waiting requests go before a new one."""
+        ahead = sum(
+            len(requests)
+            for higher, accounts in self._tiers.items()
+            if higher < tier
+            for requests in accounts.values()
+        )
+        accounts = self._tiers.get(tier, {})
+        own_position = len(accounts.get(client_account, ()))
+        return (
+            ahead
+            + sum(
+                min(len(requests), own_position + 1)
+                for account, requests in accounts.items()
+                if account != client_account
+            )
+            + own_position
+        )
+
+    def _enqueue(self, request: types.WaitingRequest) -> None:
+        self._counters.activate(request.client_account)
+        self._waiting[request.request_id] = request
+        accounts = self._tiers.setdefault(request.tier, {})
+        requests = accounts.setdefault(
+            request.client_account, collections.deque()
+        )
+        if request.preemptions or request.is_retry:
+            requests.appendleft(request)
+        else:
+            requests.append(request)
+
+    def _remove(self, request: types.WaitingRequest) -> None:
+        del self._waiting[request.request_id]
+        accounts = self._tiers[request.tier]
+        accounts[request.client_account].remove(request)
+        if not accounts[request.client_account]:
+            del accounts[request.client_account]
+        if not accounts:
+            del self._tiers[request.tier]
+            self._passed_over.pop(request.tier, None)
+        self._counters.deactivate(request.client_account)
+
+    def _shed_for(
+        self, request: types.WaitingRequest
+    ) -> types.WaitingRequest | None:
+        """Remove and return the request that gives way, or None.
+
+        The newest request of the lowest tier gives way. Within the arriving
+        request's own tier only the account with the most waiting requests
+        does, and only for an account that has fewer.
+        """
+        lowest = max(self._tiers)
+        if lowest < request.tier:
+            return None
+        accounts = self._tiers[lowest]
+        longest = max(accounts, key=lambda name: len(accounts[name]))
+        if lowest == request.tier:
+            own = len(accounts.get(request.client_account, ()))
+            if len(accounts[longest]) <= own + 1:
+                return None
+        victim = accounts[longest][-1]
+        self.cancel(victim.request_id)
+        return victim
+
+    def _refuse(
+        self, request: types.WaitingRequest, reason: str, wait_s: float = 0.0
+    ) -> types.Refusal:
+        return types.Refusal(
+            request, reason, max(SHORTEST_RETRY_AFTER_S, wait_s)
+        )
+
+    def dispatch(self, now_s: float) -> list[types.Decision]:
+        """Grant as many waiting requests as servers can take."""
+        decisions: list[types.Decision] = []
+        while self._waiting:
+            placed = self._place_one(now_s)
+            if placed is None:
+                break
+            decisions.append(placed)
+        if self._waiting and self._options.preemption:
+            decisions.extend(self._preempt(now_s))
+        return decisions
+
+    def _place_one(self, now_s: float) -> types.Grant | None:
+        for tier in self._tier_order(now_s):
+            accounts = self._tiers[tier]
+            order = sorted(accounts, key=self._counters.value)
+            for account in order:
+                request = accounts[account][0]
+                server = self.table.choose(request, now_s)
+                if server is None:
+                    continue
+                self._grant(request, server, now_s)
+                return types.Grant(
+                    request,
+                    server.spec.name,
+                    server.spec.address,
+                    server.spec.cheap,
+                )
+        return None
+
+    def _grant(self, request, server, now_s: float) -> None:
+        self._remove(request)
+        self.table.start(request, server, now_s)
+        self._counters.charge(
+            request.client_account,
+            request.weight,
+            input_tokens=request.input_tokens,
+        )
+        for tier in self._tiers:
+            if tier != request.tier:
+                self._passed_over[tier] = self._passed_over.get(tier, 0) + 1
+        self._passed_over[request.tier] = 0
+
+    def _tier_order(self, now_s: float) -> list[int]:
+        """Return the tiers in order, a starving one before the others."""
+        order = sorted(self._tiers)
+        for tier in reversed(order):
+            passed = self._passed_over.get(tier, 0)
+            if passed < self._options.starvation_share - 1:
+                continue
+            oldest_s = min(
+                requests[0].arrived_s for requests in self._tiers[tier].values()
+            )
+            if now_s - oldest_s >= self._options.starvation_wait_s:
+                order.remove(tier)
+                return [tier, *order]
+        return order
+
+    def _preempt(self, now_s: float) -> list[types.Preemption]:
+        """Take grants of lower tiers back for heads that would be late."""
+        service_s = self._service_s or DEFAULT_SERVICE_S
+        slots = max(1, self.table.slots(now_s))
+        decisions: list[types.Preemption] = []
+        # Slots that are being freed are counted for the highest tiers first.
+        pending = len(self._preempting)
+        lowest_running = max(
+            (r.request.tier for r in self.table.running.values()), default=-1
+        )
+        for tier in sorted(self._tiers):
+            if tier >= lowest_running:
+                break
+            heads = sorted(
+                itertools.chain.from_iterable(self._tiers[tier].values()),
+                key=lambda request: request.first_token_by_s,
+            )
+            for position, request in enumerate(heads[:slots]):
+                if pending > 0:
+                    pending -= 1
+                    continue
+                expected_s = now_s + (position + 1) * service_s / slots
+                if expected_s <= request.first_token_by_s:
+                    break
+                victim = self._victim(request)
+                if victim is None:
+                    return decisions
+                self._preempting[victim.request.request_id] = tier
+                decisions.append(
+                    types.Preemption(
+                        victim.request.request_id,
+                        victim.server,
+                        victim.request.reply_address,
+                        tier,
+                        victim.request.tier,
+                    )
+                )
+        return decisions
+
+    def _victim(self, request: types.WaitingRequest) -> servers.Running | None:
+        """Return the running request that gives way, or None."""
+        candidates = [
+            entry
+            for entry in self.table.running.values()
+            if entry.request.tier > request.tier
+            and entry.request.preemptions < self._options.max_preemptions
+            and entry.request.request_id not in self._preempting
+            and entry.server not in request.excluded_servers
+            and self._suits(entry.server, request)
+        ]
+        if not candidates:
+            return None
+        return max(
+            candidates,
+            key=lambda entry: (entry.request.tier, entry.started_s),
+        )
+
+    def _suits(self, name: str, request: types.WaitingRequest) -> bool:
+        server = self.table.servers.get(name)
+        if server is None or server.spec.leaving:
+            return False
+        return not server.spec.cheap or self.table.allows_cheap(request)
--- /dev/null
+++ b/src/bilberryturn/scheduling/scaling.py
@@ -0,0 +1,144 @@
+"""Decide how many servers of a pool should run."""
+
+from typing import NamedTuple
+
+HIGH_USE = 0.8
+LOW_USE = 0.4
+HIGH_FOR_S = 3.0
+
+
+class ScalerOptions(NamedTuple):
+    """Sets bounds and pace.
+
+    Attributes:
+        min_running: Servers that always run.
+        idle_stop_s: How long use must be low before a server is stopped.
+        orders_per_minute: Rate of orders.
+        burst_orders: Orders that may follow at once.
+    """
+
+    min_running: int = 1
+    idle_stop_s: float = 300.0
+    orders_per_minute: float = 6.0
+    burst_orders: float = 3.0
+
+
+class ServerView(NamedTuple):
+    """Describes a server to the scaler."""
+
+    name: str
+    is_running: bool
+    cheap: bool
+    slots: int
+    busy: int
+
+
+class ScaleOrder(NamedTuple):
+    """Asks for a state of a server: "running" or "stopped"."""
+
+    server: str
+    desired: str
+
+
+class Scaler:
+    """Starts servers when demand lasts and stops them when it is gone.
+
+    High use must last for a few seconds and low use much longer, and a token
+    bucket bounds the orders, so that a burst does not flap the fleet.
+    """
+
+    def __init__(self, options: ScalerOptions):
+        self._options = options
+        self._high_since_s: float | None = None
+        self._low_since_s: float | None = None
+        self._tokens = options.burst_orders
+        self._refilled_s: float | None = None
+
+    def decide(
+        self,
+        servers: list[ServerView],
+        waiting: int,
+        cheap_waiting: int,
+        now_s: float,
+    ) -> list[ScaleOrder]:
+        """Return the orders to give now.
+
+        Args:
+            servers: All servers that the pool could have.
+            waiting: Requests that wait.
+            cheap_waiting: Those of them that may run on cheap servers.
+            now_s: Present time.
+        """
+        self._refill(now_s)
+        running = [s for s in servers if s.is_running]
+        slots = sum(s.slots for s in running)
+        busy = sum(s.busy for s in running)
+        if len(running) < self._options.min_running:
+            return self._start(servers, 0, self._options.min_running)
+        use = (busy + waiting) / slots if slots else float(waiting > 0)
+        self._note_use(use, now_s)
+        if self._lasts(self._high_since_s, HIGH_FOR_S, now_s):
+            mean_slots = slots / len(running) if running else 8
+            missing = (busy + waiting) / HIGH_USE - slots
+            count = max(1, round(missing / mean_slots))
+            return self._start(servers, cheap_waiting, len(running) + count)
+        if self._lasts(self._low_since_s, self._options.idle_stop_s, now_s):
+            return self._stop(running, slots, busy)
+        return []
+
+    def _note_use(self, use: float, now_s: float) -> None:
+        if use < HIGH_USE:
+            self._high_since_s = None
+        elif self._high_since_s is None:
+            self._high_since_s = now_s
+        if use > LOW_USE:
+            self._low_since_s = None
+        elif self._low_since_s is None:
+            self._low_since_s = now_s
+
+    def _lasts(self, since_s, duration_s: float, now_s: float) -> bool:
+        return since_s is not None and now_s - since_s >= duration_s
+
+    def _refill(self, now_s: float) -> None:
+        if self._refilled_s is not None:
+            rate = self._options.orders_per_minute / 60.0
+            self._tokens = min(
+                self._options.burst_orders,
+                self._tokens + (now_s - self._refilled_s) * rate,
+            )
+        self._refilled_s = now_s
+
+    def _take(self) -> bool:
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _start(self, servers, cheap_waiting: int, target: int):
+        running = sum(1 for s in servers if s.is_running)
+        stopped = [s for s in servers if not s.is_running]
+        stopped.sort(key=lambda s: (not s.cheap, -s.slots, s.name))
+        orders = []
+        for server in stopped:
+            if running + len(orders) >= target:
+                break
+            if server.cheap and cheap_waiting <= 0:
+                continue
+            if not self._take():
+                break
+            cheap_waiting -= server.slots if server.cheap else 0
+            orders.append(ScaleOrder(server.name, "running"))
+        return orders
+
+    def _stop(self, running, slots: int, busy: int) -> list[ScaleOrder]:
+        idle = [s for s in running if s.busy == 0]
+        if not idle or len(running) <= self._options.min_running:
+            return []
+        # Paid servers cost most, so they go first.
+        victim = min(idle, key=lambda s: (s.cheap, s.slots, s.name))
+        left = slots - victim.slots
+        if left <= 0 or busy / left > LOW_USE * 1.5:
+            return []
+        if not self._take():
+            return []
+        return [ScaleOrder(victim.name, "stopped")]
--- /dev/null
+++ b/src/bilberryturn/scheduling/suspects.py
@@ -0,0 +1,75 @@
+"""Find requests that crash the servers that run them."""
+
+MARK_TTL_S = 600.0
+QUARANTINE_S = 600.0
+MARKS_TO_QUARANTINE = 2
+MAX_FINGERPRINTS = 10000
+
+CLEAR = "clear"
+ISOLATE = "isolate"
+QUARANTINED = "quarantined"
+
+
+class SuspectRegistry:
+    """Counts crashes by request fingerprint.
+
+    One crash makes a request run alone; a second one quarantines it. A
+    success clears the marks.
+    """
+
+    def __init__(self):
+        self._marks: dict[str, tuple[int, float]] = {}
+
+    def verdict(self, fingerprint: str, now_s: float) -> str:
+        """Return CLEAR, ISOLATE or QUARANTINED."""
+        marks, until_s = self._marks.get(fingerprint, (0, 0.0))
+        if now_s >= until_s:
+            return CLEAR
+        if marks >= MARKS_TO_QUARANTINE:
+            return QUARANTINED
+        return ISOLATE
+
+    def remaining_s(self, fingerprint: str, now_s: float) -> float:
+        """Return how long the marks of a fingerprint last."""
+        return max(0.0, self._marks.get(fingerprint, (0, 0.0))[1] - now_s)
+
+    def crashed(self, fingerprint: str, now_s: float) -> int:
+        """Note a crash during a request; returns the number of marks."""
+        marks, until_s = self._marks.get(fingerprint, (0, 0.0))
+        marks = marks + 1 if now_s < until_s else 1
+        self._set(fingerprint, marks, now_s + MARK_TTL_S, now_s)
+        return marks
+
+    def succeeded(self, fingerprint: str) -> bool:
+        """Clear the marks; returns whether there were any."""
+        return self._marks.pop(fingerprint, None) is not None
+
+    def merge(
+        self, fingerprint: str, marks: int, ttl_s: float, now_s: float
+    ) -> None:
+        """Take over marks that another node has made; 0 clears them."""
+        if marks <= 0:
+            self._marks.pop(fingerprint, None)
+            return
+        known, until_s = self._marks.get(fingerprint, (0, 0.0))
+        if now_s >= until_s:
+            known = 0
+        ttl_s = min(max(ttl_s, 0.0), MARK_TTL_S)
+        self._set(fingerprint, max(marks, known), now_s + ttl_s, now_s)
+
+    def quarantined(self, now_s: float) -> dict[str, float]:
+        """Return the remaining seconds of each quarantined fingerprint."""
+        return {
+            fingerprint: until_s - now_s
+            for fingerprint, (marks, until_s) in self._marks.items()
+            if marks >= MARKS_TO_QUARANTINE and until_s > now_s
+        }
+
+    def _set(self, fingerprint, marks, until_s, now_s) -> None:
+        self._marks[fingerprint] = (marks, until_s)
+        if len(self._marks) <= MAX_FINGERPRINTS:
+            return
+        alive = {k: v for k, v in self._marks.items() if v[1] > now_s}
+        while len(alive) > MAX_FINGERPRINTS:
+            alive.pop(next(iter(alive)))
+        self._marks = alive
--- /dev/null
+++ b/src/bilberryturn/tool/__init__.py
@@ -0,0 +1,1 @@
+"""Provide the command-line tool for operators."""
--- /dev/null
+++ b/src/bilberryturn/tool/client.py
@@ -0,0 +1,101 @@
+"""Talk to the admin interface of a node."""
+
+import io
+import os
+from typing import Any
+import urllib.parse
+
+import msgspec
+import pycurl
+
+from bilberryturn import exceptions
+
+TIMEOUT_S = 90
+ADDRESS_VARIABLE = "BILBERRYTURN_ADMIN"
+TOKEN_VARIABLE = "BILBERRYTURN_TOKEN"
+DEFAULT_ADDRESS = "127.0.0.1:8081"
+
+EXIT_CONFLICT = 4
+EXIT_REFUSED = 5
+EXIT_UNREACHABLE = 6
+
+
+class ToolError(exceptions.BilberryturnError):
+    """Reports why a command failed.
+
+    Attributes:
+        exit_status: Status that the tool ends with.
+        faults: Faults of declarations, if that is the reason.
+    """
+
+    def __init__(self, problem, remedy, exit_status, faults=()):
+        super().__init__(problem, remedy)
+        self.exit_status = exit_status
+        self.faults = faults
+
+
+class AdminClient:
+    """Calls the admin interface."""
+
+    def __init__(self, address: str = "", token: str = ""):
+        self._address = address or os.environ.get(
+            ADDRESS_VARIABLE, DEFAULT_ADDRESS
+        )
+        self._token = token or os.environ.get(TOKEN_VARIABLE, "")
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        query: dict[str, Any] | None = None,
+    ) -> Any:
+        """Return the decoded answer.
+
+        Raises:
+            ToolError: The node refused or cannot be reached.
+        """
+        buffer = io.BytesIO()
+        handle = pycurl.Curl()
+        url = f"http://{self._address}{path}"
+        if query:
+            url = f"{url}?{urllib.parse.urlencode(query)}"
+        handle.setopt(pycurl.URL, url)
+        handle.setopt(pycurl.PROXY, "")
+        handle.setopt(pycurl.CUSTOMREQUEST, method)
+        handle.setopt(pycurl.TIMEOUT, TIMEOUT_S)
+        handle.setopt(
+            pycurl.HTTPHEADER,
+            ["Expect:", f"Authorization: Bearer {self._token}"],
+        )
+        handle.setopt(pycurl.WRITEDATA, buffer)
+        if body is not None:
+            handle.setopt(pycurl.POSTFIELDS, msgspec.json.encode(body))
+        try:
+            handle.perform()
+        except pycurl.error as error:
+            raise ToolError(
+                f"The node at {self._address} cannot be reached:"
+                f" {error.args[-1]}",
+                f"Set --node or {ADDRESS_VARIABLE} to the admin address of a"
+                " running node",
+                EXIT_UNREACHABLE,
+            ) from error
+        status = handle.getinfo(pycurl.RESPONSE_CODE)
+        handle.close()
+        return _interpret(status, buffer.getvalue())
+
+
+def _interpret(status: int, content: bytes) -> Any:
+    try:
+        answer = msgspec.json.decode(content)
+    except msgspec.DecodeError:
+        answer = {}
+    if status == 200:
+        return answer
+    raise ToolError(
+        answer.get("problem", f"The node answered status {status}"),
+        answer.get("remedy", "Check the address of the admin interface"),
+        EXIT_CONFLICT if status == 409 else EXIT_REFUSED,
+        answer.get("faults", ()),
+    )
--- /dev/null
+++ b/src/bilberryturn/tool/commands/__init__.py
@@ -0,0 +1,30 @@
+"""Hold one module for each command.
+
+Each module offers add_parser, which sets the function that runs the command.
+"""
+
+from bilberryturn.tool.commands import account
+from bilberryturn.tool.commands import apply
+from bilberryturn.tool.commands import backend
+from bilberryturn.tool.commands import check
+from bilberryturn.tool.commands import config
+from bilberryturn.tool.commands import explain
+from bilberryturn.tool.commands import key
+from bilberryturn.tool.commands import plan
+from bilberryturn.tool.commands import profile
+from bilberryturn.tool.commands import status
+from bilberryturn.tool.commands import vm
+
+ALL = (
+    check,
+    plan,
+    apply,
+    profile,
+    key,
+    account,
+    vm,
+    backend,
+    status,
+    explain,
+    config,
+)
--- /dev/null
+++ b/src/bilberryturn/tool/output.py
@@ -0,0 +1,50 @@
+"""Print results as aligned tables or as JSON."""
+
+import sys
+from typing import Any
+
+import msgspec
+
+
+def print_json(value: Any) -> None:
+    """Print a value as one JSON document."""
+    encoded = msgspec.json.format(msgspec.json.encode(value), indent=2)
+    print(encoded.decode())
+
+
+def print_table(rows: list[dict[str, Any]], columns: list[str]) -> None:
+    """Print rows under column titles, aligned with spaces."""
+    titles = [column.upper().replace("_", " ") for column in columns]
+    lines = [titles]
+    lines.extend([_text(row.get(c)) for c in columns] for row in rows)
+    widths = [max(len(line[i]) for line in lines) for i in range(len(columns))]
+    for line in lines:
+        cells = (
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        )
+        print("  ".join(cells).rstrip())
+
+
+def print_progress(text: str) -> None:
+    """Tell on standard error what takes time."""
+    print(text, file=sys.stderr, flush=True)
+
+
+def print_in_force(answer: dict[str, Any]) -> None:
+    """Print where a version is in force and which domains are pending."""
+    print(
+        f"version {answer['version']} in force on"
+        f" {answer['nodes_ready']} of {answer['nodes_total']} nodes"
+    )
+    for domain in answer["pending_domains"]:
+        print(f"pending: failure domain {domain} has not confirmed")
+
+
+def _text(value: Any) -> str:
+    if value is None:
+        return ""
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, list | tuple):
+        return ",".join(_text(item) for item in value)
+    return str(value)
--- /dev/null
+++ b/src/bilberryturn/usage/ledger.py
@@ -0,0 +1,154 @@
+"""Collect the usage of a node in batches that peers hold until flushed."""
+
+import threading
+from typing import NamedTuple
+
+MAX_HELD_BATCHES = 20000
+
+
+class UsageRow(NamedTuple):
+    """Counts the usage of one client account with one profile."""
+
+    client_account: str
+    profile: str
+    requests: int
+    input_tokens: int
+    output_tokens: int
+
+
+class Batch(NamedTuple):
+    """Holds usage under an identifier that is unique for ever.
+
+    Attributes:
+        revision: Grows with each row that is added before the flush.
+    """
+
+    batch_id: str
+    owner: str
+    window: int
+    revision: int
+    rows: tuple[UsageRow, ...]
+
+
+def add_rows(rows: tuple[UsageRow, ...], row: UsageRow) -> tuple:
+    """Return rows with one more row summed in."""
+    totals = {(r.client_account, r.profile): r for r in rows}
+    key = (row.client_account, row.profile)
+    old = totals.get(key, UsageRow(*key, 0, 0, 0))
+    totals[key] = UsageRow(
+        *key,
+        old.requests + row.requests,
+        old.input_tokens + row.input_tokens,
+        old.output_tokens + row.output_tokens,
+    )
+    return tuple(totals.values())
+
+
+def subtract_rows(
+    rows: tuple[UsageRow, ...], stored: tuple[UsageRow, ...]
+) -> tuple[UsageRow, ...]:
+    """Return what rows hold beyond the stored ones."""
+    known = {(r.client_account, r.profile): r for r in stored}
+    rest = []
+    for row in rows:
+        old = known.get(
+            (row.client_account, row.profile),
+            UsageRow(row.client_account, row.profile, 0, 0, 0),
+        )
+        left = UsageRow(
+            row.client_account,
+            row.profile,
+            row.requests - old.requests,
+            row.input_tokens - old.input_tokens,
+            row.output_tokens - old.output_tokens,
+        )
+        if any(left[2:]):
+            rest.append(left)
+    return tuple(rest)
+
+
+class Ledger:
+    """Holds the open batch, sealed batches and those held for peers.
+
+    Safe to use from many threads.
+    """
+
+    def __init__(self, owner: str, incarnation: int, window_s: float):
+        self._owner = owner
+        self._incarnation = incarnation
+        self._window_s = window_s
+        self._lock = threading.Lock()
+        self._sequence = 0
+        self._open: Batch | None = None
+        self._sealed: dict[str, Batch] = {}
+        self._held: dict[str, Batch] = {}
+
+    def window_of(self, wall_clock_s: float) -> int:
+        """Return the number of the window that holds a time."""
+        return int(wall_clock_s // self._window_s)
+
+    def add(self, row: UsageRow, wall_clock_s: float) -> Batch:
+        """Count usage; returns the open batch that peers should hold."""
+        with self._lock:
+            window = self.window_of(wall_clock_s)
+            if self._open is not None and self._open.window != window:
+                self._seal()
+            if self._open is None:
+                self._sequence += 1
+                batch_id = f"{self._owner}-{self._incarnation}-{self._sequence}"
+                self._open = Batch(batch_id, self._owner, window, 0, ())
+            self._open = self._open._replace(
+                revision=self._open.revision + 1,
+                rows=add_rows(self._open.rows, row),
+            )
+            return self._open
+
+    def _seal(self) -> None:
+        if self._open is not None:
+            self._sealed[self._open.batch_id] = self._open
+            self._open = None
+
+    def seal(self) -> list[Batch]:
+        """Close the open batch; returns all batches to be flushed."""
+        with self._lock:
+            self._seal()
+            return list(self._sealed.values())
+
+    def flushed(self, batch_id: str) -> None:
+        """Forget a batch that is in the table service."""
+        with self._lock:
+            self._sealed.pop(batch_id, None)
+            self._held.pop(batch_id, None)
+
+    def pending_count(self) -> int:
+        """Return how many own batches are not yet flushed."""
+        with self._lock:
+            return len(self._sealed) + (self._open is not None)
+
+    def hold(self, batch: Batch) -> None:
+        """Keep a peer's batch; an older revision is passed over."""
+        with self._lock:
+            known = self._held.get(batch.batch_id)
+            if known is not None and known.revision >= batch.revision:
+                return
+            if len(self._held) >= MAX_HELD_BATCHES and known is None:
+                return
+            self._held[batch.batch_id] = batch
+
+    def held_of(self, owner: str) -> list[Batch]:
+        """Return the batches held for a peer."""
+        with self._lock:
+            return [b for b in self._held.values() if b.owner == owner]
+
+    def held_owners(self) -> set[str]:
+        """Return the peers for which batches are held."""
+        with self._lock:
+            return {batch.owner for batch in self._held.values()}
+
+    def unflushed(self) -> list[Batch]:
+        """Return the own batches, the open one included."""
+        with self._lock:
+            own = list(self._sealed.values())
+            if self._open is not None:
+                own.append(self._open)
+            return own
