--- /dev/null
+++ b/src/bilberryturn/usage/store.py
@@ -0,0 +1,134 @@
+"""Keep usage batches and windows in the table service."""
+
+from typing import NamedTuple
+
+import expression
+
+from bilberryturn import platform
+from bilberryturn.platform import tables
+from bilberryturn.usage import ledger
+
+MAX_WINDOW_ATTEMPTS = 1000
+
+
+class Flushed(NamedTuple):
+    """Says that a batch is stored, now or earlier.
+
+    Attributes:
+        stored_rows: Rows that the table service holds under the batch.
+    """
+
+    stored_rows: tuple[ledger.UsageRow, ...]
+
+
+def batch_key(batch_id: str) -> str:
+    """Return the row that makes a batch unique."""
+    return f"usage/batch/{batch_id}"
+
+
+def window_prefix(window: int) -> str:
+    """Return the start of the keys of a window's batches."""
+    return f"usage/window/{window:012d}/"
+
+
+def closed_key(window: int) -> str:
+    """Return the row whose presence closes a window."""
+    return f"usage/closed/{window:012d}"
+
+
+def frozen_key(window: int) -> str:
+    """Return the row that holds a window's final figures."""
+    return f"usage/frozen/{window:012d}"
+
+
+class UsageStore:
+    """Writes batches; a batch is counted in exactly one window."""
+
+    def __init__(self, table: platform.TableService):
+        self._table = table
+
+    def flush(
+        self, batch: ledger.Batch, current_window: int
+    ) -> expression.Result[Flushed, platform.PlatformError]:
+        """Store a batch once.
+
+        The batch goes into its own window, or, when that is closed, into the
+        first one that is still open, marked as late.
+        """
+        windows = [batch.window]
+        windows.extend(
+            range(
+                max(batch.window + 1, current_window),
+                current_window + MAX_WINDOW_ATTEMPTS,
+            )
+        )
+        for window in windows:
+            result = self._insert(batch, window)
+            if result.is_error():
+                return expression.Error(result.error)
+            outcome = result.ok
+            if isinstance(outcome, tables.Committed):
+                return expression.Ok(Flushed(batch.rows))
+            if batch_key(batch.batch_id) in outcome.keys:
+                return self._read_stored(batch)
+        return expression.Error(
+            platform.PlatformError(
+                "Every usage window is closed",
+                "Compare the clock of this VM with the others",
+            )
+        )
+
+    def _insert(self, batch: ledger.Batch, window: int):
+        value = {
+            "window": window,
+            "late": window != batch.window,
+            "owner": batch.owner,
+            "rows": [list(row) for row in batch.rows],
+        }
+        unique = batch_key(batch.batch_id)
+        in_window = window_prefix(window) + batch.batch_id
+        return self._table.transact(
+            {unique: 0, closed_key(window): 0},
+            {unique: value, in_window: value},
+        )
+
+    def _read_stored(self, batch: ledger.Batch):
+        result = self._table.read(batch_key(batch.batch_id))
+        if result.is_error():
+            return expression.Error(result.error)
+        rows = tuple(ledger.UsageRow(*row) for row in result.ok.value["rows"])
+        return expression.Ok(Flushed(rows))
+
+    def sum_window(
+        self, window: int
+    ) -> expression.Result[list[dict], platform.PlatformError]:
+        """Return the figures of a window by client account and profile."""
+        result = self._table.scan(window_prefix(window))
+        if result.is_error():
+            return expression.Error(result.error)
+        totals: dict[tuple[str, str], dict] = {}
+        for row in result.ok:
+            for values in row.value["rows"]:
+                usage = ledger.UsageRow(*values)
+                _add_figure(totals, usage, row.value["late"])
+        return expression.Ok([totals[key] for key in sorted(totals)])
+
+
+def _add_figure(totals, usage: ledger.UsageRow, late: bool) -> None:
+    key = (usage.client_account, usage.profile)
+    figure = totals.setdefault(
+        key,
+        {
+            "client_account": usage.client_account,
+            "profile": usage.profile,
+            "requests": 0,
+            "input_tokens": 0,
+            "output_tokens": 0,
+            "late_requests": 0,
+        },
+    )
+    figure["requests"] += usage.requests
+    figure["input_tokens"] += usage.input_tokens
+    figure["output_tokens"] += usage.output_tokens
+    if late:
+        figure["late_requests"] += usage.requests
--- /dev/null
+++ b/src/bilberryturn_standins/proxy.py
@@ -0,0 +1,117 @@
+"""Inject faults into TCP connections by source and target address."""
+
+import asyncio
+from typing import NamedTuple
+
+CHUNK_BYTES = 65536
+
+
+class Rule(NamedTuple):
+    """Says what happens to connections from one source to one target."""
+
+    source_prefix: str
+    target: str
+    mode: str  # "cut", "freeze", "half_open", "drop" or "delay"
+    delay_s: float = 0.0
+
+
+class FaultProxy:
+    """Forwards connections, one listening port for each target."""
+
+    def __init__(self, loop_thread, host: str = "127.0.0.1"):
+        self.loop_thread = loop_thread
+        self.host = host
+        self.rules: list[Rule] = []
+        self._servers: list[asyncio.Server] = []
+        self._open: dict[asyncio.Task, tuple[str, str, list]] = {}
+
+    def listen(self, target: str, port: int = 0) -> str:
+        """Forward a new port to a target; returns the new address."""
+        return self.loop_thread.call(self._listen(target, port))
+
+    def set_rules(self, rules: list[Rule]) -> None:
+        """Replace all rules; connections that a rule cuts are closed."""
+        self.rules = list(rules)
+        self.loop_thread.loop.call_soon_threadsafe(self._enforce)
+
+    def stop(self) -> None:
+        """Stop listening and close every connection."""
+        self.loop_thread.call(self._stop())
+
+    async def _stop(self) -> None:
+        for listening in self._servers:
+            listening.close()
+        for task in list(self._open):
+            task.cancel()
+
+    def _rule(self, source: str, target: str) -> Rule | None:
+        for rule in self.rules:
+            if not source.startswith(rule.source_prefix):
+                continue
+            if rule.target in ("*", target):
+                return rule
+        return None
+
+    def _enforce(self) -> None:
+        for source, target, writers in list(self._open.values()):
+            rule = self._rule(source, target)
+            if rule is None or rule.mode != "cut":
+                continue
+            for writer in writers:
+                writer.transport.abort()
+
+    async def _listen(self, target: str, port: int) -> str:
+        async def accept(reader, writer):
+            await self._forward(reader, writer, target)
+
+        listening = await asyncio.start_server(
+            accept, self.host, port, backlog=512
+        )
+        self._servers.append(listening)
+        return f"{self.host}:{listening.sockets[0].getsockname()[1]}"
+
+    async def _forward(self, reader, writer, target: str) -> None:
+        source = writer.get_extra_info("peername")[0]
+        rule = self._rule(source, target)
+        if rule is not None and rule.mode == "cut":
+            writer.transport.abort()
+            return
+        host, port = target.rsplit(":", 1)
+        try:
+            up_reader, up_writer = await asyncio.open_connection(
+                host, int(port)
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        task = asyncio.current_task()
+        self._open[task] = (source, target, [writer, up_writer])
+        try:
+            await asyncio.gather(
+                self._pump(reader, up_writer, source, target, "request"),
+                self._pump(up_reader, writer, source, target, "answer"),
+            )
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            self._open.pop(task, None)
+            writer.transport.abort()
+            up_writer.transport.abort()
+
+    async def _pump(self, reader, writer, source, target, direction) -> None:
+        while data := await reader.read(CHUNK_BYTES):
+            rule = self._rule(source, target)
+            while rule is not None and rule.mode == "freeze":
+                await asyncio.sleep(0.02)
+                rule = self._rule(source, target)
+            if rule is not None and rule.mode == "delay":
+                await asyncio.sleep(rule.delay_s)
+            if rule is not None and rule.mode == "drop":
+                continue
+            half_open = rule is not None and rule.mode == "half_open"
+            if half_open and direction == "answer":
+                continue
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
--- /dev/null
+++ b/src/bilberryturn_standins/server.py
@@ -0,0 +1,85 @@
+"""Run aiohttp applications on one event loop in a background thread."""
+
+import asyncio
+import concurrent.futures
+import threading
+from typing import Any
+
+from aiohttp import web
+
+MAX_BODY_BYTES = 64 * 1024 * 1024
+CALL_TIMEOUT_S = 30.0
+
+
+class LoopThread:
+    """Owns an event loop that runs in a daemon thread."""
+
+    def __init__(self):
+        self.loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(
+            target=self.loop.run_forever, name="standins", daemon=True
+        )
+        self._thread.start()
+
+    def call(self, coroutine) -> Any:
+        """Run a coroutine on the loop and return its result."""
+        future: concurrent.futures.Future = asyncio.run_coroutine_threadsafe(
+            coroutine, self.loop
+        )
+        return future.result(CALL_TIMEOUT_S)
+
+    def close(self) -> None:
+        """Stop the loop and wait for its thread."""
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self._thread.join(CALL_TIMEOUT_S)
+
+
+class StandinServer:
+    """Serves one application on a loopback address."""
+
+    def __init__(
+        self, loop_thread: LoopThread, host: str = "127.0.0.1", port: int = 0
+    ):
+        self.loop_thread = loop_thread
+        self.host = host
+        self.port = port
+        self._runner: web.AppRunner | None = None
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the application."""
+        raise NotImplementedError
+
+    @property
+    def address(self) -> str:
+        """Return the address as IP number and port."""
+        return f"{self.host}:{self.port}"
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f"http://{self.address}"
+
+    def start(self) -> "StandinServer":
+        """Listen; a port of 0 is replaced by the one the system chose."""
+        self.loop_thread.call(self._start())
+        return self
+
+    def stop(self) -> None:
+        """Close the listening socket and all connections."""
+        if self._runner is None:
+            return
+        self.loop_thread.call(self._runner.cleanup())
+        self._runner = None
+
+    async def _start(self) -> None:
+        application = web.Application(client_max_size=MAX_BODY_BYTES)
+        application.add_routes(self.routes())
+        self._runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=0.2
+        )
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner, self.host, self.port, backlog=1024, reuse_address=True
+        )
+        await site.start()
+        self.port = site._server.sockets[0].getsockname()[1]
