--- a/src/bilberryturn/entry/application.py
+++ b/src/bilberryturn/entry/application.py
@@ -25,6 +25,8 @@
 REQUEST_ID_HEADER = "X-Request-Id"
 STOPPING_RETRY_AFTER_S = 1.0
 ISOLATED_RETRY_AFTER_S = 10.0
+DISCARDED_LIMITS = 4
+DISCARD_CHUNK_BYTES = 64 * 1024
 
 ROUTES = werkzeug.routing.Map(
     [
@@ -206,6 +208,7 @@
                 raise exceptions.BodyTooLargeError(f"{limit} bytes at most")
             return body
         if request.content_length > limit:
+            _discard(request, limit * DISCARDED_LIMITS)
             raise exceptions.BodyTooLargeError(f"{limit} bytes at most")
         return request.get_data(cache=False)
 
@@ -363,6 +366,17 @@
         )
 
 
+def _discard(request: Request, most_bytes: int) -> None:
+    """Read a refused body, so that the caller can read the refusal."""
+    stream = request.environ["wsgi.input"]
+    left = min(request.content_length, most_bytes)
+    while left > 0:
+        data = stream.read(min(left, DISCARD_CHUNK_BYTES))
+        if not data:
+            return
+        left -= len(data)
+
+
 def _caller_key(request: Request) -> str:
     """Return the key of the Authorization header, or an empty text."""
     scheme, _, key = request.headers.get("Authorization", "").partition(" ")
--- a/src/bilberryturn/entry/server.py
+++ b/src/bilberryturn/entry/server.py
@@ -53,7 +53,6 @@
         )
         self._server.gateway = _Gateway
         self._server.max_request_header_size = limits.max_header_bytes
-        self._server.max_request_body_size = limits.max_body_bytes + 1024
         self._server.error_log = self._log_error
         self._server.shutdown_timeout = 1
         if certificate_file:
