--- /dev/null
+++ b/bench/drivers.py
@@ -0,0 +1,282 @@
+"""Drive engines by a policy: the product's and two baselines."""
+
+import itertools
+
+from bilberryturn import scheduling
+from bilberryturn.scheduling import types
+
+PROGRESS_INTERVAL_S = 0.5
+TICK_INTERVAL_S = 0.1
+RETRY_LIMIT = 3
+
+
+class Record:
+    """Holds what became of one request."""
+
+    def __init__(self, arrival):
+        self.arrival = arrival
+        self.first_token_s: float | None = None
+        self.done_s: float | None = None
+        self.outcome = "waiting"
+        self.wasted_tokens = 0
+        self.attempts = 0
+        self.kept_tokens = 0
+        self.was_cheap = False
+        self.was_displaced = False
+
+
+class Driver:
+    """Is the base of all policies."""
+
+    name = ""
+
+    def __init__(self, engines, deployment):
+        self.engines = engines
+        self.deployment = deployment
+        self.records: dict[int, Record] = {}
+
+    def arrive(self, arrival, now_s: float) -> None:
+        """Take in a new request."""
+        self.records[arrival.number] = Record(arrival)
+        self.submit(arrival, now_s)
+
+    def submit(self, arrival, now_s: float) -> None:
+        """Place or queue a request."""
+        raise NotImplementedError
+
+    def tick(self, now_s: float) -> None:
+        """Do what is due at each step."""
+
+    def leaving(self, engine, now_s: float) -> None:
+        """Note that an engine will be taken away in seconds."""
+
+    def changed(self, now_s: float) -> None:
+        """Note that an engine came or went."""
+
+    def start(self, engine, arrival, now_s: float) -> None:
+        """Start a request on an engine."""
+        record = self.records[arrival.number]
+        record.attempts += 1
+        record.was_cheap = record.was_cheap or engine.cheap
+        record.outcome = "running"
+        engine.start(arrival, record.kept_tokens)
+
+    def done(self, finished, now_s: float) -> None:
+        """Note that a request is answered."""
+        record = self.records[finished.running.arrival.number]
+        self.note_first(record, finished.running)
+        record.done_s = now_s
+        record.outcome = "done"
+
+    def note_first(self, record, running) -> None:
+        """Keep the time of the first token the caller ever saw."""
+        if record.first_token_s is None:
+            record.first_token_s = running.first_token_s
+
+    def failed(self, engine, running, now_s: float) -> None:
+        """Note that an engine died under a request."""
+        record = self.records[running.arrival.number]
+        self.note_first(record, running)
+        record.wasted_tokens += int(running.tokens)
+        record.outcome = "failed"
+
+    def give_up(self, record) -> None:
+        """Note that the caller has gone before the first token."""
+        record.outcome = "gave up"
+
+    def expire(self, queue, now_s: float) -> None:
+        """Drop requests whose callers have gone from a queue."""
+        for arrival in list(queue):
+            if now_s - arrival.at_s > arrival.kind.max_wait_s:
+                queue.remove(arrival)
+                self.give_up(self.records[arrival.number])
+
+
+class LeastOutstanding(Driver):
+    """Sends to the server with the fewest requests, first come first served."""
+
+    name = "least-outstanding"
+
+    def submit(self, arrival, now_s):
+        """Choose a server at once; it queues what it cannot run."""
+        engine = self.choose()
+        engine.queue.append(arrival)
+        self.fill(engine, now_s)
+
+    def choose(self):
+        """Return the engine that gets the next request."""
+        up = [e for e in self.engines.values() if e.is_up]
+        return min(up, key=lambda e: (len(e.running) + len(e.queue), e.name))
+
+    def fill(self, engine, now_s):
+        """Start what fits into the batch."""
+        self.expire(engine.queue, now_s)
+        while (
+            engine.is_up and engine.queue and len(engine.running) < engine.slots
+        ):
+            self.start(engine, engine.queue.popleft(), now_s)
+
+    def tick(self, now_s):
+        """Fill all engines; the queue of a dead one moves."""
+        for engine in self.engines.values():
+            if not engine.is_up:
+                moved, engine.queue = list(engine.queue), type(engine.queue)()
+                for arrival in moved:
+                    self.submit(arrival, now_s)
+            self.fill(engine, now_s)
+
+
+class RoundRobin(LeastOutstanding):
+    """Sends to the servers in turn, first come first served."""
+
+    name = "round-robin"
+
+    def __init__(self, engines, deployment):
+        super().__init__(engines, deployment)
+        self._turn = itertools.count()
+
+    def choose(self):
+        """Return the next engine in turn that is up."""
+        up = [e for e in self.engines.values() if e.is_up]
+        return up[next(self._turn) % len(up)]
+
+
+class Product(Driver):
+    """Is the product's scheduling library."""
+
+    name = "bilberryturn"
+
+    def __init__(self, engines, deployment, options=None):
+        super().__init__(engines, deployment)
+        self.counters = scheduling.TokenCounters()
+        self.queue = scheduling.PoolQueue(
+            options or scheduling.PoolOptions(), self.counters
+        )
+        self._leaving: set[str] = set()
+        self._next_progress_s = 0.0
+        self._next_tick_s = 0.0
+        self.changed(-100.0)
+
+    def changed(self, now_s):
+        """Tell the queue which servers there are."""
+        specs = [
+            scheduling.ServerSpec(
+                e.name, "", e.slots, e.cheap, e.name in self._leaving
+            )
+            for e in self.engines.values()
+            if e.is_up
+        ]
+        self._leaving &= {e.name for e in self.engines.values() if e.is_up}
+        self.queue.set_servers(specs, now_s)
+
+    def leaving(self, engine, now_s):
+        """Move work off a reclaimed server at once."""
+        self._leaving.add(engine.name)
+        self.changed(now_s)
+        for number in list(engine.running):
+            self.records[number].was_displaced = True
+            self.take_back(engine, number, now_s)
+        self.carry_out(self.queue.tick(now_s), now_s)
+
+    def request(self, arrival, record, now_s):
+        """Return the queue's form of a request."""
+        kind = arrival.kind
+        limit_s = arrival.at_s + kind.max_wait_s
+        if record.attempts:
+            limit_s = now_s + kind.max_wait_s
+        return scheduling.WaitingRequest(
+            str(arrival.number),
+            kind.tier,
+            arrival.account,
+            1.0,
+            arrival.input_tokens,
+            kind.output_tokens,
+            arrival.at_s,
+            limit_s,
+            arrival.at_s + kind.first_token_target_s,
+            kind.cheap,
+            tuple(f"{arrival.prefix}/{i}" for i in range(4)),
+            preemptions=record.attempts,
+        )
+
+    def submit(self, arrival, now_s):
+        """Hand a request to the queue."""
+        record = self.records[arrival.number]
+        record.outcome = "waiting"
+        request = self.request(arrival, record, now_s)
+        self.carry_out(self.queue.submit(request, now_s), now_s)
+
+    def carry_out(self, decisions, now_s):
+        """Do what the queue has decided."""
+        for decision in decisions:
+            if isinstance(decision, types.Grant):
+                arrival = self.records[int(decision.request.request_id)].arrival
+                self.start(self.engines[decision.server], arrival, now_s)
+            elif isinstance(decision, types.Refusal):
+                record = self.records[int(decision.request.request_id)]
+                record.outcome = f"refused {decision.reason}"
+            else:
+                engine = self.engines[decision.server]
+                self.take_back(engine, int(decision.request_id), now_s)
+
+    def take_back(self, engine, number, now_s):
+        """Take a grant back; the text so far is kept."""
+        running = engine.stop(number)
+        if running is None:
+            return
+        record = self.records[number]
+        self.note_first(record, running)
+        record.kept_tokens = int(running.tokens)
+        decisions = self.queue.finish(
+            str(number), "preempted", int(running.tokens), now_s
+        )
+        self.carry_out(decisions, now_s)
+        self.submit(record.arrival, now_s)
+
+    def done(self, finished, now_s):
+        """Free the slot and tell the queue how it went."""
+        super().done(finished, now_s)
+        running = finished.running
+        record = self.records[running.arrival.number]
+        entry = self.queue.table.running.get(str(running.arrival.number))
+        started_s = entry.started_s if entry else now_s
+        first_s = (running.first_token_s or now_s) - started_s
+        tokens = running.arrival.output_tokens - record.kept_tokens
+        decisions = self.queue.finish(
+            str(running.arrival.number),
+            "done",
+            tokens,
+            now_s,
+            max(first_s, 0.001),
+            now_s - started_s,
+            1.0 if finished.cached_share else 0.0,
+        )
+        self.carry_out(decisions, now_s)
+
+    def failed(self, engine, running, now_s):
+        """Go on elsewhere with the text so far."""
+        record = self.records[running.arrival.number]
+        self.note_first(record, running)
+        record.kept_tokens = int(running.tokens)
+        decisions = self.queue.finish(
+            str(running.arrival.number), "failed", int(running.tokens), now_s
+        )
+        self.carry_out(decisions, now_s)
+        if record.attempts > RETRY_LIMIT:
+            record.outcome = "failed"
+            return
+        self.submit(record.arrival, now_s)
+
+    def tick(self, now_s):
+        """Report progress and let the queue expire waits."""
+        if now_s >= self._next_progress_s:
+            self._next_progress_s = now_s + PROGRESS_INTERVAL_S
+            for engine in self.engines.values():
+                for number, running in engine.running.items():
+                    kept = self.records[number].kept_tokens
+                    self.queue.progress(
+                        str(number), int(running.tokens) - kept, now_s
+                    )
+        if now_s >= self._next_tick_s:
+            self._next_tick_s = now_s + TICK_INTERVAL_S
+            self.carry_out(self.queue.tick(now_s), now_s)
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,93 @@
+"""Model engines that batch continuously, in virtual time."""
+
+import collections
+from typing import NamedTuple
+
+TOKEN_INTERVAL_S = 0.02
+PREFILL_S_PER_TOKEN = 0.0004
+CACHED_PREFIXES = 8
+CACHED_SHARE = 0.7
+
+
+class Running:
+    """Is one request on an engine."""
+
+    def __init__(self, arrival, tokens_before: int, prefill_s: float):
+        self.arrival = arrival
+        self.prefill_left_s = prefill_s
+        self.tokens = float(tokens_before)
+        self.first_token_s: float | None = None
+        self.last_token_s = 0.0
+
+
+class Done(NamedTuple):
+    """Says that an engine has finished a request."""
+
+    server: str
+    running: Running
+    cached_share: float
+
+
+class Engine:
+    """Is one engine; slower the more it runs, with a prefix cache."""
+
+    def __init__(self, name: str, slots: int, cheap: bool):
+        self.name = name
+        self.slots = slots
+        self.cheap = cheap
+        self.slow_factor = 1.0
+        self.is_up = True
+        self.running: dict[int, Running] = {}
+        self.queue: collections.deque = collections.deque()
+        self.cached: dict[int, float] = {}
+        self._prefixes: collections.OrderedDict = collections.OrderedDict()
+
+    def start(self, arrival, tokens_before: int = 0) -> Running:
+        """Take a request into the batch."""
+        cached = CACHED_SHARE if arrival.prefix in self._prefixes else 0.0
+        self._prefixes[arrival.prefix] = None
+        self._prefixes.move_to_end(arrival.prefix)
+        while len(self._prefixes) > CACHED_PREFIXES:
+            self._prefixes.popitem(last=False)
+        fresh = arrival.input_tokens * (1 - cached) + tokens_before
+        running = Running(arrival, tokens_before, fresh * PREFILL_S_PER_TOKEN)
+        self.running[arrival.number] = running
+        self.cached[arrival.number] = cached
+        return running
+
+    def stop(self, number: int) -> Running | None:
+        """Remove a request from the batch."""
+        self.cached.pop(number, None)
+        return self.running.pop(number, None)
+
+    def advance(self, now_s: float, step_s: float) -> list[Done]:
+        """Generate for one step; returns what is finished."""
+        if not self.is_up or not self.running:
+            return []
+        load = len(self.running) / self.slots
+        interval_s = TOKEN_INTERVAL_S * self.slow_factor * (0.75 + 0.25 * load)
+        done = []
+        for number, running in list(self.running.items()):
+            left_s = step_s
+            if running.prefill_left_s > 0:
+                used_s = min(left_s, running.prefill_left_s)
+                running.prefill_left_s -= used_s / self.slow_factor
+                left_s -= used_s
+            if left_s <= 0:
+                continue
+            running.tokens += left_s / interval_s
+            if running.first_token_s is None and running.tokens >= 1:
+                running.first_token_s = now_s
+            if running.tokens >= running.arrival.output_tokens:
+                running.last_token_s = now_s
+                cached = self.cached.get(number, 0.0)
+                self.stop(number)
+                done.append(Done(self.name, running, cached))
+        return done
+
+
+def build(deployment) -> dict[str, Engine]:
+    """Return the engines of a deployment's pool."""
+    names = [(f"paid-{i}", False) for i in range(deployment.paid_servers)]
+    names += [(f"cheap-{i}", True) for i in range(deployment.cheap_servers)]
+    return {n: Engine(n, deployment.slots, cheap) for n, cheap in names}
--- /dev/null
+++ b/features/leases.feature
@@ -0,0 +1,65 @@
+Feature: Leases, orders and reports
+
+  Scenario Outline: Two processes never believe at once: <case>
+    When <count> processes contend for a lease over <seeds> seeds with <case>
+    Then at no time two of them believed
+    And each epoch had one holder
+
+    Examples:
+      | case                      | count | seeds |
+      | pauses                    | 3     | 40    |
+      | lost answers              | 3     | 40    |
+      | outages                   | 3     | 40    |
+      | everything at once        | 5     | 60    |
+
+  Scenario: A clean release hands over at once
+    When a holder releases its lease
+    Then the next process acquires it at its first step
+
+  Scenario Outline: A reporter is <end> at any step; fencing is <fencing>
+    When a reporter is <end> at each of its steps and a successor goes on, with fencing <fencing>
+    Then each window was reported with the same figures every time
+    And the reported sums are exactly what was recorded
+
+    Examples:
+      | end    | fencing |
+      | killed | checked |
+      | killed | ignored |
+      | frozen | checked |
+      | frozen | ignored |
+
+  Scenario Outline: A frozen fleet controller; the platform <fencing> fencing
+    Given a cluster of 1 domains with 3 nodes and engines
+      | name     | domain    | state   |
+      | engine-1 | santander | running |
+      | engine-2 | santander | stopped |
+      | engine-3 | santander | stopped |
+      | engine-4 | santander | stopped |
+    And the platform <fencing> fencing numbers
+    When more servers are ordered while the holder of the fleet lease is frozen and thawed
+    Then every accepted order came under the newest epoch
+    And all 4 engines were ordered to run once
+
+    Examples:
+      | fencing |
+      | checks  |
+      | ignores |
+
+  Scenario: Orders survive lost answers and a slow platform
+    Given a cluster of 1 domains with 2 nodes and engines
+      | name     | domain    | state   |
+      | engine-1 | santander | running |
+      | engine-2 | santander | stopped |
+      | engine-3 | santander | stopped |
+    When answers of the ordering interface are lost while servers are ordered
+    Then every accepted order came under the newest epoch
+    And no server got contradicting orders
+
+  Scenario: A server is stopped only when it runs nothing
+    Given a cluster of 1 domains with 2 nodes and engines
+      | name     | domain    | state   | token_interval_s |
+      | engine-1 | santander | running | 0.02             |
+      | engine-2 | santander | running | 0.02             |
+    When idle servers are stopped while long streams run
+    Then every answer equals the engine's own
+    And one engine was ordered to stop, after its last work
--- a/features/run.py
+++ b/features/run.py
@@ -1,7 +1,12 @@
-"""Run all scenarios and tell known red ones from new failures."""
+"""Run all scenarios and tell known red ones from new failures.
 
+Without arguments each feature runs in a process of its own, a few at a time.
+"""
+
+import concurrent.futures
 import pathlib
 import re
+import subprocess
 import sys
 
 from behave import configuration
@@ -11,6 +16,9 @@
 FEATURES = pathlib.Path(__file__).parent
 KNOWN_RED = FEATURES.parent / "KNOWN-RED.txt"
 ENTRY = re.compile(r"^test: (?P<file>\S+) : (?P<scenario>.+)$", re.MULTILINE)
+RESULT = re.compile(r"^(passed|failed): (\S+) : (.+)$", re.MULTILINE)
+WORKERS = 4
+FEATURE_TIMEOUT_S = 1500
 
 
 def known_red() -> set[tuple[str, str]]:
@@ -21,39 +29,78 @@
     return {(m["file"], m["scenario"].strip()) for m in ENTRY.finditer(text)}
 
 
-def scenarios_of(features):
-    """Yield file and scenario for each scenario that was run."""
-    for feature in features:
-        for scenario in feature.walk_scenarios():
-            yield pathlib.Path(feature.filename).name, scenario
-
-
-def main(arguments: list[str]) -> int:
+def run_here(arguments: list[str]) -> None:
+    """Run features in this process and print a line for each scenario."""
     sys.path.insert(0, str(FEATURES))
     options = ["--format=progress3", "--no-skipped", "--summary"]
-    config = configuration.Configuration(
-        [*options, *(arguments or [str(FEATURES)])]
-    )
+    config = configuration.Configuration([*options, *arguments])
     config.environment_file = str(FEATURES / "environment.py")
     run = runner.Runner(config)
     run.run()
+    for feature in run.features:
+        file = pathlib.Path(feature.filename).name
+        for scenario in feature.walk_scenarios():
+            if scenario.status == model.Status.passed:
+                print(f"passed: {file} : {scenario.name.strip()}")
+            elif scenario.status not in (
+                model.Status.untested,
+                model.Status.skipped,
+            ):
+                print(f"failed: {file} : {scenario.name.strip()}")
+
+
+def run_feature(path: pathlib.Path) -> str:
+    """Run one feature in a child process; returns what it printed."""
+    command = [sys.executable, __file__, "--here", str(path)]
+    try:
+        finished = subprocess.run(
+            command,
+            capture_output=True,
+            text=True,
+            timeout=FEATURE_TIMEOUT_S,
+            check=False,
+        )
+    except subprocess.TimeoutExpired:
+        return f"failed: {path.name} : the whole feature (timed out)\n"
+    output = finished.stdout
+    if not RESULT.search(output):
+        output += finished.stderr
+        output += f"\nfailed: {path.name} : the whole feature (no result)\n"
+    return output
+
+
+def run_all(paths: list[pathlib.Path]) -> int:
+    """Run features a few at a time; returns the exit status."""
+    results: list[tuple[str, str, str]] = []
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        for output in pool.map(run_feature, paths):
+            found = RESULT.findall(output)
+            results.extend(found)
+            if any(status == "failed" for status, _, _ in found):
+                print(output)
+            else:
+                print(f"{found[0][1]}: {len(found)} passed", flush=True)
     red = known_red()
-    passed, failed, expected = 0, [], []
-    for file, scenario in scenarios_of(run.features):
-        if scenario.status == model.Status.passed:
-            passed += 1
-        elif scenario.status not in (
-            model.Status.untested,
-            model.Status.skipped,
-        ):
-            name = (file, scenario.name)
-            (expected if name in red else failed).append(name)
-    for file, name in expected:
-        print(f"known red: {file} : {name}")
+    passed = sum(1 for status, _, _ in results if status == "passed")
+    failed = [(f, s) for status, f, s in results if status == "failed"]
+    new = [entry for entry in failed if entry not in red]
     for file, name in failed:
-        print(f"failed: {file} : {name}")
-    print(f"behave: {passed} passed, {len(failed)} failed")
-    return 1 if failed or passed == 0 else 0
+        kind = "failed" if (file, name) in new else "known red"
+        print(f"{kind}: {file} : {name}")
+    print(f"behave: {passed} passed, {len(new)} failed")
+    return 1 if new or passed == 0 else 0
+
+
+def main(arguments: list[str]) -> int:
+    if arguments[:1] == ["--here"]:
+        run_here(arguments[1:])
+        return 0
+    paths = [pathlib.Path(a) for a in arguments]
+    # The longest features have the longest files, so they start first.
+    everything = sorted(
+        FEATURES.glob("*.feature"), key=lambda p: -p.stat().st_size
+    )
+    return run_all(paths or everything)
 
 
 if __name__ == "__main__":
--- a/features/steps/cluster_steps.py
+++ b/features/steps/cluster_steps.py
@@ -28,6 +28,9 @@
     build(context, domains, nodes)
 
 
+@behave.given(
+    "a proxied cluster of {domains:d} domains with {nodes:d} node each"
+)
 @behave.given(
     "a proxied cluster of {domains:d} domains with {nodes:d} nodes each"
 )
@@ -42,6 +45,18 @@
     "a cluster of {domains:d} domains with {nodes:d} nodes and engines"
 )
 def step_cluster_with_engines(context, domains, nodes):
+    build(context, domains, nodes, engines=read_engines(context))
+
+
+@behave.given(
+    "a proxied cluster of {domains:d} domains with {nodes:d} nodes and engines"
+)
+def step_proxied_with_engines(context, domains, nodes):
+    build(context, domains, nodes, True, read_engines(context))
+
+
+def read_engines(context):
+    """Return the engines that a table describes."""
     specs = []
     for row in context.table:
         options = engine.EngineOptions(
@@ -59,7 +74,7 @@
                 row.get("state") or "running",
             )
         )
-    build(context, domains, nodes, engines=tuple(specs))
+    return tuple(specs)
 
 
 @behave.given("every engine takes {seconds:f} seconds for a token")
--- /dev/null
+++ b/features/steps/lease_steps.py
@@ -0,0 +1,241 @@
+"""Steps on leases and on reports under a lease."""
+
+import json
+import random
+import threading
+
+import behave
+
+from bilberryturn import leases
+from bilberryturn import usage
+from bilberryturn.usage import ledger
+from support import fakes
+
+OPTIONS = leases.LeaseOptions(10.0, 1.0)
+STEPS = 600
+STEP_S = 0.5
+FAULTS = {
+    "pauses": {"pause": 0.02},
+    "lost answers": {"lost": 0.3},
+    "outages": {"outage": 0.01},
+    "everything at once": {"pause": 0.02, "lost": 0.2, "outage": 0.01},
+}
+
+
+class Contender:
+    """Is one process that steps its lease unless it is paused."""
+
+    def __init__(self, name, table, clock):
+        self.lease = leases.Lease("test", name, OPTIONS, table, clock)
+        self.paused_until_s = 0.0
+
+
+def contend(count, seed, pause=0.0, lost=0.0, outage=0.0):
+    """Run one history; returns overlaps and the holders by epoch."""
+    numbers = random.Random(seed)
+    clock = fakes.FakeClock()
+    table = fakes.FakeTable(seed, lost)
+    contenders = [Contender(f"p{i}", table, clock) for i in range(count)]
+    overlaps, holders = [], {}
+    outage_until_s = 0.0
+    for _ in range(STEPS):
+        clock.now_s += STEP_S * numbers.uniform(0.2, 2.0)
+        if numbers.random() < outage:
+            outage_until_s = clock.now_s + numbers.uniform(1, 120)
+        table.is_down = clock.now_s < outage_until_s
+        for contender in contenders:
+            if clock.now_s < contender.paused_until_s:
+                continue
+            if numbers.random() < pause:
+                contender.paused_until_s = clock.now_s + numbers.uniform(1, 40)
+                continue
+            if numbers.random() < 0.4:
+                contender.lease.step()
+        # A paused process cannot act, but would believe if it woke up.
+        believing = [c for c in contenders if c.lease.believes()]
+        if len(believing) > 1:
+            overlaps.append((seed, clock.now_s))
+        for contender in believing:
+            holders.setdefault(contender.lease.epoch, set()).add(id(contender))
+    return overlaps, holders
+
+
+@behave.when(
+    "{count:d} processes contend for a lease over {seeds:d} seeds with {case}"
+)
+def step_contend(context, count, seeds, case):
+    context.histories = [
+        contend(count, seed, **FAULTS[case]) for seed in range(seeds)
+    ]
+
+
+@behave.then("at no time two of them believed")
+def step_no_overlap(context):
+    overlaps = [o for found, _ in context.histories for o in found]
+    assert not overlaps, overlaps[:3]
+
+
+@behave.then("each epoch had one holder")
+def step_epochs(context):
+    assert any(len(holders) > 1 for _, holders in context.histories)
+    for _, holders in context.histories:
+        assert all(len(found) == 1 for found in holders.values())
+
+
+@behave.when("a holder releases its lease")
+def step_release(context):
+    clock = fakes.FakeClock()
+    table = fakes.FakeTable()
+    first = leases.Lease("test", "a", OPTIONS, table, clock)
+    context.second = leases.Lease("test", "b", OPTIONS, table, clock)
+    assert first.step()
+    assert not context.second.step()
+    first.release()
+    assert not first.believes()
+
+
+@behave.then("the next process acquires it at its first step")
+def step_acquires(context):
+    assert context.second.step()
+    assert context.second.epoch == 2
+
+
+WINDOWS = 3
+
+
+def record_usage(table):
+    """Store batches in a few windows; returns the recorded sums."""
+    store = usage.UsageStore(table)
+    total = 0
+    for window in range(5, 5 + WINDOWS):
+        for number in range(4):
+            row = ledger.UsageRow(f"account-{number % 2}", "chat", 1, 10, 7)
+            batch = ledger.Batch(f"b-{window}-{number}", "n", window, 1, (row,))
+            assert store.flush(batch, window).is_ok()
+            total += 7
+    return total
+
+
+def reporter(table, reporting, lease):
+    return usage.Reporter(lease, table, reporting, lambda: 100.0, 0.5)
+
+
+def report_with_end(end, at, after, checks_fencing):
+    """Run a reporter that ends at one call, then a successor.
+
+    Returns the reports, the recorded total and whether the call happened.
+    """
+    clock = fakes.FakeClock()
+    table = fakes.FakeTable()
+    total = record_usage(table)
+    reporting = fakes.FakeReporting(checks_fencing)
+    reached = threading.Event()
+    resume = threading.Event()
+
+    def interrupt():
+        reached.set()
+        if end == "killed":
+            raise fakes.KilledError
+        resume.wait(30)
+
+    calls = fakes.InterruptedCalls(at, after, interrupt)
+    own_table = fakes.InterruptedTable(table, calls)
+    lease = leases.Lease("usage-reporter", "a", OPTIONS, table, clock)
+    assert lease.step()
+    first = reporter(own_table, reporting, lease)
+    sending = reporting.send
+    first._reporting = type("R", (), {"send": staticmethod(
+        calls.wrap(sending))})()  # fmt: skip
+
+    def run():
+        try:
+            first.run()
+        except fakes.KilledError:
+            pass
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+    while thread.is_alive() and not reached.is_set():
+        reached.wait(0.01)
+    successor = leases.Lease("usage-reporter", "b", OPTIONS, table, clock)
+    successor.step()
+    clock.now_s += OPTIONS.ttl_s + OPTIONS.margin_s + 0.1
+    assert successor.step()
+    assert not lease.believes()
+    reporter(table, reporting, successor).run()
+    resume.set()
+    thread.join(30)
+    assert not thread.is_alive()
+    reporter(table, reporting, successor).run()
+    return reporting, total, reached.is_set()
+
+
+@behave.when(
+    "a reporter is {end} at each of its steps and a successor goes on, with"
+    " fencing {fencing}"
+)
+def step_reporter_ends(context, end, fencing):
+    context.runs = []
+    for at in range(1, 100):
+        reached_any = False
+        for after in (False, True):
+            reporting, total, reached = report_with_end(
+                end, at, after, fencing == "checked"
+            )
+            context.runs.append((at, after, reporting, total))
+            reached_any = reached_any or reached
+        if not reached_any:
+            break
+    assert at > 20, at
+
+
+@behave.then("each window was reported with the same figures every time")
+def step_same_figures(context):
+    for at, after, reporting, _ in context.runs:
+        figures = {}
+        for window, text, _ in reporting.reports:
+            assert figures.setdefault(window, text) == text, (at, after)
+        assert len(figures) == WINDOWS, (at, after, figures)
+
+
+@behave.then("the reported sums are exactly what was recorded")
+def step_sums(context):
+    for at, after, reporting, total in context.runs:
+        figures = {w: text for w, text, _ in reporting.reports}
+        found = sum(
+            figure["output_tokens"]
+            for text in figures.values()
+            for figure in json.loads(text)
+        )
+        assert found == total, (at, after, found, total)
+
+
+@behave.when("a batch is flushed after its window has closed")
+def step_late(context):
+    clock = fakes.FakeClock()
+    table = fakes.FakeTable()
+    store = usage.UsageStore(table)
+    reporting = fakes.FakeReporting(True)
+    lease = leases.Lease("usage-reporter", "a", OPTIONS, table, clock)
+    assert lease.step()
+    row = ledger.UsageRow("account", "chat", 1, 1, 5)
+    store.flush(ledger.Batch("early", "n", 5, 1, (row,)), 5)
+    usage.Reporter(lease, table, reporting, lambda: 7.0, 0.5).run()
+    late = ledger.Batch("late", "n", 5, 1, (row,))
+    for _ in range(2):
+        assert store.flush(late, 8).is_ok()
+    usage.Reporter(lease, table, reporting, lambda: 20.0, 0.5).run()
+    context.reports = [
+        (window, figure)
+        for window, text, _ in reporting.reports
+        for figure in json.loads(text)
+    ]
+
+
+@behave.then("it is counted once, in a later window, marked as late")
+def step_counted_late(context):
+    found = [
+        (window, f["requests"], f["late_requests"])
+        for window, f in context.reports
+    ]
+    assert found == [(5, 1, 0), (8, 1, 1)], found
--- /dev/null
+++ b/features/steps/order_steps.py
@@ -0,0 +1,181 @@
+"""Steps on orders to the platform."""
+
+import threading
+import time
+
+import behave
+
+from bilberryturn_standins import cluster as cluster_module
+from support import traffic
+
+
+@behave.given("the platform {manner} fencing numbers")
+def step_fencing(context, manner):
+    checks = manner == "checks"
+    context.cluster.platform.checks_fencing["ordering"] = checks
+
+
+def want(context, count, idle_stop_s="300"):
+    domain = context.cluster.domains[0]
+    context.cluster.apply(
+        {
+            f"failure_domain {domain.name}": {
+                "region": domain.region,
+                "min_running": str(count),
+                "idle_stop_s": idle_stop_s,
+                "orders_per_minute": "600",
+            }
+        }
+    )
+
+
+def holder(context):
+    """Return the node that holds the fleet lease."""
+
+    def find():
+        for node in context.cluster.nodes:
+            for lease in node.status().get("leases", ()):
+                if lease["held"] and lease["name"].startswith("fleet/"):
+                    return node
+        return None
+
+    return cluster_module.wait_for(find, "a holder of the fleet lease")
+
+
+def accepted(context):
+    return context.cluster.platform.orders
+
+
+@behave.when(
+    "more servers are ordered while the holder of the fleet lease is frozen"
+    " and thawed"
+)
+def step_frozen_controller(context):
+    timing = cluster_module.FAST_TIMING
+    past_s = timing["lease_ttl_s"] + 2 * timing["lease_margin_s"] + 1.0
+    for count in (2, 3, 4):
+        first = holder(context)
+        before = len(accepted(context))
+        # The order leaves the holder and is still on its way when it freezes.
+        context.cluster.platform.set_fault(
+            "ordering", "slow", delay_s=0.5, calls=1, match="order_id"
+        )
+        want(context, count)
+        time.sleep(0.4 * (count - 1))
+        first.freeze()
+        time.sleep(past_s)
+        others = [n for n in context.cluster.nodes if n is not first]
+        cluster_module.wait_for(
+            lambda others=others: any(
+                lease["held"]
+                for node in others
+                for lease in node.status().get("leases", ())
+                if lease["name"].startswith("fleet/")
+            ),
+            "a successor",
+        )
+        first.thaw()
+        cluster_module.wait_for(
+            lambda before=before: len(accepted(context)) > before,
+            "the order",
+        )
+    time.sleep(2.0)
+
+
+@behave.then("every accepted order came under the newest epoch")
+def step_epochs_grow(context):
+    epochs = [order["fencing_number"] for order in accepted(context)]
+    assert epochs, "no order was given"
+    assert epochs == sorted(epochs), epochs
+
+
+@behave.then("all {count:d} engines were ordered to run once")
+def step_all_ordered(context, count):
+    running = [
+        order["server"]
+        for order in accepted(context)
+        if order["desired"] == "running"
+    ]
+    assert len(set(running)) == count - 1, running
+    assert all(
+        vm["state"] == "running"
+        for vm in context.cluster.platform.vms.values()
+        if vm["kind"] == "engine"
+    )
+    assert not [o for o in accepted(context) if o["desired"] == "stopped"]
+
+
+@behave.when(
+    "answers of the ordering interface are lost while servers are ordered"
+)
+def step_lost_orders(context):
+    context.cluster.platform.set_fault(
+        "ordering", "lose_answer", calls=2, match="order_id"
+    )
+    want(context, 3)
+    cluster_module.wait_for(
+        lambda: (
+            sum(
+                vm["state"] == "running"
+                for vm in context.cluster.platform.vms.values()
+                if vm["kind"] == "engine"
+            )
+            == 3
+        ),
+        "all engines to run",
+    )
+    time.sleep(1.0)
+
+
+@behave.then("no server got contradicting orders")
+def step_no_contradiction(context):
+    desired = {}
+    for order in accepted(context):
+        desired.setdefault(order["server"], set()).add(order["desired"])
+    assert all(len(found) == 1 for found in desired.values()), desired
+
+
+@behave.when("idle servers are stopped while long streams run")
+def step_idle_stop(context):
+    stopped_s = {}
+
+    def note(order):
+        if order["desired"] == "stopped":
+            stopped_s[order["server"]] = time.monotonic()
+            standin = context.cluster.engines[order["server"]]
+            context.running_at_stop = standin._running
+
+    context.cluster.platform.on_order = note
+    want(context, 1, idle_stop_s="1")
+    results = []
+
+    def stream(number):
+        results.append(
+            traffic.send_chat(
+                context.cluster,
+                context.cluster.nodes[number % 2],
+                context.key,
+                "quote-draft",
+                f"long {number}",
+                200,
+            )
+        )
+
+    threads = [
+        threading.Thread(target=stream, args=(n,), daemon=True)
+        for n in range(2)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(60)
+    context.outcomes = results
+    cluster_module.wait_for(lambda: stopped_s, "a server to be stopped")
+    time.sleep(2.0)
+    context.stopped = stopped_s
+
+
+@behave.then("one engine was ordered to stop, after its last work")
+def step_one_stopped(context):
+    assert len(context.stopped) == 1, context.stopped
+    assert context.running_at_stop == 0, context.running_at_stop
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -19,7 +19,12 @@
         return caller.chat_body(PROMPT, 20, stream)
     if route == "embeddings":
         return {"input": PROMPT}
-    return {"prompt": PROMPT, "max_tokens": 20, "stream": stream}
+    return {
+        "prompt": PROMPT,
+        "max_tokens": 20,
+        "ignore_eos": True,
+        "stream": stream,
+    }
 
 
 def expected_text(body):
--- /dev/null
+++ b/features/steps/tier_steps.py
@@ -0,0 +1,395 @@
+"""Steps on the pure scheduler and on tiers end to end."""
+
+import random
+import time
+
+import behave
+
+from bilberryturn import scheduling
+from bilberryturn.scheduling import types
+from support import traffic
+
+
+def make_request(number, tier, account, now_s, **fields):
+    values = {
+        "request_id": f"r{number}",
+        "tier": tier,
+        "client_account": account,
+        "weight": 1.0,
+        "input_tokens": 20,
+        "output_tokens": 50,
+        "arrived_s": now_s,
+        "wait_limit_s": now_s + 1000.0,
+        "first_token_by_s": now_s + 0.65,
+        "cheap": "always",
+    }
+    return scheduling.WaitingRequest(**{**values, **fields})
+
+
+def make_queue(servers, **options):
+    counters = scheduling.TokenCounters()
+    queue = scheduling.PoolQueue(
+        scheduling.PoolOptions(ramp_s=0.0, **options), counters
+    )
+    queue.set_servers(servers, 0.0)
+    return queue
+
+
+class History:
+    """Runs random steps and checks every decision."""
+
+    def __init__(self, seed):
+        self.numbers = random.Random(seed)
+        self.seed = seed
+        self.max_waiting = 12
+        self.specs = [
+            scheduling.ServerSpec(
+                f"s{i}", "a", self.numbers.randint(1, 3), i % 2 == 1
+            )
+            for i in range(self.numbers.randint(1, 4))
+        ]
+        self.queue = make_queue(
+            self.specs,
+            max_waiting=self.max_waiting,
+            starvation_share=5,
+            starvation_wait_s=3.0,
+            admission=False,
+        )
+        self.now_s = 0.0
+        self.count = 0
+        self.faults = []
+
+    def fault(self, what, *details):
+        self.faults.append((self.seed, self.count, what, *details))
+
+    def run(self, steps):
+        for _ in range(steps):
+            self.now_s += self.numbers.uniform(0.0, 0.8)
+            running = list(self.queue.table.running)
+            choice = self.numbers.random()
+            if choice < 0.5:
+                self.submit()
+            elif choice < 0.85 and running:
+                self.finish(self.numbers.choice(running))
+            elif choice < 0.9:
+                self.change_servers()
+            else:
+                self.check(self.queue.tick(self.now_s), None)
+            self.check_bounds()
+        return self.faults
+
+    def submit(self):
+        self.count += 1
+        numbers = self.numbers
+        request = make_request(
+            self.count,
+            numbers.randrange(5),
+            f"account-{numbers.randrange(4)}",
+            self.now_s,
+            wait_limit_s=self.now_s + numbers.uniform(1, 40),
+            cheap=numbers.choice(["never", "reserved", "always"]),
+            preemptions=numbers.choice([0, 0, 0, 1, 2]),
+            isolated=numbers.random() < 0.05,
+        )
+        self.check(self.queue.submit(request, self.now_s), request)
+
+    def finish(self, request_id):
+        outcome = self.numbers.choice(["done", "done", "failed", "cancelled"])
+        tokens = self.numbers.randrange(100)
+        decisions = self.queue.finish(
+            request_id, outcome, tokens, self.now_s, 0.1, 1.0
+        )
+        self.check(decisions, None)
+
+    def change_servers(self):
+        specs = [
+            spec._replace(leaving=self.numbers.random() < 0.3)
+            for spec in self.specs
+        ]
+        self.queue.set_servers(specs, self.now_s)
+        self.check(self.queue.tick(self.now_s), None)
+
+    def check(self, decisions, arriving):
+        for decision in decisions:
+            if isinstance(decision, types.Refusal):
+                self.check_refusal(decision, arriving)
+            elif isinstance(decision, types.Preemption):
+                if decision.victim_tier <= decision.beneficiary_tier:
+                    self.fault("preempted for a lower tier", decision)
+            else:
+                self.check_grant(decision)
+
+    def check_refusal(self, refusal, arriving):
+        if refusal.reason == types.REASON_SHED:
+            if refusal.request.tier < arriving.tier:
+                self.fault("shed for a lower tier", refusal, arriving)
+        elif refusal.reason == types.REASON_QUEUE_FULL:
+            waiting = self.queue.waiting_by_tier()
+            if any(tier > refusal.request.tier for tier in waiting):
+                self.fault("refused while a lower tier waits", refusal)
+
+    def check_grant(self, grant):
+        request = grant.request
+        server = self.queue.table.servers[grant.server]
+        if server.spec.leaving:
+            self.fault("granted a leaving server", grant)
+        waited_s = self.now_s - request.arrived_s
+        for other in self.queue._waiting.values():
+            if other.tier >= request.tier or other.isolated:
+                continue
+            if other.arrived_s == self.now_s or waited_s >= 3.0:
+                continue
+            could_use = not server.spec.cheap or self.queue.table.allows_cheap(
+                other
+            )
+            if could_use and other.arrived_s <= request.arrived_s:
+                self.fault("passed over a higher tier", request, other)
+
+    def check_bounds(self):
+        if self.queue.waiting_count > self.max_waiting:
+            self.fault("the queue is too long")
+        for server in self.queue.table.servers.values():
+            if len(server.running) > server.spec.slots:
+                self.fault("too many requests", server.spec)
+
+
+@behave.when(
+    "the scheduler runs through {count:d} random histories of {steps:d} steps"
+)
+def step_histories(context, count, steps):
+    context.faults = [
+        fault for seed in range(count) for fault in History(seed).run(steps)
+    ]
+
+
+def check_no_fault(context, *kinds):
+    found = [f for f in context.faults if f[2] in kinds]
+    assert not found, found[:2]
+
+
+@behave.then("no higher tier was ever shed or preempted for a lower one")
+def step_no_shed(context):
+    check_no_fault(
+        context,
+        "shed for a lower tier",
+        "preempted for a lower tier",
+        "refused while a lower tier waits",
+    )
+
+
+@behave.then(
+    "no lower tier was granted a slot that a higher one could use, but for"
+    " its guaranteed share"
+)
+def step_strict(context):
+    check_no_fault(
+        context, "passed over a higher tier", "granted a leaving server"
+    )
+
+
+@behave.then("no server ever had more requests than slots")
+def step_slots(context):
+    check_no_fault(context, "too many requests")
+
+
+@behave.then("every queue stayed within its bound")
+def step_bound(context):
+    check_no_fault(context, "the queue is too long")
+
+
+class Simulation:
+    """Runs a queue in steps of time; each request takes one second."""
+
+    def __init__(self, slots=4, **options):
+        self.queue = make_queue(
+            [scheduling.ServerSpec("s", "a", slots)],
+            admission=False,
+            preemption=False,
+            **options,
+        )
+        self.now_s = 0.0
+        self.count = 0
+        self.ends = []
+        self.granted = []
+
+    def submit(self, tier, account, **fields):
+        self.count += 1
+        request = make_request(self.count, tier, account, self.now_s, **fields)
+        self.take(self.queue.submit(request, self.now_s))
+
+    def take(self, decisions):
+        for decision in decisions:
+            if isinstance(decision, types.Grant):
+                self.granted.append((self.now_s, decision.request))
+                self.ends.append(
+                    (self.now_s + 1.0, decision.request.request_id)
+                )
+
+    def advance(self, step_s):
+        self.now_s += step_s
+        due = [end for end in self.ends if end[0] <= self.now_s]
+        self.ends = [end for end in self.ends if end[0] > self.now_s]
+        for _, request_id in due:
+            self.take(
+                self.queue.finish(request_id, "done", 50, self.now_s, 0.1, 1.0)
+            )
+
+
+@behave.when(
+    "tier 0 asks for twice the capacity for {seconds:d} seconds and tier 4"
+    " asks once"
+)
+def step_starvation(context, seconds):
+    simulation = Simulation()
+    for step in range(seconds * 8):
+        simulation.submit(0, f"account-{step % 3}")
+        if step == 40:
+            simulation.submit(4, "patient")
+        simulation.advance(0.125)
+    context.simulation = simulation
+
+
+@behave.then("the request of tier 4 was granted within {seconds:d} seconds")
+def step_granted(context, seconds):
+    waits = [
+        at_s - request.arrived_s
+        for at_s, request in context.simulation.granted
+        if request.tier == 4
+    ]
+    assert len(waits) == 1 and waits[0] <= seconds, waits
+
+
+@behave.then("tier 0 got at least {share:d} of 100 grants")
+def step_share(context, share):
+    tiers = [request.tier for _, request in context.simulation.granted]
+    assert tiers.count(0) * 100 >= share * len(tiers)
+
+
+@behave.when(
+    "one account asks 20 times as often as another at twice the capacity"
+)
+def step_unfair(context):
+    simulation = Simulation()
+    for step in range(600):
+        simulation.submit(1, "large")
+        if step % 20 == 0:
+            simulation.submit(1, "small")
+        simulation.advance(0.125)
+    context.simulation = simulation
+
+
+@behave.then("the small account got all that it asked for")
+def step_small(context):
+    accounts = [r.client_account for _, r in context.simulation.granted]
+    assert accounts.count("small") >= 29, accounts.count("small")
+
+
+@behave.when("an account returns after it was idle while another was served")
+def step_return(context):
+    simulation = Simulation(max_waiting=5000)
+    for _ in range(200):
+        simulation.submit(1, "steady")
+        simulation.advance(0.125)
+    context.before = len(simulation.granted)
+    for _ in range(200):
+        simulation.submit(1, "steady")
+        simulation.submit(1, "returned")
+        simulation.advance(0.125)
+    context.simulation = simulation
+
+
+@behave.then("the two get equal shares from then on")
+def step_equal(context):
+    accounts = [
+        r.client_account
+        for _, r in context.simulation.granted[context.before :]
+    ]
+    difference = accounts.count("steady") - accounts.count("returned")
+    assert abs(difference) <= 4, difference
+
+
+@behave.when(
+    "reserved requests with a target of {target:f} seconds fill {paid:d} paid"
+    " and {cheap:d} cheap slots"
+)
+def step_reserve(context, target, paid, cheap):
+    queue = make_queue(
+        [
+            scheduling.ServerSpec("paid", "a", paid),
+            scheduling.ServerSpec("cheap", "b", cheap, True),
+        ],
+        admission=False,
+        preemption=False,
+    )
+    for number in range(20):
+        request = make_request(
+            number, 1, "x", 0.0, cheap="reserved", first_token_by_s=target
+        )
+        queue.submit(request, 0.0)
+    context.cheap_running = len(queue.table.servers["cheap"].running)
+    context.paid_running = len(queue.table.servers["paid"].running)
+    for number in range(100, 120):
+        queue.submit(make_request(number, 3, "x", 0.0, cheap="always"), 0.0)
+    context.queue = queue
+
+
+@behave.then(
+    "at most {count:d} of them run on cheap servers, whatever order they came"
+    " in"
+)
+def step_reserved(context, count):
+    # A request holds its slot for one second until a time is measured.
+    assert context.cheap_running == count, context.cheap_running
+    assert context.paid_running == 4, context.paid_running
+
+
+@behave.then("requests that are always cheap fill the rest")
+def step_rest(context):
+    running = len(context.queue.table.running)
+    assert running == 12, running
+
+
+@behave.when("tier 3 floods the engine while tier 0 asks now and then")
+def step_flood(context):
+    flood = traffic.Traffic(
+        context.cluster,
+        [context.key],
+        threads=24,
+        tokens=60,
+        profiles=("history-digest",),
+        seed=19,
+    ).start()
+    flood.wait_for_count(4)
+    context.urgent = []
+    for number in range(12):
+        context.urgent.append(
+            traffic.send_chat(
+                context.cluster,
+                context.cluster.nodes[number % 2],
+                context.key,
+                "front-desk",
+                f"urgent {number}",
+                8,
+            )
+        )
+        time.sleep(0.1)
+    context.outcomes = flood.stop()
+
+
+@behave.then("every request of tier 0 is answered and none was refused")
+def step_urgent(context):
+    assert not traffic.wrong(context.urgent), traffic.wrong(context.urgent)
+    firsts = sorted(o.answer.first_token_s for o in context.urgent)
+    print("time to first token of tier 0:", [round(f, 3) for f in firsts])
+
+
+@behave.then("some requests of tier 3 are answered too")
+def step_some(context):
+    right = sum(o.is_right for o in context.outcomes)
+    print(f"tier 3: {right} of {len(context.outcomes)} right")
+    assert right >= 10, right
+
+
+@behave.then('every refusal that says "not run" is true')
+def step_not_run(context):
+    traffic.check_not_run(context.cluster, [o.answer for o in context.outcomes])
--- /dev/null
+++ b/features/steps/whole_steps.py
@@ -0,0 +1,126 @@
+"""Steps on whole answers."""
+
+import threading
+import time
+
+import behave
+
+from bilberryturn_standins import cluster as cluster_module
+from bilberryturn_standins import engine
+from bilberryturn_standins import proxy
+from support import traffic
+
+SEED = 5
+STALL_S = 4.0
+
+
+def crash(context, standin):
+    standin.crash()
+
+
+def cut_stream(context, standin):
+    standin.cut_after_tokens = 10
+
+
+def cut_path(context, standin):
+    rules = [proxy.Rule("", standin.address, "cut")]
+    context.cluster.proxy.set_rules(rules)
+    time.sleep(1.0)
+    context.cluster.proxy.set_rules([])
+
+
+def stall(context, standin):
+    standin.stall = True
+    time.sleep(STALL_S)
+    standin.stall = False
+
+
+def duplicate(context, standin):
+    standin.duplicate_events = True
+    standin.cut_after_tokens = 10
+
+
+def cut_without_resumption(context, standin):
+    standin.refuse_resume = True
+    standin.cut_after_tokens = 10
+
+
+def slow(context, standin):
+    standin.slow_factor = 10.0
+
+
+FAULTS = {
+    "a crash": crash,
+    "a cut of one stream": cut_stream,
+    "a cut of its path": cut_path,
+    "a stall": stall,
+    "duplicates after a resumption": duplicate,
+    "a cut without resumption": cut_without_resumption,
+    "slowness": slow,
+}
+
+
+@behave.when('{count:d} requests run and engine "{name}" suffers: {fault}')
+def step_fault(context, count, name, fault):
+    standin = context.cluster.engines[name]
+
+    def suffer():
+        cluster_module.wait_for(
+            lambda: standin.generated_tokens > 20, "the engine to be at work"
+        )
+        FAULTS[fault](context, standin)
+
+    thread = threading.Thread(target=suffer, daemon=True)
+    thread.start()
+    context.outcomes = traffic.send_many(
+        context.cluster, context.key, count, tokens=80, seed=SEED
+    )
+    thread.join(60)
+    assert standin.generated_tokens > 20
+
+
+@behave.when("{count:d} requests run at once over all nodes")
+def step_many(context, count):
+    context.outcomes = traffic.send_many(
+        context.cluster, context.key, count, tokens=40, seed=SEED
+    )
+
+
+@behave.then("every answer equals the engine's own")
+def step_all_right(context):
+    assert context.outcomes
+    assert not traffic.wrong(context.outcomes), traffic.wrong(context.outcomes)
+
+
+@behave.when(
+    "other requests run while a poisoned one is sent through both entries"
+)
+def step_poison(context):
+    cluster = context.cluster
+    background = traffic.Traffic(
+        cluster, [context.key], threads=8, tokens=30, seed=SEED
+    ).start()
+    background.wait_for_count(5)
+    prompt = f"{engine.POISON} {SEED}"
+    context.poisoned = []
+    for _ in range(2):
+        for node in cluster.nodes:
+            context.poisoned.append(
+                traffic.send_chat(
+                    cluster, node, context.key, "front-desk", prompt, 9
+                )
+            )
+    background.wait_for_count(len(background.outcomes) + 20)
+    context.outcomes = background.stop()
+
+
+@behave.then("the engines have crashed at most {count:d} times")
+def step_crashes(context, count):
+    crashes = sum(e.crashes for e in context.cluster.engines.values())
+    assert 1 <= crashes <= count, crashes
+
+
+@behave.then('the poisoned request is refused as "{code}" by every entry')
+def step_quarantined(context, code):
+    codes = [o.answer.code for o in context.poisoned]
+    assert codes == [code] * len(codes), codes
--- /dev/null
+++ b/features/support/fakes.py
@@ -0,0 +1,134 @@
+"""Small fakes of the table service and a clock for focused tests."""
+
+import json
+import random
+
+import expression
+
+from bilberryturn.platform import exceptions
+from bilberryturn.platform import tables
+
+
+class FakeClock:
+    """Is a clock that only moves when told."""
+
+    def __init__(self):
+        self.now_s = 1000.0
+
+    def __call__(self):
+        return self.now_s
+
+
+class FakeTable:
+    """Keeps rows in memory; calls fail or lose their answers at random."""
+
+    def __init__(self, seed=0, lost=0.0, down=0.0):
+        self.rows = {}
+        self._numbers = random.Random(seed)
+        self._lost = lost
+        self._down = down
+        self.is_down = False
+
+    def _fails(self):
+        return self.is_down or self._numbers.random() < self._down
+
+    def _unreachable(self):
+        return expression.Error(
+            exceptions.PlatformUnreachableError("table", "fault")
+        )
+
+    def read(self, key):
+        if self._fails():
+            return self._unreachable()
+        version, value = self.rows.get(key, (0, None))
+        return expression.Ok(tables.Row(key, version, value))
+
+    def scan(self, prefix, after="", limit=0):
+        if self._fails():
+            return self._unreachable()
+        keys = sorted(k for k in self.rows if k.startswith(prefix))
+        keys = [k for k in keys if k > after]
+        rows = [tables.Row(k, *self.rows[k]) for k in keys]
+        return expression.Ok(rows[:limit] if limit else rows)
+
+    def transact(self, checks, writes):
+        if self._fails():
+            return self._unreachable()
+        failed = tuple(
+            key
+            for key, version in checks.items()
+            if self.rows.get(key, (0, None))[0] != version
+        )
+        if not failed:
+            for key, value in writes.items():
+                version = self.rows.get(key, (0, None))[0]
+                self.rows[key] = (version + 1, value)
+        if self._numbers.random() < self._lost:
+            return self._unreachable()
+        if failed:
+            return expression.Ok(tables.Failed(failed))
+        return expression.Ok(tables.Committed())
+
+    def insert(self, key, value):
+        return self.transact({key: 0}, {key: value})
+
+
+class KilledError(BaseException):
+    """Ends a process in the middle of a step."""
+
+
+class InterruptedCalls:
+    """Counts the calls of outside interfaces and ends or holds one of them.
+
+    Attributes:
+        at: Number of the call to interrupt.
+        after: Whether the call takes effect before the interruption.
+    """
+
+    def __init__(self, at, after, interrupt):
+        self.at = at
+        self.after = after
+        self.interrupt = interrupt
+        self.count = 0
+
+    def wrap(self, function):
+        def call(*arguments):
+            self.count += 1
+            is_due = self.count == self.at
+            if is_due and not self.after:
+                self.interrupt()
+            result = function(*arguments)
+            if is_due and self.after:
+                self.interrupt()
+            return result
+
+        return call
+
+
+class InterruptedTable:
+    """Passes calls on to a table through InterruptedCalls."""
+
+    def __init__(self, table, calls):
+        self.read = calls.wrap(table.read)
+        self.scan = calls.wrap(table.scan)
+        self.transact = calls.wrap(table.transact)
+
+
+class FakeReporting:
+    """Records reports; may check fencing numbers."""
+
+    def __init__(self, checks_fencing):
+        self.reports = []
+        self.refused = []
+        self._checks = checks_fencing
+        self._seen = 0
+
+    def send(self, window, figures, fencing_number):
+        if self._checks and fencing_number < self._seen:
+            self.refused.append((window, fencing_number))
+            return expression.Error(
+                exceptions.StaleFencingNumberError("reporting", fencing_number)
+            )
+        self._seen = max(self._seen, fencing_number)
+        self.reports.append((window, json.dumps(figures), fencing_number))
+        return expression.Ok(None)
--- /dev/null
+++ b/features/support/faults.py
@@ -0,0 +1,25 @@
+"""Rules for the fault proxy."""
+
+from bilberryturn_standins import proxy
+
+
+def cut_rules(cluster, domain_name, what):
+    """Return rules that cut a domain's own and incoming connections."""
+    domain = next(d for d in cluster.domains if d.name == domain_name)
+    rules = []
+    if "platform" in what:
+        rules.append(
+            proxy.Rule(domain.source_address, cluster.platform.address, "cut")
+        )
+    if "peers" in what:
+        for node in cluster.nodes:
+            is_own = node.domain == domain
+            for other in cluster.domains:
+                if (other == domain) == is_own:
+                    continue
+                rules.append(
+                    proxy.Rule(
+                        other.source_address, node.control_address, "cut"
+                    )
+                )
+    return rules
--- /dev/null
+++ b/features/support/traffic.py
@@ -0,0 +1,173 @@
+"""Run callers in the background and check what they got."""
+
+import concurrent.futures
+import json
+import random
+import threading
+import time
+from typing import NamedTuple
+
+from bilberryturn_standins import caller
+from bilberryturn_standins import engine
+
+
+class Outcome(NamedTuple):
+    """Holds what a caller sent and got."""
+
+    node: str
+    profile: str
+    body: dict
+    answer: caller.Answer
+    started_s: float
+
+    @property
+    def is_right(self) -> bool:
+        expected = "".join(engine.answer_tokens(self.body))
+        return self.answer.complete and self.answer.text == expected
+
+
+def send_chat(cluster, node, key, profile, prompt, tokens, stream=True):
+    body = caller.chat_body(prompt, tokens, stream)
+    sender = cluster.caller(node, key, profile)
+    started_s = time.monotonic()
+    answer = sender.request(
+        "POST", "/v1/chat/completions", json.dumps(body).encode()
+    )
+    return Outcome(node.name, profile, body, answer, started_s)
+
+
+def send_many(cluster, key, count, tokens=20, profile="quote-draft", seed=1):
+    """Send requests at once over all nodes; returns the outcomes."""
+    numbers = random.Random(seed)
+    nodes = [node for node in cluster.nodes if node.is_running]
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        futures = [
+            pool.submit(
+                send_chat,
+                cluster,
+                nodes[i % len(nodes)],
+                key,
+                profile,
+                f"request {seed}-{i} {numbers.random()}",
+                tokens + i % 7,
+                i % 4 != 0,
+            )
+            for i in range(count)
+        ]
+        return [future.result() for future in futures]
+
+
+class Traffic:
+    """Sends requests from several threads until it is stopped.
+
+    A caller whose node refuses with "not run" or cannot be reached goes to
+    the next node, as one behind a balancer does.
+    """
+
+    def __init__(
+        self, cluster, keys, threads=6, tokens=12, nodes=None,
+        profiles=("quote-draft",), seed=1, reconnect=True, pause_s=0.0,
+    ):  # fmt: skip
+        self._cluster = cluster
+        self._keys = keys
+        self._tokens = tokens
+        self._nodes = nodes or cluster.nodes
+        self._profiles = profiles
+        self._seed = seed
+        self._reconnect = reconnect
+        self._pause_s = pause_s
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self.outcomes: list[Outcome] = []
+        self._threads = [
+            threading.Thread(target=self._run, args=(n,), daemon=True)
+            for n in range(threads)
+        ]
+
+    def start(self):
+        for thread in self._threads:
+            thread.start()
+        return self
+
+    def stop(self):
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join(90)
+            assert not thread.is_alive(), "a caller waits forever"
+        return self.outcomes
+
+    def wait_for_count(self, count, timeout_s=60):
+        until_s = time.monotonic() + timeout_s
+        while len(self.outcomes) < count:
+            assert time.monotonic() < until_s, len(self.outcomes)
+            time.sleep(0.02)
+
+    def _run(self, number):
+        numbers = random.Random(self._seed * 1000 + number)
+        position = number
+        sent = 0
+        while not self._stopping.is_set():
+            sent += 1
+            key = self._keys[number % len(self._keys)]
+            profile = self._profiles[number % len(self._profiles)]
+            prompt = f"seed {self._seed} caller {number} request {sent}"
+            tokens = self._tokens + numbers.randrange(8)
+            node = self._nodes[position % len(self._nodes)]
+            outcome = send_chat(
+                self._cluster, node, key, profile, prompt, tokens
+            )
+            if self._reconnect and self._goes_on(outcome):
+                position += 1
+                time.sleep(0.05)
+                continue
+            with self._lock:
+                self.outcomes.append(outcome)
+            time.sleep(self._pause_s)
+
+    def _goes_on(self, outcome) -> bool:
+        """Return whether the caller tries again at another node."""
+        answer = outcome.answer
+        if answer.status == 0:
+            refused = ("ConnectionRefused", "RemoteDisconnected",
+                       "ConnectionReset")  # fmt: skip
+            return answer.failure.startswith(refused)
+        return answer.code == "stopping"
+
+
+def wrong(outcomes):
+    """Return a short text for each outcome that is not right."""
+    return [
+        (
+            o.node,
+            o.profile,
+            o.answer.status,
+            o.answer.code,
+            o.answer.failure,
+            len(o.answer.token_times_s),
+            o.answer.headers.get("x-request-id"),
+        )
+        for o in outcomes
+        if not o.is_right
+    ]
+
+
+def received_ids(cluster) -> set[str]:
+    """Return the request identifiers that any backend server has seen."""
+    found = set()
+    standins = (*cluster.engines.values(), *cluster.services.values())
+    for standin in standins:
+        for raw in standin.received:
+            for line in raw.split(b"\n"):
+                if line.lower().startswith(b"x-request-id: "):
+                    found.add(line[14:].decode())
+    return found
+
+
+def check_not_run(cluster, answers):
+    """Check that every refusal that says "not run" is true."""
+    seen = received_ids(cluster)
+    for answer in answers:
+        if answer.ran != "not run":
+            continue
+        request_id = answer.headers.get("x-request-id")
+        assert request_id not in seen, (request_id, answer.code)
--- a/src/bilberryturn/brokers/broker.py
+++ b/src/bilberryturn/brokers/broker.py
@@ -180,6 +180,7 @@
                 grant.server,
                 grant.address,
                 grant.is_cheap,
+                pool.queue.table.servers[grant.server].is_proven,
             ),
         )
 
@@ -198,6 +199,7 @@
                 running.server,
                 server.spec.address,
                 server.spec.cheap,
+                server.is_proven,
             ),
         )
 
--- a/src/bilberryturn/entry/completions.py
+++ b/src/bilberryturn/entry/completions.py
@@ -245,8 +245,6 @@
         fields.pop("max_completion_tokens", None)
         if self._body.route != "embeddings":
             fields["max_tokens"] = self._max_tokens - self.output_tokens
-        if self._body.max_tokens is None and not self._text:
-            fields.pop("max_tokens", None)
         if self._body.is_stream:
             fields["stream_options"] = {"include_usage": True}
         if not self._text:
@@ -316,13 +314,15 @@
         """Interpret the early end of a call.
 
         A connection that ends before the answer began, although it was made
-        and the request was sent, is what a crash of the server looks like.
+        and the request was sent, is what a crash of the server looks like,
+        unless the server had failed before this request and not recovered.
         """
         if not end.may_have_run:
             self._holder.note_not_sent()
         crashed = (
             end.may_have_run
             and end.connected
+            and self._holder.grant.is_proven
             and "timed out" not in end.error.lower()
         )
         return AttemptFailedError(end.error, crashed, end.may_have_run)
--- a/src/bilberryturn/entry/services.py
+++ b/src/bilberryturn/entry/services.py
@@ -114,11 +114,14 @@
             call.idempotency_key,
             content + b"\n" + call.body,
         )
-        recorded = record.find()
-        if recorded is not None:
-            return ServiceAnswer(*recorded, is_recorded=True)
-        self._holder.obtain()
-        recorded = record.start()
+        try:
+            recorded = record.find()
+            if recorded is None:
+                self._holder.obtain()
+                recorded = record.start()
+        except exceptions.OutcomeUnknownError:
+            self._exchange.may_have_run = True
+            raise
         if recorded is not None:
             return ServiceAnswer(*recorded, is_recorded=True)
         end, answer = self._send()
--- a/src/bilberryturn/fleet/controller.py
+++ b/src/bilberryturn/fleet/controller.py
@@ -106,7 +106,12 @@
     def _decide(
         self, target: str, servers: list[dict], view: FleetView
     ) -> list[scaling.ScaleOrder]:
-        serving = [s for s in servers if target in s["serves"]]
+        serving = [
+            server
+            for server in servers
+            if target in server["serves"]
+            and not self._is_kept_out(server, view.declared)
+        ]
         names = (target, f"service:{target}")
         wanted = {f"{self._options.failure_domain}/{name}" for name in names}
         summaries = [p for p in view.pools if p.pool in wanted]
@@ -145,6 +150,17 @@
             if not self._clear_mark(order.server, view.declared)
         ]
 
+    def _is_kept_out(self, server: dict, declared) -> bool:
+        """Return whether the platform or an operator takes a server away."""
+        if server.get("state") == vms.LEAVING:
+            return True
+        name = server["name"]
+        mark = declared.backend_server_marks.get(name)
+        if mark is not None and mark.author != AUTHOR:
+            return True
+        vm_mark = declared.vm_marks.get(name)
+        return vm_mark is not None and vm_mark.mark == "leaving"
+
     def _mark_draining(self, server: str, declared) -> None:
         """Let the brokers stop giving work to a server."""
         section = f"{DRAIN_SECTION} {server}"
--- a/src/bilberryturn/messages/kinds.py
+++ b/src/bilberryturn/messages/kinds.py
@@ -84,13 +84,18 @@
 
 
 class Granted(Message):
-    """Permits one request to run on one backend server."""
+    """Permits one request to run on one backend server.
+
+    Attributes:
+        is_proven: Whether the server has done well since its last failure.
+    """
 
     request_id: str
     pool: str
     server: str
     address: str
     is_cheap: bool
+    is_proven: bool = True
 
 
 class Queued(Message):
--- a/src/bilberryturn/scheduling/queue.py
+++ b/src/bilberryturn/scheduling/queue.py
@@ -8,9 +8,8 @@
 from bilberryturn.scheduling import servers
 from bilberryturn.scheduling import types
 
-DEFAULT_SERVICE_S = 1.0
-SERVICE_SMOOTHING = 0.1
 SHORTEST_RETRY_AFTER_S = 1.0
+MAX_LOOKAHEAD = 32
 
 OUTCOME_DONE = "done"
 OUTCOME_FAILED = "failed"
@@ -39,7 +38,6 @@
             int, dict[str, collections.deque[types.WaitingRequest]]
         ] = {}
         self._passed_over: dict[int, int] = {}
-        self._service_s = 0.0
         self._retries = retries.RetryBudget()
         self._preempting: dict[str, int] = {}
         self._empty_since_s: float | None = None
@@ -172,11 +170,13 @@
     ) -> None:  # fmt: skip
         if outcome in (OUTCOME_FAILED, OUTCOME_NOT_SENT):
             server.breaker.failed(now_s)
+            server.is_proven = False
             return
         if outcome != OUTCOME_DONE:
             server.breaker.abandoned()
             return
         server.breaker.succeeded()
+        server.is_proven = True
         if first_token_s > 0:
             server.observe_first_token(first_token_s)
         if output_tokens > 1 and duration_s > first_token_s > 0:
@@ -186,9 +186,7 @@
         if cached_share is not None:
             server.forget_prefix(entry.request.prefix_blocks, cached_share)
             server.remember_prefix(entry.request.prefix_blocks)
-        if self._service_s == 0.0:
-            self._service_s = duration_s
-        self._service_s += SERVICE_SMOOTHING * (duration_s - self._service_s)
+        self.table.observe_service(duration_s)
 
     def tick(self, now_s: float) -> list[types.Decision]:
         """Refuse what has waited too long and dispatch what can run."""
@@ -227,7 +225,7 @@
         ahead = self._count_ahead(tier, client_account)
         if ahead < self.table.free_slots(now_s):
             return 0.0
-        service_s = self._service_s or DEFAULT_SERVICE_S
+        service_s = self.table.service_s
         lower_running = 0
         if self._options.preemption:
             lower_running = sum(
@@ -324,21 +322,57 @@
         return decisions
 
     def _place_one(self, now_s: float) -> types.Grant | None:
-        for tier in self._tier_order(now_s):
+        placed = self._place_starving(now_s)
+        if placed is not None:
+            return placed
+        for tier in sorted(self._tiers):
             accounts = self._tiers[tier]
-            order = sorted(accounts, key=self._counters.value)
-            for account in order:
-                request = accounts[account][0]
-                server = self.table.choose(request, now_s)
-                if server is None:
-                    continue
-                self._grant(request, server, now_s)
-                return types.Grant(
-                    request,
-                    server.spec.name,
-                    server.spec.address,
-                    server.spec.cheap,
-                )
+            for account in sorted(accounts, key=self._counters.value):
+                placed = self._place_first(accounts[account], now_s)
+                if placed is not None:
+                    return placed
+        return None
+
+    def _place_starving(self, now_s: float) -> types.Grant | None:
+        """Grant the oldest request of a tier whose guaranteed share is due."""
+        horizon_s = now_s - self._options.starvation_wait_s
+        for tier in sorted(self._tiers, reverse=True):
+            passed = self._passed_over.get(tier, 0)
+            if passed < self._options.starvation_share - 1:
+                continue
+            aged = [
+                requests[0]
+                for requests in self._tiers[tier].values()
+                if requests[0].arrived_s <= horizon_s
+            ]
+            aged.sort(key=lambda request: request.arrived_s)
+            placed = self._place_first(aged, now_s)
+            if placed is not None:
+                return placed
+        return None
+
+    def _place_first(self, requests, now_s: float) -> types.Grant | None:
+        """Grant the first request of an account that a server can take.
+
+        A request that cannot run now does not hold back the ones behind it
+        that need something else.
+        """
+        tried = set()
+        for request in itertools.islice(requests, MAX_LOOKAHEAD):
+            needs = (request.cheap, request.isolated, request.excluded_servers)
+            if needs in tried:
+                continue
+            tried.add(needs)
+            server = self.table.choose(request, now_s)
+            if server is None:
+                continue
+            self._grant(request, server, now_s)
+            return types.Grant(
+                request,
+                server.spec.name,
+                server.spec.address,
+                server.spec.cheap,
+            )
         return None
 
     def _grant(self, request, server, now_s: float) -> None:
@@ -354,24 +388,9 @@
                 self._passed_over[tier] = self._passed_over.get(tier, 0) + 1
         self._passed_over[request.tier] = 0
 
-    def _tier_order(self, now_s: float) -> list[int]:
-        """Return the tiers in order, a starving one before the others."""
-        order = sorted(self._tiers)
-        for tier in reversed(order):
-            passed = self._passed_over.get(tier, 0)
-            if passed < self._options.starvation_share - 1:
-                continue
-            oldest_s = min(
-                requests[0].arrived_s for requests in self._tiers[tier].values()
-            )
-            if now_s - oldest_s >= self._options.starvation_wait_s:
-                order.remove(tier)
-                return [tier, *order]
-        return order
-
     def _preempt(self, now_s: float) -> list[types.Preemption]:
         """Take grants of lower tiers back for heads that would be late."""
-        service_s = self._service_s or DEFAULT_SERVICE_S
+        service_s = self.table.service_s
         slots = max(1, self.table.slots(now_s))
         decisions: list[types.Preemption] = []
         # Slots that are being freed are counted for the highest tiers first.
--- a/src/bilberryturn/scheduling/servers.py
+++ b/src/bilberryturn/scheduling/servers.py
@@ -9,6 +9,8 @@
 DEFAULT_FIRST_TOKEN_S = 0.1
 DEFAULT_TOKEN_GAP_S = 0.02
 SMOOTHING = 0.3
+DEFAULT_SERVICE_S = 1.0
+SERVICE_SMOOTHING = 0.1
 MAX_PREFIX_BLOCKS = 4000
 LOAD_SHARE_OF_GAP = 0.25
 STALLED_PROGRESS_S = 1.0
@@ -30,6 +32,8 @@
     Attributes:
         token_gap_s: Smoothed time between tokens.
         first_token_s: Smoothed time from dispatch to the first token.
+        reserved_for: Request that runs here alone, or is to do so.
+        is_proven: Whether the server has done well since its last failure.
     """
 
     def __init__(self, spec: types.ServerSpec, joined_s: float):
@@ -40,6 +44,8 @@
         self.first_token_s = 0.0
         self.token_gap_s = 0.0
         self.reserved_for = ""
+        self.reserved_tier = 0
+        self.is_proven = True
         self.prefixes: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -98,7 +104,18 @@
         self._options = options
         self.servers: dict[str, Server] = {}
         self.running: dict[str, Running] = {}
-        self._any_request = 0
+        self._service_s = 0.0
+
+    @property
+    def service_s(self) -> float:
+        """Return the smoothed time for which a request holds its slot."""
+        return self._service_s or DEFAULT_SERVICE_S
+
+    def observe_service(self, duration_s: float) -> None:
+        """Take the time of a finished request into the estimate."""
+        if self._service_s == 0.0:
+            self._service_s = duration_s
+        self._service_s += SERVICE_SMOOTHING * (duration_s - self._service_s)
 
     def update(
         self, specs: list[types.ServerSpec], now_s: float
@@ -223,6 +240,7 @@
         if not best.running:
             return best
         best.reserved_for = request.request_id
+        best.reserved_tier = request.tier
         return None
 
     def _accepts(
@@ -230,7 +248,7 @@
     ) -> bool:
         if server.spec.name in request.excluded_servers:
             return False
-        if server.reserved_for not in ("", request.request_id):
+        if self._is_reserved(server, request):
             return False
         if request.isolated:
             return True
@@ -240,11 +258,25 @@
             return True
         return self.allows_cheap(request)
 
+    def _is_reserved(
+        self, server: Server, request: types.WaitingRequest
+    ) -> bool:
+        """Return whether a server is kept for another request.
+
+        Until that request runs, a higher tier may still use the server.
+        """
+        if server.reserved_for in ("", request.request_id):
+            return False
+        if server.reserved_for in server.running:
+            return True
+        return request.tier >= server.reserved_tier
+
     def allows_cheap(self, request: types.WaitingRequest) -> bool:
         """Return whether a cheap server may take a request now.
 
-        A reserved request may use a cheap server only while the paid servers
-        could take over all work of its tier and above from the cheap ones.
+        A reserved request may use a cheap server only while the paid servers,
+        were they full, could take over the work of its tier and above from
+        all cheap ones within the target of its class.
         """
         if request.cheap == types.NEVER_CHEAP:
             return False
@@ -257,12 +289,18 @@
         )
         if paid_slots == 0:
             return True
-        same_or_higher = sum(
+        displaced = 1 + sum(
             1
             for entry in self.running.values()
             if entry.request.tier <= request.tier
+            and self._is_cheap(entry.server)
         )
-        return same_or_higher + 1 <= paid_slots
+        target_s = request.first_token_by_s - request.arrived_s
+        return displaced * self.service_s <= paid_slots * target_s
+
+    def _is_cheap(self, name: str) -> bool:
+        server = self.servers.get(name)
+        return server is not None and server.spec.cheap
 
     def can_ever_serve(self, request: types.WaitingRequest) -> bool:
         """Return whether any server, busy or not, could take a request."""
@@ -314,6 +352,8 @@
             if stalled and server is not None:
                 server.token_gap_s = max(server.token_gap_s, elapsed_s)
             return 0
+        if server is not None:
+            server.is_proven = True
         if server is not None and elapsed_s > 0 and entry.output_tokens > 0:
             server.observe_gap(elapsed_s / fresh)
         self.running[request_id] = entry._replace(
--- a/src/bilberryturn_standins/caller.py
+++ b/src/bilberryturn_standins/caller.py
@@ -209,5 +209,7 @@
     if model:
         body["model"] = model
     if max_tokens is not None:
+        # The stand-in engines then answer with just so many tokens.
         body["max_tokens"] = max_tokens
+        body["ignore_eos"] = True
     return body
--- a/src/bilberryturn_standins/engine.py
+++ b/src/bilberryturn_standins/engine.py
@@ -47,10 +47,20 @@
     """Return the tokens an engine answers with, the same on each engine."""
     prompt = prompt_of(body)
     digest = hashlib.sha256(prompt.encode()).digest()
-    count = body.get("max_tokens") or 16 + digest[0] % 64
+    limit = body.get("max_tokens")
+    count = 16 + digest[0] % 64
+    if limit is not None:
+        count = limit if body.get("ignore_eos") else min(limit, count)
     return [f" w{(digest[i % 32] * 31 + i) % 997}" for i in range(count)]
 
 
+def _continued_text(body: dict) -> str:
+    """Return the text that a continuation goes on from."""
+    if body.get("continue_final_message"):
+        return body["messages"][-1]["content"]
+    return body.get("continue_text", "")
+
+
 def _abort(request) -> None:
     """Cut the connection of a request if it is still there."""
     if request.transport is not None:
@@ -63,13 +73,11 @@
     def __init__(self, request_id: str, body: dict):
         self.request_id = request_id
         self.body = body
+        self.skip = _continued_text(body).count(" w")
+        limit = body.get("max_tokens")
+        if limit is not None:
+            body = {**body, "max_tokens": limit + self.skip}
         self.tokens = answer_tokens(body)
-        self.skip = 0
-        if body.get("continue_final_message"):
-            text = body["messages"][-1]["content"]
-            self.skip = text.count(" w")
-        elif "continue_text" in body:
-            self.skip = body["continue_text"].count(" w")
         self.generated = self.skip
         self.changed = asyncio.Condition()
         self.cancelled = False
@@ -144,6 +152,16 @@
             stream.cancelled = True
         self._streams.clear()
         self._blocks.clear()
+        loop = self.loop_thread.loop
+        loop.call_soon_threadsafe(
+            lambda: asyncio.ensure_future(self._restart(), loop=loop)
+        )
+
+    async def _restart(self) -> None:
+        """Refuse connections until the restart is over."""
+        await self.pause_listening()
+        await asyncio.sleep(self.options.restart_s)
+        await self.resume_listening()
 
     def _alive(self, handler):
         async def alive(request):
--- a/src/bilberryturn_standins/server.py
+++ b/src/bilberryturn_standins/server.py
@@ -44,6 +44,7 @@
         self.host = host
         self.port = port
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the application."""
@@ -70,6 +71,7 @@
             return
         self.loop_thread.call(self._runner.cleanup())
         self._runner = None
+        self._site = None
 
     async def _start(self) -> None:
         application = web.Application(client_max_size=MAX_BODY_BYTES)
@@ -78,8 +80,20 @@
             application, access_log=None, shutdown_timeout=0.2
         )
         await self._runner.setup()
-        site = web.TCPSite(
+        await self.resume_listening()
+
+    async def pause_listening(self) -> None:
+        """Close the listening socket; new connections are refused."""
+        if self._site is not None:
+            site, self._site = self._site, None
+            await site.stop()
+
+    async def resume_listening(self) -> None:
+        """Listen on the same port again."""
+        if self._runner is None or self._site is not None:
+            return
+        self._site = web.TCPSite(
             self._runner, self.host, self.port, backlog=1024, reuse_address=True
         )
-        await site.start()
-        self.port = site._server.sockets[0].getsockname()[1]
+        await self._site.start()
+        self.port = self._site._server.sockets[0].getsockname()[1]
