Prove usage, leases, partitions and contracts; size the retry budget

Cause of 'overloaded' after one engine crash: the retry budget allowed 10 retries while a server holds 16 requests. Ruled out: admission by deadline (the refusals named retry_budget). Change: the budget may grow to twice the slots of the pool. Ports of stand-ins and daemons come from locked blocks: one cluster in 52 had failed to start because another run took its port.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 RUN = $(VENV)/bin
 
-.PHONY: install demo test lint bench capacity
+.PHONY: install demo test lint bench capacity mutants
 
 $(VENV)/installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -28,3 +28,6 @@
 
 capacity: install
 	$(RUN)/python bench/capacity.py
+
+mutants: install
+	$(RUN)/python features/mutants.py $(ARGS)
--- /dev/null
+++ b/features/mutants.py
@@ -0,0 +1,494 @@
+"""Switch one mechanism off at a time and see that its test fails.
+
+Each mutant is a small change of a copy of the sources. A mutant that no
+scenario notices is printed and makes the run fail.
+"""
+
+import concurrent.futures
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+from typing import NamedTuple
+
+ROOT = pathlib.Path(__file__).parent.parent
+WORKERS = 4
+TIMEOUT_S = 400
+
+
+class Mutant(NamedTuple):
+    """Describes a change that takes a mechanism away.
+
+    Attributes:
+        edits: Old and new text by file below src/bilberryturn.
+        scenario: Part of the name of the scenario that must fail.
+    """
+
+    name: str
+    edits: tuple[tuple[str, str, str], ...]
+    feature: str
+    scenario: str
+
+
+MUTANTS = (
+    Mutant(
+        "the caller's headers are sent on",
+        (
+            (
+                "entry/services.py",
+                'FORWARDED_HEADERS = ("content-type",',
+                'FORWARDED_HEADERS = ("authorization", "content-type",',
+            ),
+        ),
+        "keys",
+        "No backend server",
+    ),
+    Mutant(
+        "a caller may name its account",
+        (
+            (
+                "entry/services.py",
+                'FORWARDED_HEADERS = ("content-type",',
+                'FORWARDED_HEADERS = ("x-client-account", "content-type",',
+            ),
+        ),
+        "keys",
+        "only for the client account",
+    ),
+    Mutant(
+        "a withdrawal does not reach running requests",
+        (
+            (
+                "daemon/node.py",
+                "exchange.cancel(entry_exceptions.UnknownKeyError())",
+                "pass",
+            ),
+        ),
+        "keys",
+        "A withdrawn key stops",
+    ),
+    Mutant(
+        "a cut-off node trusts keys for ever",
+        (
+            (
+                "daemon/node.py",
+                "self.plane.isolated_s() > limit_s",
+                "False",
+            ),
+        ),
+        "keys",
+        "the platform and all peers",
+    ),
+    Mutant(
+        "a successor does not wait for the time to live",
+        (
+            (
+                "leases/lease.py",
+                "waited_s >= self._options.ttl_s + self._options.margin_s",
+                "waited_s >= self._options.ttl_s / 2",
+            ),
+        ),
+        "leases",
+        "never believe at once: everything",
+    ),
+    Mutant(
+        "the belief counts from the answer",
+        (
+            (
+                "leases/lease.py",
+                "self._held and self._clock() < self._believe_until_s",
+                "self._held",
+            ),
+        ),
+        "leases",
+        "never believe at once: pauses",
+    ),
+    Mutant(
+        "orders are not bound to the lease",
+        (
+            (
+                "leases/lease.py",
+                "self._held and self._clock() < self._believe_until_s",
+                "self._held",
+            ),
+            (
+                "leases/lease.py",
+                "return {self._epoch_key: self._epoch_version}",
+                "return {}",
+            ),
+            (
+                "fleet/controller.py",
+                "epoch = self._lease.epoch\n        intent",
+                "epoch = 1\n        intent",
+            ),
+        ),
+        "leases",
+        "the platform ignores fencing",
+    ),
+    Mutant(
+        "a server is stopped while it runs requests",
+        (
+            (
+                "fleet/controller.py",
+                "busy = {name for pool in view.pools for name in"
+                " pool.busy_leaving}",
+                "busy = set()",
+            ),
+        ),
+        "leases",
+        "stopped only when it runs nothing",
+    ),
+    Mutant(
+        "figures are summed anew at each try",
+        (
+            ("usage/reporter.py", "if frozen.ok.version > 0:", "if False:"),
+            (
+                "usage/reporter.py",
+                "if closed.ok.version > 0:\n            return True",
+                "return True",
+            ),
+            ("usage/store.py", "closed_key(window): 0}", "}"),
+        ),
+        "usage",
+        "flushed late",
+    ),
+    Mutant(
+        "a batch is not unique",
+        (
+            ("usage/store.py", "{unique: 0, closed", "{closed"),
+            ("usage/store.py", "+ batch.batch_id\n", "+ str(id(value))\n"),
+        ),
+        "usage",
+        "the table loses answers",
+    ),
+    Mutant(
+        "no peer holds usage",
+        (
+            (
+                "daemon/usage_keeper.py",
+                'f"usage/{batch.owner}")[:HOLDERS]',
+                'f"usage/{batch.owner}")[:0]',
+            ),
+        ),
+        "usage",
+        "the table is down and a node is killed",
+    ),
+    Mutant(
+        "a call is not recorded before it is sent",
+        (
+            (
+                "entry/services.py",
+                "recorded = record.start()",
+                "recorded = None",
+            ),
+        ),
+        "once",
+        "two entries at once",
+    ),
+    Mutant(
+        "a sent request counts as not run",
+        (
+            (
+                "entry/grants.py",
+                "request.may_have_run = True",
+                "request.may_have_run = False",
+            ),
+        ),
+        "once",
+        "service cuts before answering",
+    ),
+    Mutant(
+        "repeated events are passed on",
+        (
+            (
+                "entry/completions.py",
+                "if number <= self._last_event_id:",
+                "if False:",
+            ),
+        ),
+        "whole",
+        "duplicates after",
+    ),
+    Mutant(
+        "a continuation starts from the beginning",
+        (
+            (
+                "entry/completions.py",
+                "if not self._text:\n            return msgspec",
+                "if True:\n            return msgspec",
+            ),
+        ),
+        "whole",
+        "a cut without resumption",
+    ),
+    Mutant(
+        "half an event counts as a whole one",
+        (
+            (
+                "entry/completions.py",
+                "if event.error:\n                    raise StreamCutError",
+                "if False:\n                    raise StreamCutError",
+            ),
+            (
+                "entry/completions.py",
+                "raise StreamCutError(\n            backends.CallEnd(",
+                "return\n        raise StreamCutError(\n"
+                "            backends.CallEnd(",
+            ),
+        ),
+        "whole",
+        "a crash",
+    ),
+    Mutant(
+        "a request may crash any number of engines",
+        (
+            (
+                "scheduling/suspects.py",
+                "MARKS_TO_QUARANTINE = 2",
+                "MARKS_TO_QUARANTINE = 99",
+            ),
+        ),
+        "whole",
+        "crashes engines",
+    ),
+    Mutant(
+        "leaving servers get work",
+        (
+            (
+                "brokers/pools.py",
+                "    if vm.state != vms.RUNNING:\n        return True\n",
+                "    return False\n",
+            ),
+        ),
+        "leaving",
+        "an operator's drain",
+    ),
+    Mutant(
+        "a stop does not wait for running requests",
+        (
+            (
+                "daemon/node.py",
+                "while self.running.count() and",
+                "while False and",
+            ),
+        ),
+        "leaving",
+        "A planned stop",
+    ),
+    Mutant(
+        "an entry never asks a second broker",
+        (
+            (
+                "brokers/client.py",
+                "for wait in list(self.waits.values()):",
+                "for wait in ():",
+            ),
+            (
+                "brokers/client.py",
+                "if wait is not None and wait.is_confirmed:",
+                "if False:",
+            ),
+        ),
+        "leaving",
+        "the broker of a pool",
+    ),
+    Mutant(
+        "a commit does not check the head",
+        (
+            (
+                "declarations/store.py",
+                "if head.version >= change.version:",
+                "if False:",
+            ),
+            (
+                "declarations/store.py",
+                "if head.version != change.version - 1:",
+                "if False:",
+            ),
+            (
+                "declarations/store.py",
+                "{HEAD_KEY: head.row_version, key: 0}",
+                "{}",
+            ),
+            (
+                "daemon/commits.py",
+                "if current.version != expected_version:",
+                "if False:",
+            ),
+        ),
+        "configuration",
+        "two operators",
+    ),
+    Mutant(
+        "an older version is put in force",
+        (
+            (
+                "daemon/configuration.py",
+                "if newer.version <= known:",
+                "if False:",
+            ),
+            (
+                "daemon/configuration.py",
+                "if message.version <= self.current.version:",
+                "if False:",
+            ),
+        ),
+        "configuration",
+        "an old change is replayed",
+    ),
+    Mutant(
+        "nodes learn declarations from the platform only",
+        (
+            (
+                "daemon/configuration.py",
+                "if version > self.current.version:",
+                "if False:",
+            ),
+        ),
+        "configuration",
+        "while the platform is down",
+    ),
+    Mutant(
+        "lower tiers go first",
+        (
+            (
+                "scheduling/queue.py",
+                "for tier in sorted(self._tiers):\n            accounts",
+                "for tier in sorted(self._tiers, reverse=True):\n"
+                "            accounts",
+            ),
+        ),
+        "tiers",
+        "keeps its promises",
+    ),
+    Mutant(
+        "a tier has no guaranteed share",
+        (
+            (
+                "scheduling/queue.py",
+                "if placed is not None:\n            return placed\n"
+                "        for tier",
+                "if False:\n            return placed\n        for tier",
+            ),
+            (
+                "scheduling/queue.py",
+                "placed = self._place_starving(now_s)",
+                "placed = None",
+            ),
+        ),
+        "tiers",
+        "No class waits forever",
+    ),
+    Mutant(
+        "accounts go by name",
+        (
+            (
+                "scheduling/queue.py",
+                "sorted(accounts, key=self._counters.value)",
+                "sorted(accounts)",
+            ),
+        ),
+        "tiers",
+        "does not starve",
+    ),
+    Mutant(
+        "an account banks credit while it is idle",
+        (
+            (
+                "scheduling/fairness.py",
+                "if floor is not None and floor > self.value(client_account):",
+                "if False:",
+            ),
+        ),
+        "tiers",
+        "banks no credit",
+    ),
+    Mutant(
+        "a full queue sheds the highest tier",
+        (
+            (
+                "scheduling/queue.py",
+                "lowest = max(self._tiers)\n"
+                "        if lowest < request.tier:\n"
+                "            return None",
+                "lowest = min(self._tiers)",
+            ),
+        ),
+        "tiers",
+        "keeps its promises",
+    ),
+    Mutant(
+        "a domain without servers asks nobody",
+        (
+            (
+                "brokers/router.py",
+                "if not self._directory.brokers(domain, name, now_s):",
+                "if True:",
+            ),
+        ),
+        "partition",
+        "without servers of its own",
+    ),
+)
+
+
+def try_mutant(mutant: Mutant) -> tuple[bool, str]:
+    """Return whether the scenario noticed the mutant, and its output."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="mutant-"))
+    try:
+        shutil.copytree(ROOT / "src", folder / "src")
+        for file, old, new in mutant.edits:
+            path = folder / "src" / "bilberryturn" / file
+            text = path.read_text("utf-8")
+            if old not in text:
+                return False, f"{file} does not hold {old!r}"
+            path.write_text(text.replace(old, new), "utf-8")
+        command = [
+            sys.executable,
+            str(ROOT / "features" / "run.py"),
+            "--here",
+            str(ROOT / "features" / f"{mutant.feature}.feature"),
+            "-n",
+            mutant.scenario,
+        ]
+        finished = subprocess.run(
+            command,
+            capture_output=True,
+            text=True,
+            timeout=TIMEOUT_S,
+            check=False,
+            env={**os.environ, "PYTHONPATH": str(folder / "src")},
+        )
+    except subprocess.TimeoutExpired:
+        return True, "timed out"
+    finally:
+        shutil.rmtree(folder, ignore_errors=True)
+    output = finished.stdout
+    return "\nfailed: " in output, output[-1500:]
+
+
+def main(arguments: list[str]) -> int:
+    """Try all mutants, or those whose names hold an argument."""
+    chosen = [
+        m
+        for m in MUTANTS
+        if not arguments or any(a in m.name for a in arguments)
+    ]
+    missed = 0
+    with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+        results = pool.map(try_mutant, chosen)
+        for mutant, (noticed, output) in zip(chosen, results, strict=True):
+            place = f"{mutant.feature}.feature: {mutant.scenario}"
+            if noticed:
+                print(f"noticed: {mutant.name} ({place})", flush=True)
+                continue
+            missed += 1
+            print(f"MISSED: {mutant.name} ({place})\n{output}", flush=True)
+    print(f"{len(chosen) - missed} of {len(chosen)} mutants noticed")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -15,6 +15,7 @@
 from bilberryturn.tool import client as tool_client
 from bilberryturn.tool import main as tool_main
 from bilberryturn_standins import cluster as cluster_module
+from bilberryturn_standins import ports
 from support import declared
 from support import faults
 
@@ -239,7 +240,7 @@
 def replay(context, node, log):
     """Send old changes to a node as a confused peer would."""
     folder = context.cluster.folder
-    address = f"127.0.0.1:{cluster_module.free_port()}"
+    address = f"127.0.0.1:{ports.take()}"
     options = messages.LinkOptions(
         address,
         address,
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -94,12 +94,16 @@
             if len(answer.token_times_s) == 2:
                 running.wait(30)
 
-        sender = context.cluster.caller(node, context.key, "quote-draft")
-        answer = sender.chat(body_prompt, 100, on_token=on_token)
-        body = {"messages": [{"content": body_prompt}], "max_tokens": 100}
-        context.outcomes.append(
-            traffic.Outcome(node.name, "quote-draft", body, answer, 0.0)
+        outcome = traffic.send_chat(
+            context.cluster,
+            node,
+            context.key,
+            "quote-draft",
+            body_prompt,
+            100,
+            on_token=on_token,
         )
+        context.outcomes.append(outcome)
 
     threads = [
         threading.Thread(target=stream, args=(n,), daemon=True)
--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -92,12 +92,12 @@
         self.count = 0
 
     def wrap(self, function):
-        def call(*arguments):
+        def call(*arguments, **options):
             self.count += 1
             is_due = self.count == self.at
             if is_due and not self.after:
                 self.interrupt()
-            result = function(*arguments)
+            result = function(*arguments, **options)
             if is_due and self.after:
                 self.interrupt()
             return result
--- a/features/support/traffic.py
+++ b/features/support/traffic.py
@@ -26,12 +26,17 @@
         return self.answer.complete and self.answer.text == expected
 
 
-def send_chat(cluster, node, key, profile, prompt, tokens, stream=True):
+def send_chat(
+    cluster, node, key, profile, prompt, tokens, stream=True, on_token=None
+):
     body = caller.chat_body(prompt, tokens, stream)
     sender = cluster.caller(node, key, profile)
     started_s = time.monotonic()
     answer = sender.request(
-        "POST", "/v1/chat/completions", json.dumps(body).encode()
+        "POST",
+        "/v1/chat/completions",
+        json.dumps(body).encode(),
+        on_token=on_token,
     )
     return Outcome(node.name, profile, body, answer, started_s)
 
--- a/src/bilberryturn/scheduling/queue.py
+++ b/src/bilberryturn/scheduling/queue.py
@@ -70,6 +70,7 @@
         self, specs: list[types.ServerSpec], now_s: float
     ) -> list[servers.Running]:
         """Replace the servers; returns the requests on leaving ones."""
+        self._retries.resize(sum(spec.slots for spec in specs))
         return self.table.update(specs, now_s)
 
     def submit(
--- a/src/bilberryturn/scheduling/retries.py
+++ b/src/bilberryturn/scheduling/retries.py
@@ -1,19 +1,31 @@
 """Bound the retries of a pool to a share of its requests."""
 
 RETRY_SHARE = 0.2
-LARGEST_BUDGET = 20.0
-FIRST_BUDGET = 10.0
+SMALLEST_LIMIT = 20.0
+SERVER_LOSSES = 2.0
 
 
 class RetryBudget:
-    """Grows with each first attempt and shrinks with each retry."""
+    """Grows with each first attempt and shrinks with each retry.
+
+    The budget may grow to twice the slots of the pool: the loss of a server
+    makes all that it ran retry at once, which is no storm of retries.
+    """
 
     def __init__(self):
-        self._budget = FIRST_BUDGET
+        self._limit = SMALLEST_LIMIT
+        self._budget = SMALLEST_LIMIT
+
+    def resize(self, slots: int) -> None:
+        """Fit the limit to the slots of the pool; new room is granted."""
+        limit = max(SMALLEST_LIMIT, SERVER_LOSSES * slots)
+        self._budget += max(0.0, limit - self._limit)
+        self._limit = limit
+        self._budget = min(self._budget, limit)
 
     def note_request(self) -> None:
         """Note a first attempt."""
-        self._budget = min(LARGEST_BUDGET, self._budget + RETRY_SHARE)
+        self._budget = min(self._limit, self._budget + RETRY_SHARE)
 
     def take(self) -> bool:
         """Return whether one retry is allowed, and spend it."""
--- a/src/bilberryturn_standins/cluster.py
+++ b/src/bilberryturn_standins/cluster.py
@@ -4,7 +4,6 @@
 import pathlib
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -18,6 +17,7 @@
 from bilberryturn_standins import caller
 from bilberryturn_standins import engine
 from bilberryturn_standins import platform
+from bilberryturn_standins import ports
 from bilberryturn_standins import proxy
 from bilberryturn_standins import server
 from bilberryturn_standins import service
@@ -86,13 +86,6 @@
         time.sleep(0.02)
 
 
-def free_port(host: str = "127.0.0.1") -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
-
-
 class DaemonProcess:
     """Is one daemon, a child of this process."""
 
@@ -190,7 +183,7 @@
         proxied: bool = False,
         timing: dict[str, float] | None = None,
         limits: dict[str, int] | None = None,
-        ports: tuple[int, ...] = (),
+        caller_ports: tuple[int, ...] = (),
     ):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="bilberryturn-"))
         self.domains = domains
@@ -209,11 +202,13 @@
         for spec in engines if engines is not None else _default(domains):
             self.add_engine(spec)
         self._write_secrets()
-        self._plan_nodes(nodes_per_domain, ports)
+        self._plan_nodes(nodes_per_domain, caller_ports)
 
     def add_engine(self, spec: EngineSpec) -> engine.EngineStandin:
         """Start an engine and put it into the VM list."""
-        standin = engine.EngineStandin(self.loop_thread, spec.options).start()
+        standin = engine.EngineStandin(
+            self.loop_thread, spec.options, port=ports.take()
+        ).start()
         self.engines[spec.name] = standin
         self.platform.set_vm(
             spec.name,
@@ -233,7 +228,9 @@
         self, name: str, failure_domain: str, serves: str
     ) -> service.ServiceStandin:
         """Start a plain service and put it into the VM list."""
-        standin = service.ServiceStandin(self.loop_thread).start()
+        standin = service.ServiceStandin(
+            self.loop_thread, port=ports.take()
+        ).start()
         self.services[name] = standin
         self.platform.set_vm(
             name,
@@ -258,16 +255,18 @@
             "".join(f"{n} = {t}\n" for n, t in OPERATOR_TOKENS.items())
         )
 
-    def _plan_nodes(self, nodes_per_domain: int, ports) -> None:
+    def _plan_nodes(self, nodes_per_domain: int, caller_ports) -> None:
         for domain in self.domains:
             for number in range(1, nodes_per_domain + 1):
                 name = f"{domain.name}-{number}"
                 node = DaemonProcess(name, domain, self.folder)
                 index = len(self.nodes)
-                port = ports[index] if index < len(ports) else free_port()
+                port = ports.take()
+                if index < len(caller_ports):
+                    port = caller_ports[index]
                 node.caller_address = f"127.0.0.1:{port}"
-                node.admin_address = f"127.0.0.1:{free_port()}"
-                node.control_address = f"127.0.0.1:{free_port()}"
+                node.admin_address = f"127.0.0.1:{ports.take()}"
+                node.control_address = f"127.0.0.1:{ports.take()}"
                 node.advertised_address = self._reach(node.control_address)
                 self.nodes.append(node)
                 self.platform.set_vm(
--- a/src/bilberryturn_standins/demo.py
+++ b/src/bilberryturn_standins/demo.py
@@ -24,7 +24,7 @@
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda *_: stopping.set())
     print("starting stand-ins and six daemons ...", flush=True)
-    cluster = cluster_module.Cluster(ports=(FIRST_CALLER_PORT,))
+    cluster = cluster_module.Cluster(caller_ports=(FIRST_CALLER_PORT,))
     cluster.add_service("booking-1", "santander", "booking")
     cluster.add_service("catalogue-1", "oviedo", "catalogue")
     try:
