Prove the product around the router: tool, settings, logs, security, fuzz

Causes found by tests that failed first: - An engine that sends bytes that are not text ended in an internal error; every malformed event is now a failed attempt (fuzz.feature, 'binary'). - A section with one fault hid the faults of its other options; options are now checked one by one (7 faults of 8 were named, now all). - A node said 'ready' before it had read the VM list and then refused its first requests with no_server; ready now needs the list. Ruled out: a longer wait for servers (it would hide a missing list).

--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -1,8 +1,5 @@
 """Steps on declarations."""
 
-import contextlib
-import io
-import os
 import threading
 import time
 
@@ -13,31 +10,15 @@
 from bilberryturn import messages
 from bilberryturn import platform
 from bilberryturn.tool import client as tool_client
-from bilberryturn.tool import main as tool_main
 from bilberryturn_standins import cluster as cluster_module
 from bilberryturn_standins import ports
 from support import declared
 from support import faults
+from support import tools
 
 PROFILE = {"tier": "2", "models": "tatami-small"}
 
 
-def run_tool(node, *arguments, operator="ana"):
-    """Run the tool in this process; returns status and output."""
-    output = io.StringIO()
-    variable = tool_client.TOKEN_VARIABLE
-    os.environ[variable] = cluster_module.OPERATOR_TOKENS[operator]
-    try:
-        with (
-            contextlib.redirect_stdout(output),
-            contextlib.redirect_stderr(output),
-        ):
-            status = tool_main.main(["--node", node.admin_address, *arguments])
-    finally:
-        del os.environ[variable]
-    return status, output.getvalue()
-
-
 def declarations_of(node):
     return node.admin().call("GET", "/declarations")
 
@@ -366,7 +347,7 @@
     file = folder / "bad.ini"
     if fault in BAD:
         file.write_text(BAD[fault])
-        context.tool = run_tool(node, "apply", str(folder))
+        context.tool = tools.run_tool(node, "apply", str(folder))
         return
     sections = declared.for_domains(context.cluster.domains)
     if fault == "account with keys":
@@ -381,7 +362,7 @@
     arguments = ["apply", str(folder)]
     if fault == "old version":
         arguments += ["--expect-version", "1"]
-    context.tool = run_tool(node, *arguments, operator="ben")
+    context.tool = tools.run_tool(node, *arguments, operator="ben")
 
 
 @behave.then("the tool ends with status {status:d} and names {names}")
--- a/src/bilberryturn/checks/__init__.py
+++ b/src/bilberryturn/checks/__init__.py
@@ -6,6 +6,13 @@
 CheckMessage = messages.CheckMessage
 format_messages = messages.format_messages
 parse_ini = sections.parse_ini
+read_options = sections.read_options
 read_section = sections.read_section
 
-__all__ = ["CheckMessage", "format_messages", "parse_ini", "read_section"]
+__all__ = [
+    "CheckMessage",
+    "format_messages",
+    "parse_ini",
+    "read_options",
+    "read_section",
+]
--- a/src/bilberryturn/checks/sections.py
+++ b/src/bilberryturn/checks/sections.py
@@ -84,6 +84,20 @@
 ) -> tuple[Any, list[messages.CheckMessage]]:
     """Build a NamedTuple from the options of a section.
 
+    Returns:
+        The value, or None when a fault was found, and all faults.
+    """
+    values, faults = read_options(section_class, options, file, section)
+    if faults:
+        return None, faults
+    return section_class(**values), []
+
+
+def read_options(
+    section_class: type, options: dict[str, str], file: str, section: str
+) -> tuple[dict[str, Any], list[messages.CheckMessage]]:
+    """Convert the options of a section.
+
     Args:
         section_class: NamedTuple class; fields without default are required.
         options: Option texts by name.
@@ -91,9 +105,8 @@
         section: Section name for messages.
 
     Returns:
-        The value, or None when an option is missing or has the wrong form,
-        and the faults found. Fields that end in `_s`, `_bytes` or `_tokens`
-        must not be negative.
+        The converted options that are right, and the faults found. Fields
+        that end in `_s`, `_bytes` or `_tokens` must not be negative.
     """
     hints = _hints(section_class)
     faults: list[messages.CheckMessage] = []
@@ -127,9 +140,7 @@
                 f"Add `{option} = ...` to the section",
             )
         )  # fmt: skip
-    if faults:
-        return None, faults
-    return section_class(**values), []
+    return values, faults
 
 
 def _unknown_option(option, known, file, section) -> messages.CheckMessage:
--- a/src/bilberryturn/conf/checks.py
+++ b/src/bilberryturn/conf/checks.py
@@ -4,6 +4,7 @@
 import ipaddress
 import logging
 import pathlib
+from typing import Any
 
 from bilberryturn import checks
 from bilberryturn.conf import global_settings
@@ -44,14 +45,14 @@
             faults.append(_unknown_section(name, file))
     values = {}
     for name, section_class in global_settings.SECTIONS.items():
-        value, section_faults = checks.read_section(
+        options, section_faults = checks.read_options(
             section_class, raw_sections.get(name, {}), file, name
         )
         faults.extend(section_faults)
-        if value is None:
-            continue
-        values[name] = value
-        faults.extend(_check_values(value, file, name))
+        complete = {**section_class._field_defaults, **options}
+        faults.extend(_check_values(complete, file, name))
+        if not section_faults:
+            values[name] = section_class(**options)
     if faults:
         return None, faults
     return global_settings.Settings(**values), []
@@ -67,10 +68,12 @@
     )
 
 
-def _check_values(value, file: str, section: str) -> list[checks.CheckMessage]:
+def _check_values(
+    values: dict[str, Any], file: str, section: str
+) -> list[checks.CheckMessage]:
+    """Check the options that could be converted."""
     faults = []
-    for option in value._fields:
-        setting = getattr(value, option)
+    for option, setting in values.items():
         if option in ADDRESS_OPTIONS:
             many = setting if isinstance(setting, tuple) else (setting,)
             faults.extend(
@@ -80,15 +83,17 @@
             )
         if option.endswith("_file") and setting:
             faults.extend(_check_file(setting, file, section, option))
-    if section == "logging" and not _is_level(value.level):
+    if section == "logging" and not _is_level(values["level"]):
         faults.append(
             checks.CheckMessage(
                 "E204", file, section, "level",
-                f"{value.level!r} is not a level",
+                f"{values['level']!r} is not a level",
                 "Write debug, info, warning or error",
             )
         )  # fmt: skip
-    if section == "timing" and value.lease_ttl_s <= 2 * value.lease_margin_s:
+    if section == "timing" and (
+        values["lease_ttl_s"] <= 2 * values["lease_margin_s"]
+    ):
         faults.append(
             checks.CheckMessage(
                 "E205", file, section, "lease_ttl_s",
@@ -96,8 +101,8 @@
                 "Raise lease_ttl_s or lower lease_margin_s",
             )
         )  # fmt: skip
-    if section == "security" and bool(value.tls_certificate_file) != bool(
-        value.tls_private_key_file
+    if section == "security" and bool(values["tls_certificate_file"]) != bool(
+        values["tls_private_key_file"]
     ):
         faults.append(
             checks.CheckMessage(
--- a/src/bilberryturn/daemon/admin.py
+++ b/src/bilberryturn/daemon/admin.py
@@ -163,6 +163,7 @@
             "isolated_s": round(node.plane.isolated_s(), 3),
             "is_relay": directory.is_relay(),
             "running": node.running.count(),
+            "vms": len(node.plane.vms),
             "leases": [
                 {
                     "name": lease.name,
--- a/src/bilberryturn/entry/completions.py
+++ b/src/bilberryturn/entry/completions.py
@@ -330,9 +330,11 @@
     def _note_whole(self, body: bytes) -> None:
         try:
             usage = msgspec.json.decode(body).get("usage") or {}
-        except (msgspec.DecodeError, AttributeError):
-            usage = {}
-        count = int(usage.get("completion_tokens") or 0)
+            count = int(usage.get("completion_tokens") or 0)
+        except (msgspec.DecodeError, AttributeError, TypeError, ValueError):
+            raise AttemptFailedError(
+                "the answer is of unknown form", False, True
+            ) from None
         self._first_token_at_s = time.monotonic()
         self._last_token_at_s = self._first_token_at_s
         self._holder.note_tokens(count)
@@ -411,8 +413,7 @@
 
     def _events(self, call: backends.Call) -> Iterator[bytes]:
         """Yield the new events of one connection until the answer ends."""
-        source = _ChunkSource(self, call)
-        for event in sseclient.SSEClient(source).events():
+        for event in self._decoded(call):
             if event.data == "[DONE]":
                 self._finish_call(call)
                 return
@@ -424,6 +425,16 @@
             True,
         )
 
+    def _decoded(self, call: backends.Call) -> Iterator[sseclient.Event]:
+        """Yield the events of one connection."""
+        source = _ChunkSource(self, call)
+        try:
+            yield from sseclient.SSEClient(source).events()
+        except UnicodeDecodeError:
+            raise AttemptFailedError(
+                "the stream is not text", False, True
+            ) from None
+
     def chunks(self, call: backends.Call) -> Iterator[bytes]:
         """Yield the body of a stream as it arrives."""
         heard = False
@@ -455,18 +466,30 @@
         """Return what the caller gets for an event, or None for nothing.
 
         Events that came before, by their number, are dropped.
+
+        Raises:
+            AttemptFailedError: The event has not the form that it should.
         """
+        try:
+            return self._take_checked_event(event)
+        except (
+            msgspec.DecodeError,
+            AttributeError,
+            LookupError,
+            TypeError,
+            ValueError,
+        ):
+            raise AttemptFailedError(
+                "the stream holds an event of unknown form", False, True
+            ) from None
+
+    def _take_checked_event(self, event) -> bytes | None:
         if event.id is not None and event.id.isdigit():
             number = int(event.id)
             if number <= self._last_event_id:
                 return None
             self._last_event_id = number
-        try:
-            chunk = msgspec.json.decode(event.data)
-        except msgspec.DecodeError:
-            raise AttemptFailedError(
-                "the stream holds an event that is not JSON", False, True
-            ) from None
+        chunk = msgspec.json.decode(event.data)
         usage = chunk.get("usage")
         if usage:
             self._note_usage(usage)
--- a/src/bilberryturn_standins/caller.py
+++ b/src/bilberryturn_standins/caller.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import ssl
 import time
 from typing import Any
 
@@ -55,16 +56,24 @@
         key: str = "",
         profile: str = "",
         timeout_s: float = TIMEOUT_S,
+        tls: ssl.SSLContext | None = None,
     ):
         self.address = address
         self.key = key
         self.profile = profile
         self.timeout_s = timeout_s
+        self.tls = tls
 
     def connect(self) -> http.client.HTTPConnection:
         """Return a new connection."""
         host, port = self.address.rsplit(":", 1)
-        return http.client.HTTPConnection(host, int(port), self.timeout_s)
+        if self.tls is not None:
+            return http.client.HTTPSConnection(
+                host, int(port), timeout=self.timeout_s, context=self.tls
+            )
+        return http.client.HTTPConnection(
+            host, int(port), timeout=self.timeout_s
+        )
 
     def headers(self) -> dict[str, str]:
         """Return the headers of a request."""
--- a/src/bilberryturn_standins/cluster.py
+++ b/src/bilberryturn_standins/cluster.py
@@ -340,7 +340,7 @@
         return self
 
     def wait_ready(self) -> None:
-        """Wait until every running node knows all others and the VMs."""
+        """Wait until every running node knows all others and all VMs."""
         running = [node for node in self.nodes if node.is_running]
         wait_for(
             lambda: all(self._knows_all(node, running) for node in running),
@@ -349,7 +349,7 @@
 
     def _knows_all(self, node: DaemonProcess, running) -> bool:
         status = node.status()
-        if not status:
+        if status.get("vms", 0) < len(self.platform.vms):
             return False
         own = {n.name for n in running if n.domain == node.domain}
         others = {n.domain.name for n in running} - {node.domain.name}
