Let suspects run in turn and end their isolation after a probation

Ruled out: the retry budget (refusals named deadline). Change: a reservation passes to any isolated request of its tier or above, retries keep the order of arrival, and after 8 tokens the server is shared again.

--- a/features/steps/tier_steps.py
+++ b/features/steps/tier_steps.py
@@ -308,6 +308,39 @@
     assert abs(difference) <= 4, difference
 
 
+@behave.when("{count:d} isolated requests wait for one server that others use")
+def step_isolated(context, count):
+    queue = make_queue([scheduling.ServerSpec("s", "a", 8)], admission=False)
+    for number in range(4):
+        queue.submit(make_request(number, 1, "x", 0.0), 0.0)
+    for number in range(10, 10 + count):
+        # Later ones came earlier, as retries of older requests do.
+        request = make_request(
+            number, 1, "x", 1.0 - number / 100, isolated=True, is_retry=True
+        )
+        queue.submit(request, 1.0)
+    context.queue = queue
+    context.ran = []
+    for number in range(4):
+        queue.finish(f"r{number}", "done", 5, 2.0, 0.1, 1.0)
+    while queue.table.running:
+        running = list(queue.table.running)
+        context.ran.append(running)
+        queue.end_probation(running[0], 3.0)
+        context.shared_after = queue.table.servers["s"].reserved_for
+        queue.finish(running[0], "done", 5, 4.0, 0.1, 1.0)
+
+
+@behave.then("all of them run in turn, each alone until its probation is over")
+def step_isolated_ran(context):
+    assert len(context.ran) == 12, context.ran
+    assert all(len(running) == 1 for running in context.ran), context.ran
+    order = [running[0] for running in context.ran]
+    assert order == [f"r{n}" for n in range(21, 9, -1)], order
+    assert context.queue.waiting_count == 0
+    assert context.shared_after == ""
+
+
 @behave.when(
     "reserved requests with a target of {target:f} seconds fill {paid:d} paid"
     " and {cheap:d} cheap slots"
--- a/features/tiers.feature
+++ b/features/tiers.feature
@@ -20,6 +20,10 @@
     When an account returns after it was idle while another was served
     Then the two get equal shares from then on
 
+  Scenario: Suspects that must run alone do not block each other
+    When 12 isolated requests wait for one server that others use
+    Then all of them run in turn, each alone until its probation is over
+
   Scenario: Cheap servers are used only while the paid ones could take over
     When reserved requests with a target of 0.5 seconds fill 4 paid and 8 cheap slots
     Then at most 2 of them run on cheap servers, whatever order they came in
--- a/src/bilberryturn/brokers/broker.py
+++ b/src/bilberryturn/brokers/broker.py
@@ -269,6 +269,14 @@
         )
         self._carry_out(pool, decisions)
 
+    def end_probation(self, message: kinds.ProbationPassed) -> None:
+        """Share the server of a request that no longer must run alone."""
+        pool = self.pools.get(message.pool)
+        if pool is None:
+            return
+        decisions = pool.queue.end_probation(message.request_id, self._clock())
+        self._carry_out(pool, decisions)
+
     def sync(self, message: kinds.EntrySync) -> None:
         """Compare what an entry waits for and runs with the own counts."""
         now_s = self._clock()
--- a/src/bilberryturn/brokers/client.py
+++ b/src/bilberryturn/brokers/client.py
@@ -154,6 +154,18 @@
             output_tokens, first_token_s, duration_s, cached_tokens,
         )  # fmt: skip
 
+    def end_probation(self, request_id: str) -> None:
+        """Tell the broker that a request need not run alone any more."""
+        holding = self.holdings.get(request_id)
+        if holding is None:
+            return
+        broker = self._broker(holding.message.pool)
+        if broker is not None:
+            self._control.send(
+                broker[1],
+                kinds.ProbationPassed(request_id, holding.message.pool),
+            )
+
     def _send_release(
         self, request_id, pool, server, outcome, output_tokens=0,
         first_token_s=0.0, duration_s=0.0, cached_tokens=-1,
--- a/src/bilberryturn/daemon/control.py
+++ b/src/bilberryturn/daemon/control.py
@@ -358,6 +358,11 @@
     plane.broker.release(message)
 
 
+@_handle.register
+def _(message: kinds.ProbationPassed, plane: ControlPlane) -> None:
+    plane.broker.end_probation(message)
+
+
 @_handle.register
 def _(message: kinds.EntrySync, plane: ControlPlane) -> None:
     plane.broker.sync(message)
--- a/src/bilberryturn/entry/grants.py
+++ b/src/bilberryturn/entry/grants.py
@@ -15,6 +15,7 @@
 
 MAX_POOLS_TRIED = 3
 NO_SERVER_RETRY_AFTER_S = 2.0
+PROBATION_TOKENS = 8
 
 
 class Demand:
@@ -188,6 +189,10 @@
         self.output_tokens += count
         if self._holding is not None:
             self._holding.output_tokens = self.output_tokens
+        if self._demand.isolated and self.output_tokens == PROBATION_TOKENS:
+            self._node.control.submit(
+                self._node.grants.end_probation, self._exchange.request_id
+            )
 
     def release(self, outcome: str) -> None:
         """Give the grant back; a second call does nothing."""
--- a/src/bilberryturn/messages/kinds.py
+++ b/src/bilberryturn/messages/kinds.py
@@ -152,6 +152,13 @@
     cached_tokens: int = 0
 
 
+class ProbationPassed(Message):
+    """Tells that a request that ran alone may have company now."""
+
+    request_id: str
+    pool: str
+
+
 class RunningGrant(msgspec.Struct, array_like=True, frozen=True):
     """Describes one grant that an entry holds."""
 
@@ -293,6 +300,7 @@
     Preempted,
     Moved,
     Release,
+    ProbationPassed,
     EntrySync,
     SyncUnknown,
     HoldQuery,
--- a/src/bilberryturn/scheduling/queue.py
+++ b/src/bilberryturn/scheduling/queue.py
@@ -107,9 +107,7 @@
         if request is None:
             return False
         self._remove(request)
-        for server in self.table.servers.values():
-            if server.reserved_for == request_id:
-                server.reserved_for = ""
+        self.table.end_probation(request_id)
         return True
 
     def adopt(
@@ -133,6 +131,13 @@
             output_tokens=fresh,
         )
 
+    def end_probation(
+        self, request_id: str, now_s: float
+    ) -> list[types.Decision]:
+        """Share the server of an isolated request that runs well."""
+        self.table.end_probation(request_id)
+        return self.dispatch(now_s)
+
     def finish(
         self,
         request_id: str,
@@ -265,10 +270,12 @@
         requests = accounts.setdefault(
             request.client_account, collections.deque()
         )
-        if request.preemptions or request.is_retry:
-            requests.appendleft(request)
-        else:
-            requests.append(request)
+        position = len(requests)
+        while position and requests[position - 1].arrived_s > (
+            request.arrived_s
+        ):
+            position -= 1
+        requests.insert(position, request)
 
     def _remove(self, request: types.WaitingRequest) -> None:
         del self._waiting[request.request_id]
--- a/src/bilberryturn/scheduling/servers.py
+++ b/src/bilberryturn/scheduling/servers.py
@@ -270,6 +270,9 @@
             return False
         if server.reserved_for in server.running:
             return True
+        if request.isolated:
+            # Which of several isolated requests goes first does not matter.
+            return request.tier > server.reserved_tier
         return request.tier >= server.reserved_tier
 
     def allows_cheap(self, request: types.WaitingRequest) -> bool:
@@ -362,11 +365,15 @@
         )
         return fresh
 
-    def finish(self, request_id: str) -> tuple[Running | None, Server | None]:
-        """Forget a grant; returns what was known about it."""
+    def end_probation(self, request_id: str) -> None:
+        """Let others use the server of an isolated request that runs well."""
         for server in self.servers.values():
             if server.reserved_for == request_id:
                 server.reserved_for = ""
+
+    def finish(self, request_id: str) -> tuple[Running | None, Server | None]:
+        """Forget a grant; returns what was known about it."""
+        self.end_probation(request_id)
         entry = self.running.pop(request_id, None)
         if entry is None:
             return None, None
