Keep a breaker's back-off to failed probes

Cause: when a server died under 12 requests each of the 12 failures doubled the breaker's back-off, so a server back after 5 s stayed unused for up to 30 s. Ruled out: the ramp of joining servers (5 s) and the retry budget. Conclusion: only the failure of a probe counts while a breaker is open; test in tiers.feature. Also: jobs sleep until the next is due.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -45,6 +45,9 @@
 TABLE_WRITES_LIMIT = 300.0
 FRAME_OVERHEAD_BYTES = 33 + 52  # CURVE, TCP and IP
 REPEAT = 3000
+BURST_MESSAGES = 30  # one round of heartbeats or of a second's requests
+BURSTS = 12
+BURST_INTERVAL_S = 0.25
 
 
 def processor_s(function, repeat: int = REPEAT) -> float:
@@ -204,19 +207,21 @@
         time.sleep(0.05)
     time.sleep(0.5)
     count[0] = 0
+
+    def burst():
+        for _ in range(BURST_MESSAGES):
+            loops[0].send(target, message)
+
     before = time.process_time()
-    sent = 0
-    started_s = time.monotonic()
-    while time.monotonic() - started_s < 3.0:
-        loops[0].send_from_any_thread(target, message)
-        sent += 1
-        time.sleep(0.004)
-    time.sleep(0.3)
+    for _ in range(BURSTS):
+        loops[0].submit(burst)
+        time.sleep(BURST_INTERVAL_S)
+    sent = BURSTS * BURST_MESSAGES
     used = time.process_time() - before
     for loop in loops:
         loop.stop()
     idle = loop_idle_cost()
-    pair = (used - 2 * idle * 3.3) / max(1, count[0])
+    pair = (used - 2 * idle * BURSTS * BURST_INTERVAL_S) / max(1, count[0])
     return max(pair, 0.0) / 2, count[0] / max(1, sent)
 
 
@@ -234,8 +239,12 @@
     return used
 
 
-def idle_daemon() -> tuple[float, int, float, float]:
-    """Return a daemon's idle share of a core, memory, reads and writes."""
+def idle_daemon(callers: int) -> tuple[float, int, float]:
+    """Return an idle daemon's share of a core, memory and table calls.
+
+    Args:
+        callers: Requests that it may serve at once.
+    """
     timing = {
         "heartbeat_interval_s": 1.0,
         "member_timeout_s": 3.0,
@@ -249,7 +258,11 @@
         "usage_window_s": 60.0,
     }
     cluster = cluster_module.Cluster(
-        cluster_module.DOMAINS[:1], 6, engines=(), timing=timing
+        cluster_module.DOMAINS[:1],
+        6,
+        engines=(),
+        timing=timing,
+        limits={"max_concurrent_requests": callers},
     )
     try:
         cluster.start()
@@ -262,7 +275,7 @@
         calls = cluster.platform.counts.get("table", 0) - table_before
         status = pathlib.Path(f"/proc/{node.process.pid}/status").read_text()
         line = next(x for x in status.splitlines() if x.startswith("VmRSS"))
-        return share, int(line.split()[1]) * 1024, calls / 10.0 / 6, 0.0
+        return share, int(line.split()[1]) * 1024, calls / 10.0 / 6
     finally:
         cluster.close()
 
@@ -289,9 +302,11 @@
     stride = directory(members).heartbeat_stride
 
     print("# Slopes")
-    share, resident, calls, _ = idle_daemon()
+    share, resident, calls = idle_daemon(300)
+    _, control_resident, _ = idle_daemon(4)
     row("idle daemon, 6 nodes: share of a core", f"{share:.4f}")
     row("idle daemon: resident", f"{resident / 2**20:.1f} MB")
+    row("with threads for 4 callers", f"{control_resident / 2**20:.1f} MB")
     row("idle daemon: table calls a second", f"{calls:.2f}")
     message_s, delivered = socket_costs()
     row("one message, one end", f"{message_s * 1e6:.0f} us")
--- a/features/steps/tier_steps.py
+++ b/features/steps/tier_steps.py
@@ -308,6 +308,33 @@
     assert abs(difference) <= 4, difference
 
 
+@behave.when("a server dies under {count:d} requests")
+def step_dies(context, count):
+    breaker = scheduling.CircuitBreaker()
+    opened = [breaker.failed(10.0) for _ in range(count)]
+    assert opened.count(True) == 1, opened
+    context.breaker = breaker
+
+
+@behave.then(
+    "it gets a probe after {seconds:d} second, and after each failed probe"
+    " later"
+)
+def step_probe(context, seconds):
+    breaker, now_s, wait_s = context.breaker, 10.0, float(seconds)
+    for _ in range(4):
+        assert not breaker.allows(now_s + wait_s - 0.01)
+        now_s += wait_s
+        assert breaker.allows(now_s)
+        breaker.started(now_s)
+        assert not breaker.allows(now_s)
+        breaker.failed(now_s)
+        wait_s *= 2
+    breaker.started(now_s + wait_s)
+    breaker.succeeded()
+    assert breaker.allows(now_s)
+
+
 @behave.when("{count:d} isolated requests wait for one server that others use")
 def step_isolated(context, count):
     queue = make_queue([scheduling.ServerSpec("s", "a", 8)], admission=False)
--- a/features/tiers.feature
+++ b/features/tiers.feature
@@ -24,6 +24,10 @@
     When 12 isolated requests wait for one server that others use
     Then all of them run in turn, each alone until its probation is over
 
+  Scenario: A server that died under many requests is soon tried again
+    When a server dies under 12 requests
+    Then it gets a probe after 1 second, and after each failed probe later
+
   Scenario: Cheap servers are used only while the paid ones could take over
     When reserved requests with a target of 0.5 seconds fill 4 paid and 8 cheap slots
     Then at most 2 of them run on cheap servers, whatever order they came in
--- a/src/bilberryturn/daemon/control.py
+++ b/src/bilberryturn/daemon/control.py
@@ -75,8 +75,7 @@
         timing = self.settings.timing
         self.control.every(timing.heartbeat_interval_s, self._beat)
         self.control.every(timing.entry_sync_interval_s, grants.sync)
-        self.control.every(CHECK_INTERVAL_S, grants.tick)
-        self.control.every(CHECK_INTERVAL_S, broker.tick)
+        self.control.every(CHECK_INTERVAL_S, self._tick)
         self.control.every(CHECK_INTERVAL_S * 5, self._check_members)
         self.control.every(SUMMARY_INTERVAL_S, self._send_summary)
 
@@ -114,6 +113,10 @@
             if member.name != self.directory.own_name:
                 self.control.send(member.control_address, message)
 
+    def _tick(self) -> None:
+        self.grants.tick()
+        self.broker.tick()
+
     def _beat(self) -> None:
         self._beats += 1
         if self._beats % self.directory.heartbeat_stride == 0:
--- a/src/bilberryturn/daemon/jobs.py
+++ b/src/bilberryturn/daemon/jobs.py
@@ -10,7 +10,8 @@
 
 JOB_WORKERS = 8
 JITTER_SHARE = 0.2
-SCHEDULER_STEP_S = 0.05
+SHORTEST_STEP_S = 0.02
+LONGEST_STEP_S = 0.25
 
 
 class _Job:
@@ -60,7 +61,7 @@
         self._executor.shutdown(wait=True)
 
     def _run(self) -> None:
-        while not self._stopping.wait(SCHEDULER_STEP_S):
+        while not self._stopping.wait(self._until_next_job_s()):
             now_s = time.monotonic()
             for job in self._jobs:
                 if job.is_running or now_s < job.due_s:
@@ -68,6 +69,13 @@
                 job.is_running = True
                 self._executor.submit(self._run_job, job)
 
+    def _until_next_job_s(self) -> float:
+        """Return the time to the next job that does not run already."""
+        now_s = time.monotonic()
+        due_s = [job.due_s for job in self._jobs if not job.is_running]
+        left_s = min(due_s, default=now_s + LONGEST_STEP_S) - now_s
+        return min(max(left_s, SHORTEST_STEP_S), LONGEST_STEP_S)
+
     def _run_job(self, job: _Job) -> None:
         try:
             job.function()
--- a/src/bilberryturn/scheduling/breakers.py
+++ b/src/bilberryturn/scheduling/breakers.py
@@ -39,17 +39,23 @@
         self._open_s = FIRST_OPEN_S
 
     def failed(self, now_s: float) -> bool:
-        """Note a failure; returns whether this opened the breaker."""
+        """Note a failure; returns whether this opened the breaker.
+
+        While the breaker is open only the failure of a probe counts: all
+        requests that were running when the server died fail together.
+        """
+        if self._is_open:
+            if self._probing:
+                self._probing = False
+                self._open_s = min(self._open_s * 2, LONGEST_OPEN_S)
+                self._open_until_s = now_s + self._open_s
+            return False
         self._failures += 1
-        was_open = self._is_open
-        self._probing = False
-        if self._failures < FAILURES_TO_OPEN and not was_open:
+        if self._failures < FAILURES_TO_OPEN:
             return False
-        if was_open:
-            self._open_s = min(self._open_s * 2, LONGEST_OPEN_S)
         self._is_open = True
         self._open_until_s = now_s + self._open_s
-        return not was_open
+        return True
 
     def abandoned(self) -> None:
         """Note the end of a probe that tells nothing."""
