--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -415,7 +415,13 @@
         + (NODES + RUNNERS) * 600
     )
     row("state: memory", f"{state / 2**20:.1f} MB")
-    verdict("memory", resident + state, MEMORY_LIMIT_BYTES, 2**20, "MB")
+    verdict(
+        "memory for control",
+        control_resident + state,
+        MEMORY_LIMIT_BYTES,
+        2**20,
+        "MB",
+    )
     row("pools whose broker it is", f"{pools:.2f}")
     print("\n# The platform's table service")
     reads = DOMAINS * 2 / 1.0 + (NODES - DOMAINS * 2) / 4.0
--- a/src/bilberryturn/brokers/broker.py
+++ b/src/bilberryturn/brokers/broker.py
@@ -82,6 +82,7 @@
     def _update_servers(self, pool: Pool) -> None:
         now_s = self._clock()
         specs = pools.server_specs(pool.name, self._vms, self._declared)
+        self._log_leaving(pool, specs)
         moving = pool.queue.set_servers(specs, now_s)
         reclaimed = {vm.name for vm in self._vms if pools.is_reclaimed(vm)}
         for running in moving:
@@ -96,6 +97,16 @@
                 )
         self._carry_out(pool, pool.queue.tick(now_s))
 
+    def _log_leaving(self, pool: Pool, specs) -> None:
+        for spec in specs:
+            known = pool.queue.table.servers.get(spec.name)
+            if spec.leaving and known and not known.spec.leaving:
+                events.log(
+                    events.SERVER_LEAVING,
+                    server=spec.name,
+                    pool=str(pool.name),
+                )
+
     def _pool(self, name: str) -> Pool:
         pool = self.pools.get(name)
         now_s = self._clock()
@@ -258,6 +269,8 @@
         if entry is not None and message.cached_tokens >= 0:
             tokens = max(1, entry.request.input_tokens)
             cached_share = min(1.0, message.cached_tokens / tokens)
+        server = pool.queue.table.servers.get(message.server)
+        was_open = server is not None and server.breaker.is_open
         decisions = pool.queue.finish(
             message.request_id,
             message.outcome,
@@ -267,6 +280,12 @@
             message.duration_s,
             cached_share,
         )
+        if server is not None and server.breaker.is_open and not was_open:
+            events.log(
+                events.SERVER_CIRCUIT_OPEN,
+                server=message.server,
+                pool=message.pool,
+            )
         self._carry_out(pool, decisions)
 
     def end_probation(self, message: kinds.ProbationPassed) -> None:
--- a/src/bilberryturn/daemon/configuration.py
+++ b/src/bilberryturn/daemon/configuration.py
@@ -152,6 +152,7 @@
     def receive_state(self, message: kinds.ConfigState) -> None:
         """Take in the whole declarations of a peer."""
         if message.version <= self.current.version:
+            events.log(events.CONFIG_STALE, version=message.version)
             return
         newer = declarations.Declarations(message.version, message.sections)
         self._adopt(newer, [])
--- a/src/bilberryturn/daemon/control.py
+++ b/src/bilberryturn/daemon/control.py
@@ -54,6 +54,7 @@
         self._summary_sequence = int(time.time() * 1000)
         self._growth_for_summary: dict[str, float] = {}
         self._known_lowest = 0
+        self._heard_domains: set[str] = set()
         self._beats = 0
 
     def wire(
@@ -180,12 +181,20 @@
         if lost:
             self.grants.members_changed()
         self.usage.check_owners()
+        self._note_domains(now_s)
         self._note_isolation(now_s)
         lowest = self.directory.lowest_version()
         if lowest > self._known_lowest:
             self._known_lowest = lowest
             self._send_summary()
 
+    def _note_domains(self, now_s: float) -> None:
+        """Log the failure domains that are not heard of any more."""
+        heard = {d.name for d in self.directory.live_domains(now_s)}
+        for name in sorted(self._heard_domains - heard):
+            events.log(events.DOMAIN_UNREACHABLE, failure_domain=name)
+        self._heard_domains = heard
+
     def _note_isolation(self, now_s: float) -> None:
         """Note since when a withdrawal of a key could be missed.
 
@@ -196,6 +205,11 @@
             3 * self.settings.timing.config_backstop_interval_s
         )
         if heard_lately or self._reaches_all_domains(now_s):
+            if self.isolated_since_s is not None:
+                events.log(
+                    events.PLATFORM_REACHABLE,
+                    isolated_s=round(now_s - self.isolated_since_s, 3),
+                )
             self.isolated_since_s = None
         elif self.isolated_since_s is None:
             self.isolated_since_s = now_s
--- a/src/bilberryturn/entry/application.py
+++ b/src/bilberryturn/entry/application.py
@@ -361,6 +361,8 @@
         """End the run; called when the answer is sent or the caller left."""
         self._chunks.close()
         self._node.running.remove(self._followed)
+        if not self._outcome:
+            events.log(events.CALLER_GONE, request_id=self._followed.request_id)
         exchange.log_end(
             self._followed,
             self._outcome or exceptions.CallerGoneError.code,
--- a/src/bilberryturn/entry/exceptions.py
+++ b/src/bilberryturn/entry/exceptions.py
@@ -64,16 +64,6 @@
     remedy = "Send a shorter body"
 
 
-class LengthRequiredError(RequestError):
-    """Reports a body without a declared length."""
-
-    status = 411
-    code = "length_required"
-    kind = "invalid_request_error"
-    problem = "The body has no declared length"
-    remedy = "Send a Content-Length header instead of a chunked body"
-
-
 class MissingKeyError(RequestError):
     """Reports a request without a key."""
 
