Split the answer, the engine's request and the handlers into modules

Change: answers.py puts an answer together, attempts.py holds the ways an attempt ends, upstream.py builds what engines get, handlers.py passes messages on; the tool reads sections in one place. The openai client is tested unchanged.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -194,8 +194,8 @@
         "repeated events are passed on",
         (
             (
-                "entry/completions.py",
-                "if number <= self._last_event_id:",
+                "entry/answers.py",
+                "if number <= self.last_event_id:",
                 "if False:",
             ),
         ),
@@ -206,9 +206,9 @@
         "a continuation starts from the beginning",
         (
             (
-                "entry/completions.py",
-                "if not self._text:\n            return msgspec",
-                "if True:\n            return msgspec",
+                "entry/upstream.py",
+                "if not text:\n        return msgspec",
+                "if True:\n        return msgspec",
             ),
         ),
         "whole",
@@ -219,13 +219,14 @@
         (
             (
                 "entry/completions.py",
-                "if event.error:\n                    raise StreamCutError",
-                "if False:\n                    raise StreamCutError",
+                "if event.error:\n                    raise"
+                " attempts.StreamCutError",
+                "if False:\n                    raise attempts.StreamCutError",
             ),
             (
                 "entry/completions.py",
-                "raise StreamCutError(\n            backends.CallEnd(",
-                "return\n        raise StreamCutError(\n"
+                "raise attempts.StreamCutError(\n            backends.CallEnd(",
+                "return\n        raise attempts.StreamCutError(\n"
                 "            backends.CallEnd(",
             ),
         ),
--- a/features/path.feature
+++ b/features/path.feature
@@ -18,6 +18,11 @@
     When the caller chats with model "profile:quote-draft" and no profile
     Then the answer is complete and equals the engine's own
 
+  Scenario: The OpenAI client library works unchanged
+    When an OpenAI client chats, streamed and whole, and asks for embeddings
+    Then it gets the engine's own answers
+    And its errors are those of the library
+
   Scenario: Models and health are shown
     Then these paths answer
       | path       | status | holds               |
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -6,6 +6,7 @@
 import time
 
 import behave
+import openai
 
 from bilberryturn_standins import caller
 from bilberryturn_standins import cluster as cluster_module
@@ -230,3 +231,60 @@
 def step_memory(context, megabytes):
     grown = context.memory_after - context.memory_before
     assert grown <= megabytes * 1024 * 1024, grown
+
+
+def openai_client(context, key):
+    return openai.OpenAI(
+        api_key=key,
+        base_url=f"http://{context.caller.address}/v1",
+        max_retries=0,
+    )
+
+
+@behave.when(
+    "an OpenAI client chats, streamed and whole, and asks for embeddings"
+)
+def step_openai(context):
+    client = openai_client(context, context.key)
+    context.body = caller.chat_body(PROMPT, 12)
+    options = {
+        "model": "profile:front-desk",
+        "messages": context.body["messages"],
+        "max_tokens": 12,
+        "extra_body": {"ignore_eos": True},
+    }
+    stream = client.chat.completions.create(stream=True, **options)
+    context.streamed = "".join(
+        chunk.choices[0].delta.content or "" for chunk in stream
+    )
+    whole = client.chat.completions.create(**options)
+    context.whole = whole.choices[0].message.content
+    context.embedding = client.embeddings.create(
+        model="profile:front-desk", input=PROMPT
+    )
+    context.models = [model.id for model in client.models.list()]
+
+
+@behave.then("it gets the engine's own answers")
+def step_openai_answers(context):
+    expected = expected_text(context.body)
+    assert context.streamed == expected, context.streamed
+    assert context.whole == expected, context.whole
+    assert len(context.embedding.data[0].embedding) == 8
+    assert "profile:front-desk" in context.models
+
+
+@behave.then("its errors are those of the library")
+def step_openai_errors(context):
+    for key, model, kind in (
+        ("bt_none", "profile:front-desk", openai.AuthenticationError),
+        (context.key, "profile:none", openai.NotFoundError),
+    ):
+        try:
+            openai_client(context, key).chat.completions.create(
+                model=model, messages=context.body["messages"]
+            )
+        except kind as error:
+            assert error.body["remedy"]
+            continue
+        raise AssertionError("no error")
--- a/src/bilberryturn/daemon/control.py
+++ b/src/bilberryturn/daemon/control.py
@@ -1,7 +1,6 @@
 """Handle messages and timers on the control thread of a node."""
 
 from collections.abc import Callable
-import functools
 import time
 from typing import Any
 
@@ -15,6 +14,7 @@
 from bilberryturn import metrics
 from bilberryturn import platform
 from bilberryturn.daemon import configuration
+from bilberryturn.daemon import handlers
 from bilberryturn.daemon import usage_keeper
 from bilberryturn.entry import context
 
@@ -82,7 +82,7 @@
 
     def receive(self, message: kinds.Message) -> None:
         """Handle one message."""
-        _handle(message, self)
+        handlers.handle(message, self)
 
     def declarations_changed(self) -> None:
         """Tell brokers, and tell peers the new version at once."""
@@ -348,119 +348,3 @@
             labels = {"direction": direction}
             metrics.set_counter(metrics.CONTROL_MESSAGES, labels, count)
             metrics.set_counter(metrics.CONTROL_BYTES, labels, size)
-
-
-@functools.singledispatch
-def _handle(message: kinds.Message, plane: ControlPlane) -> None:
-    raise TypeError(f"no handler for {type(message).__name__}")
-
-
-@_handle.register
-def _(message: kinds.Heartbeat, plane: ControlPlane) -> None:
-    plane.hear_heartbeat(message)
-
-
-@_handle.register
-def _(message: kinds.DomainSummary, plane: ControlPlane) -> None:
-    plane.hear_summary(message)
-
-
-@_handle.register
-def _(message: kinds.GrantRequest, plane: ControlPlane) -> None:
-    plane.broker.request(message)
-
-
-@_handle.register
-def _(message: kinds.Release, plane: ControlPlane) -> None:
-    plane.broker.release(message)
-
-
-@_handle.register
-def _(message: kinds.ProbationPassed, plane: ControlPlane) -> None:
-    plane.broker.end_probation(message)
-
-
-@_handle.register
-def _(message: kinds.EntrySync, plane: ControlPlane) -> None:
-    plane.broker.sync(message)
-
-
-@_handle.register
-def _(message: kinds.HoldQuery, plane: ControlPlane) -> None:
-    plane.grants.answer_query(message)
-
-
-@_handle.register
-def _(message: kinds.Granted, plane: ControlPlane) -> None:
-    plane.grants.granted(message)
-
-
-@_handle.register
-def _(message: kinds.Queued, plane: ControlPlane) -> None:
-    plane.grants.queued(message)
-
-
-@_handle.register
-def _(message: kinds.Refused, plane: ControlPlane) -> None:
-    plane.grants.refused(message)
-
-
-@_handle.register
-def _(message: kinds.Preempted, plane: ControlPlane) -> None:
-    plane.grants.revoked(message)
-
-
-@_handle.register
-def _(message: kinds.Moved, plane: ControlPlane) -> None:
-    plane.grants.revoked(message)
-
-
-@_handle.register
-def _(message: kinds.SyncUnknown, plane: ControlPlane) -> None:
-    plane.grants.sync_unknown(message)
-
-
-@_handle.register
-def _(message: kinds.SuspectMark, plane: ControlPlane) -> None:
-    plane.suspects.merge(message)
-
-
-@_handle.register
-def _(message: kinds.ConfigPush, plane: ControlPlane) -> None:
-    plane.configuration.receive_push(message)
-
-
-@_handle.register
-def _(message: kinds.ConfigRequest, plane: ControlPlane) -> None:
-    plane.configuration.answer_request(message)
-
-
-@_handle.register
-def _(message: kinds.ConfigState, plane: ControlPlane) -> None:
-    plane.configuration.receive_state(message)
-
-
-@_handle.register
-def _(message: kinds.VmListPush, plane: ControlPlane) -> None:
-    try:
-        listed = msgspec.convert(message.vms, tuple[platform.Vm, ...])
-    except msgspec.ValidationError as error:
-        events.log(events.FRAME_REFUSED, problem=str(error))
-        return
-    if listed:
-        plane.vms_read(listed, time.monotonic() - message.age_s)
-
-
-@_handle.register
-def _(message: kinds.UsageHold, plane: ControlPlane) -> None:
-    plane.usage.receive_hold(message)
-
-
-@_handle.register
-def _(message: kinds.UsageHeld, plane: ControlPlane) -> None:
-    plane.usage.receive_held(message)
-
-
-@_handle.register
-def _(message: kinds.UsageFlushed, plane: ControlPlane) -> None:
-    plane.usage.receive_flushed(message)
--- a/src/bilberryturn/tool/commands/account.py
+++ b/src/bilberryturn/tool/commands/account.py
@@ -1,5 +1,6 @@
 """List client accounts and show their usage."""
 
+from bilberryturn.tool import declared
 from bilberryturn.tool import output
 
 
@@ -17,12 +18,7 @@
 
 def run_list(options, client) -> int:
     """List the client accounts in force."""
-    sections = client.call("GET", "/declarations")["sections"]
-    rows = [
-        {"name": name.partition(" ")[2], **fields}
-        for name, fields in sections.items()
-        if name.startswith("client_account ")
-    ]
+    rows = declared.rows_of_kind(client, "client_account")
     if options.json:
         output.print_json(rows)
         return 0
--- a/src/bilberryturn/tool/commands/profile.py
+++ b/src/bilberryturn/tool/commands/profile.py
@@ -1,6 +1,7 @@
 """List, show and set profiles."""
 
 from bilberryturn.tool import client as client_module
+from bilberryturn.tool import declared
 from bilberryturn.tool import output
 from bilberryturn.tool.commands import apply
 
@@ -30,12 +31,7 @@
 
 def run_list(options, client) -> int:
     """List the profiles in force."""
-    sections = client.call("GET", "/declarations")["sections"]
-    rows = [
-        {"name": name.partition(" ")[2], **fields}
-        for name, fields in sections.items()
-        if name.startswith("profile ")
-    ]
+    rows = declared.rows_of_kind(client, "profile")
     if options.json:
         output.print_json(rows)
         return 0
