Measure brokers and upstream reads; free a stand-in's slot with the last token

Cause: an engine stand-in held its slot for one more token interval after the last token, so three brokers in a split seemed to overfill an engine to 16-18 instead of 12. Ruled out: expiring grants and retries after a stall (counted).

--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,8 @@
 bench: install
 	$(RUN)/python bench/policies.py
 	$(RUN)/python bench/path.py
+	$(RUN)/python bench/upstream.py
+	$(RUN)/python bench/recovery.py
 
 capacity: install
 	$(RUN)/python bench/capacity.py
--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -35,6 +35,7 @@
         "heartbeat_interval_s": 1.0,
         "member_timeout_s": 3.0,
         "grant_timeout_s": 4.0,
+        "stall_timeout_s": 30.0,
         "entry_sync_interval_s": 0.5,
     }
     options = engine.EngineOptions(slots=slots)
--- a/src/bilberryturn_standins/engine.py
+++ b/src/bilberryturn_standins/engine.py
@@ -262,7 +262,8 @@
                 self.generated_tokens += 1
                 async with stream.changed:
                     stream.changed.notify_all()
-                await asyncio.sleep(self._interval_s())
+                if stream.generated < len(stream.tokens):
+                    await asyncio.sleep(self._interval_s())
         finally:
             self._release()
             self._load.append((time.monotonic(), self._running))
