--- a/src/bilberryturn/brokers/broker.py
+++ b/src/bilberryturn/brokers/broker.py
@@ -12,6 +12,7 @@
 from bilberryturn import platform
 from bilberryturn import scheduling
 from bilberryturn.brokers import pools
+from bilberryturn.scheduling import outcomes
 from bilberryturn.scheduling import types
 
 kinds = messages.kinds
@@ -371,7 +372,7 @@
         pool.reply_addresses.pop(request_id, None)
         pool.granted_s.pop(request_id, None)
         pool.queue.cancel(request_id)
-        decisions = pool.queue.finish(request_id, "cancelled", 0, now_s)
+        decisions = pool.queue.finish(request_id, outcomes.CANCELLED, 0, now_s)
         self._carry_out(pool, decisions)
 
     def _submit_held_back(self, pool: Pool, now_s: float) -> None:
--- a/src/bilberryturn/brokers/client.py
+++ b/src/bilberryturn/brokers/client.py
@@ -10,6 +10,7 @@
 from bilberryturn import membership
 from bilberryturn import messages
 from bilberryturn.brokers import pools
+from bilberryturn.scheduling import outcomes
 
 kinds = messages.kinds
 
@@ -104,7 +105,10 @@
             if holding is not None and holding.server == message.server:
                 return
             self._send_release(
-                message.request_id, message.pool, message.server, "cancelled"
+                message.request_id,
+                message.pool,
+                message.server,
+                outcomes.CANCELLED,
             )
             return
         self.holdings[message.request_id] = Holding(
@@ -134,7 +138,9 @@
         """End a wait."""
         wait = self.waits.pop(request_id, None)
         if wait is not None:
-            self._send_release(request_id, wait.message.pool, "", "cancelled")
+            self._send_release(
+                request_id, wait.message.pool, "", outcomes.CANCELLED
+            )
 
     def release(
         self,
--- a/src/bilberryturn/brokers/pools.py
+++ b/src/bilberryturn/brokers/pools.py
@@ -73,14 +73,3 @@
         and vm.state != vms.STOPPED
         and serves(vm, pool.target)
     ]
-
-
-def domains_serving(target: str, listed: tuple[platform.Vm, ...]) -> list[str]:
-    """Return the failure domains that have a server for a target."""
-    return sorted(
-        {
-            vm.failure_domain
-            for vm in listed
-            if vm.state == vms.RUNNING and serves(vm, target)
-        }
-    )
--- a/src/bilberryturn/entry/completions.py
+++ b/src/bilberryturn/entry/completions.py
@@ -17,6 +17,7 @@
 from bilberryturn.entry import exchange
 from bilberryturn.entry import grants
 from bilberryturn.entry import upstream
+from bilberryturn.scheduling import outcomes
 from bilberryturn.scheduling import suspects
 
 kinds = messages.kinds
@@ -77,11 +78,11 @@
         """
         try:
             for result in self._attempts(self._whole_attempt):
-                self._close("done")
+                self._close(outcomes.DONE)
                 return result
             raise exceptions.UpstreamFailedError()
         finally:
-            self._close("cancelled")
+            self._close(outcomes.CANCELLED)
 
     def stream(self) -> Iterator[bytes]:
         """Yield server-sent events; the caller gets each of them once.
@@ -91,10 +92,10 @@
         """
         try:
             yield from self._attempts(self._stream_attempt)
-            self._close("done")
+            self._close(outcomes.DONE)
             yield DONE_EVENT
         finally:
-            self._close("cancelled")
+            self._close(outcomes.CANCELLED)
 
     def _attempts(self, attempt) -> Iterator[Any]:
         while True:
@@ -131,7 +132,7 @@
 
     def _succeed(self) -> None:
         self._holder.cached_tokens = self._answer.cached_tokens
-        self._holder.release("done")
+        self._holder.release(outcomes.DONE)
         self._node.suspects.succeeded(self._fingerprint)
 
     def _give_way(self, message: kinds.Preempted | kinds.Moved) -> None:
@@ -141,7 +142,7 @@
         if isinstance(message, kinds.Moved):
             self._exclude(message.server)
         self._exchange.note("revoked", why=type(message).__name__)
-        self._holder.release("preempted")
+        self._holder.release(outcomes.PREEMPTED)
         reason = type(message).__name__.lower()
         metrics.add(metrics.RETRIES, {"reason": reason})
         self._waste()
@@ -165,7 +166,9 @@
         self._exchange.note(
             "failed", server=server, why=error.reason, crashed=error.crashed
         )
-        self._holder.release("failed" if error.may_have_run else "not_sent")
+        self._holder.release(
+            outcomes.FAILED if error.may_have_run else outcomes.NOT_SENT
+        )
         self._exclude(server)
         self._waste()
         if error.crashed:
@@ -194,7 +197,7 @@
             and error.status not in RETRIED_STATUSES
         )
         if is_final:
-            self._holder.release("done")
+            self._holder.release(outcomes.DONE)
             raise exceptions.UpstreamRefusedError(error.engine_message)
         self._after_failure(
             attempts.AttemptFailedError(f"status {error.status}", False, True)
@@ -428,11 +431,11 @@
         self._is_over = True
         self._cancel_upstream()
         self._holder.release(outcome)
-        if self.output_tokens or outcome == "done":
+        if self.output_tokens or outcome == outcomes.DONE:
             held = self._record(
                 1, self._answer.input_tokens or self._body.input_tokens
             )
-            if outcome == "done":
+            if outcome == outcomes.DONE:
                 held.wait()
         self._observe(outcome)
 
@@ -450,7 +453,7 @@
             )
         if self._body.is_stream and self.output_tokens > 1:
             metrics.add(metrics.TOKEN_GAP_S, labels, self._answer.mean_gap_s)
-        kind = "output" if outcome == "done" else "wasted"
+        kind = "output" if outcome == outcomes.DONE else "wasted"
         metrics.add(metrics.TOKENS, {"kind": kind}, self.output_tokens)
         metrics.add(
             metrics.TOKENS, {"kind": "input"}, self._answer.input_tokens
--- a/src/bilberryturn/entry/grants.py
+++ b/src/bilberryturn/entry/grants.py
@@ -9,6 +9,7 @@
 from bilberryturn.entry import context
 from bilberryturn.entry import exceptions
 from bilberryturn.entry import exchange
+from bilberryturn.scheduling import outcomes
 from bilberryturn.scheduling import types
 
 kinds = messages.kinds
@@ -120,7 +121,7 @@
             )
             self._node.control.submit(
                 self._node.grants.release,
-                request.request_id, "cancelled", 0, 0.0, 0.0, -1,
+                request.request_id, outcomes.CANCELLED, 0, 0.0, 0.0, -1,
             )  # fmt: skip
             raise
 
--- a/src/bilberryturn/entry/services.py
+++ b/src/bilberryturn/entry/services.py
@@ -13,6 +13,7 @@
 from bilberryturn.entry import exchange
 from bilberryturn.entry import grants
 from bilberryturn.entry import idempotency
+from bilberryturn.scheduling import outcomes
 
 MAX_ATTEMPTS = 3
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 255
@@ -77,7 +78,7 @@
         finally:
             if self._upstream is not None:
                 self._node.stream_loop.cancel(self._upstream)
-            self._holder.release("cancelled")
+            self._holder.release(outcomes.CANCELLED)
         if not answer.is_recorded:
             self._node.record_usage(
                 self._exchange.client_account,
@@ -167,10 +168,12 @@
         if event.error:
             if not event.may_have_run:
                 self._holder.note_not_sent()
-            outcome = "failed" if event.may_have_run else "not_sent"
+            outcome = outcomes.FAILED
+            if not event.may_have_run:
+                outcome = outcomes.NOT_SENT
             self._holder.release(outcome)
             return event, None
-        self._holder.release("done")
+        self._holder.release(outcomes.DONE)
         content_type = head.headers.get(
             "content-type", "application/octet-stream"
         )
--- a/src/bilberryturn/messages/kinds.py
+++ b/src/bilberryturn/messages/kinds.py
@@ -137,7 +137,7 @@
     """Ends a wait or a grant.
 
     Attributes:
-        outcome: "done", "failed", "cancelled" or "not_sent".
+        outcome: One of the outcomes of the scheduling library.
         first_token_s: Time from dispatch to the first token, 0 if none.
         cached_tokens: Prompt tokens the engine took from its cache.
     """
--- a/src/bilberryturn/messages/link.py
+++ b/src/bilberryturn/messages/link.py
@@ -19,7 +19,6 @@
 import zmq.auth.thread
 
 from bilberryturn import events
-from bilberryturn import metrics
 from bilberryturn.messages import kinds
 
 SEND_HIGH_WATER_MARK = 2000
@@ -290,8 +289,6 @@
             if connection.used_s < horizon_s:
                 connection.socket.close()
                 del self._connections[address]
-        labels = {"direction": "sent"}
-        metrics.add(metrics.CONTROL_BYTES, labels, 0)
 
     def _close(self) -> None:
         for connection in self._connections.values():
--- a/src/bilberryturn/scheduling/queue.py
+++ b/src/bilberryturn/scheduling/queue.py
@@ -4,6 +4,7 @@
 import itertools
 
 from bilberryturn.scheduling import fairness
+from bilberryturn.scheduling import outcomes
 from bilberryturn.scheduling import preemption
 from bilberryturn.scheduling import retries
 from bilberryturn.scheduling import servers
@@ -12,12 +13,6 @@
 SHORTEST_RETRY_AFTER_S = 1.0
 MAX_LOOKAHEAD = 32
 
-OUTCOME_DONE = "done"
-OUTCOME_FAILED = "failed"
-OUTCOME_CANCELLED = "cancelled"
-OUTCOME_PREEMPTED = "preempted"
-OUTCOME_NOT_SENT = "not_sent"
-
 
 class PoolQueue:
     """Owns the queue and the server table of a pool.
@@ -175,11 +170,11 @@
         self, entry, server, outcome, now_s, first_token_s, duration_s,
         output_tokens, cached_share,
     ) -> None:  # fmt: skip
-        if outcome in (OUTCOME_FAILED, OUTCOME_NOT_SENT):
+        if outcome in (outcomes.FAILED, outcomes.NOT_SENT):
             server.breaker.failed(now_s)
             server.is_proven = False
             return
-        if outcome != OUTCOME_DONE:
+        if outcome != outcomes.DONE:
             server.breaker.abandoned()
             return
         server.breaker.succeeded()
--- a/src/bilberryturn/scheduling/suspects.py
+++ b/src/bilberryturn/scheduling/suspects.py
@@ -1,7 +1,6 @@
 """Find requests that crash the servers that run them."""
 
 MARK_TTL_S = 600.0
-QUARANTINE_S = 600.0
 MARKS_TO_QUARANTINE = 2
 MAX_FINGERPRINTS = 10000
 
--- a/src/bilberryturn/usage/ledger.py
+++ b/src/bilberryturn/usage/ledger.py
@@ -120,11 +120,6 @@
             self._sealed.pop(batch_id, None)
             self._held.pop(batch_id, None)
 
-    def pending_count(self) -> int:
-        """Return how many own batches are not yet flushed."""
-        with self._lock:
-            return len(self._sealed) + (self._open is not None)
-
     def hold(self, batch: Batch) -> None:
         """Keep a peer's batch; an older revision is passed over."""
         with self._lock:
--- a/src/bilberryturn/usage/reporter.py
+++ b/src/bilberryturn/usage/reporter.py
@@ -13,7 +13,6 @@
 from bilberryturn.platform import tables
 from bilberryturn.usage import store
 
-LEASE_NAME = "usage-reporter"
 CURSOR_KEY = "usage/cursor"
 WINDOWS_PER_RUN = 100
 
