--- a/features/environment.py
+++ b/features/environment.py
@@ -13,7 +13,8 @@
 
 
 def after_scenario(context, scenario):
-    if scenario.status == model.Status.failed and context.cluster:
+    has_failed = scenario.status in (model.Status.failed, model.Status.error)
+    if has_failed and context.cluster:
         for node in context.cluster.nodes:
             if not node.log_path.exists():
                 continue
--- a/features/product.feature
+++ b/features/product.feature
@@ -99,3 +99,7 @@
     Given a cluster of 1 domains with 1 node each
     When 60 connections send half a request each
     Then the caller is answered meanwhile
+
+  Scenario: A job goes on after its interval or its work has failed
+    When a job's work and its interval fail now and then
+    Then the job has still run 5 times
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -19,6 +19,7 @@
 from bilberryturn import events
 from bilberryturn import messages
 from bilberryturn.conf import global_settings
+from bilberryturn.daemon import jobs
 from bilberryturn.declarations import models
 from bilberryturn.tool import main as tool_main
 from bilberryturn_standins import caller
@@ -392,3 +393,32 @@
     context.caller.profile = "front-desk"
     answer = context.caller.chat("hello", 6)
     assert answer.complete, (answer.status, answer.failure)
+
+
+@behave.when("a job's work and its interval fail now and then")
+def step_failing_job(context):
+    context.runs = []
+    calls = []
+
+    def interval_s():
+        calls.append(1)
+        if len(calls) == 3:
+            raise RuntimeError("the members changed meanwhile")
+        return 0.01
+
+    def work():
+        context.runs.append(1)
+        if len(context.runs) == 2:
+            raise RuntimeError("work failed")
+
+    runner = jobs.JobRunner()
+    runner.every("test", interval_s, work)
+    runner.start()
+    context.closers.append(runner.stop)
+
+
+@behave.then("the job has still run {count:d} times")
+def step_ran(context, count):
+    cluster_module.wait_for(
+        lambda: len(context.runs) >= count, "the job to run", 20
+    )
--- a/features/steps/whole_steps.py
+++ b/features/steps/whole_steps.py
@@ -29,6 +29,18 @@
     context.cluster.proxy.set_rules([])
 
 
+def disturb_path(mode, delay_s=0.0):
+    """Return a fault that disturbs the path to an engine for a while."""
+
+    def disturb(context, standin):
+        rules = [proxy.Rule("", standin.address, mode, delay_s)]
+        context.cluster.proxy.set_rules(rules)
+        time.sleep(STALL_S)
+        context.cluster.proxy.set_rules([])
+
+    return disturb
+
+
 def stall(context, standin):
     standin.stall = True
     time.sleep(STALL_S)
@@ -53,6 +65,9 @@
     "a crash": crash,
     "a cut of one stream": cut_stream,
     "a cut of its path": cut_path,
+    "a frozen path": disturb_path("freeze"),
+    "a half-open path": disturb_path("half_open"),
+    "a slow path": disturb_path("delay", 0.2),
     "a stall": stall,
     "duplicates after a resumption": duplicate,
     "a cut without resumption": cut_without_resumption,
--- a/features/whole.feature
+++ b/features/whole.feature
@@ -14,6 +14,9 @@
       | a crash                                |
       | a cut of one stream                    |
       | a cut of its path                      |
+      | a frozen path                          |
+      | a half-open path                       |
+      | a slow path                            |
       | a stall                                |
       | duplicates after a resumption          |
       | a cut without resumption               |
--- a/src/bilberryturn/daemon/jobs.py
+++ b/src/bilberryturn/daemon/jobs.py
@@ -77,7 +77,9 @@
         return min(max(left_s, SHORTEST_STEP_S), LONGEST_STEP_S)
 
     def _run_job(self, job: _Job) -> None:
+        interval_s = LONGEST_STEP_S
         try:
+            interval_s = job.interval_s()
             job.function()
         except Exception as error:
             events.log(
@@ -86,7 +88,6 @@
                 error=f"{type(error).__name__}: {error}",
             )
         finally:
-            interval_s = job.interval_s()
             jitter_s = random.uniform(-1, 1) * JITTER_SHARE * interval_s
             job.due_s = time.monotonic() + interval_s + jitter_s
             job.is_running = False
--- a/src/bilberryturn/membership/directory.py
+++ b/src/bilberryturn/membership/directory.py
@@ -172,8 +172,10 @@
     def relays(self) -> list[str]:
         """Return the names of the members that relay for the domain."""
         role = f"relay/{self.failure_domain}"
-        stable = [m.name for m in self.members.values() if not m.leaving]
-        ranked = rendezvous.rank(stable or self.members, role)
+        # Jobs ask too, so the control thread may change the members meanwhile.
+        members = list(self.members.values())
+        stable = [m.name for m in members if not m.leaving]
+        ranked = rendezvous.rank(stable or [m.name for m in members], role)
         return ranked[:RELAYS_PER_DOMAIN]
 
     def relay_targets(self, domain: RemoteDomain) -> list[str]:
