Show the fault proxy's modes, role orders and Retry-After by tests

Cause: the proxy's drop, half-open and freeze modes, role orders and the header were built and not shown.

--- a/features/contracts.feature
+++ b/features/contracts.feature
@@ -40,4 +40,18 @@
       | old orders are refused          |
       | old orders may be ignored       |
       | a model can be loaded           |
+      | a role can be changed           |
       | a poisoned prompt crashes it    |
+
+  Scenario Outline: The fault proxy can <mode>
+    Given the stand-in of an engine
+    Then a request through the proxy under "<mode>" gets <result>
+
+    Examples:
+      | mode      | result               |
+      | none      | an answer            |
+      | delay     | an answer, later     |
+      | drop      | no answer            |
+      | half_open | no answer            |
+      | freeze    | an answer when mended |
+      | cut       | a broken connection  |
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -14,6 +14,7 @@
 from bilberryturn_standins import cluster as cluster_module
 from bilberryturn_standins import engine
 from bilberryturn_standins import platform as platform_standin
+from bilberryturn_standins import proxy
 from bilberryturn_standins import server
 
 MODEL = "tatami-small"
@@ -457,6 +458,15 @@
     assert call(context, "POST", path, body)[0] == 200
 
 
+def engine_role(context):
+    order = {"kind": "change_role", "role": "prefill", "fencing_number": 3}
+    assert call(context, "POST", "/orders", order)[0] == 200
+    report = json.loads(call(context, "GET", "/load")[1])
+    assert report["role"] == "prefill", report
+    order = {**order, "role": "decode", "fencing_number": 2}
+    assert call(context, "POST", "/orders", order)[0] == 412
+
+
 def engine_crashes(context):
     answer = chat(context, engine.POISON, 3)
     assert answer.failure and context.engine.crashes == 1
@@ -482,6 +492,7 @@
     "old orders are refused": engine_old_orders,
     "old orders may be ignored": engine_ignores,
     "a model can be loaded": engine_loads,
+    "a role can be changed": engine_role,
     "a poisoned prompt crashes it": engine_crashes,
 }
 
@@ -489,3 +500,34 @@
 @behave.then("the engine keeps the clause: {clause}")
 def step_engine_clause(context, clause):
     ENGINE_CLAUSES[clause](context)
+
+
+PROXY_DELAY_S = 0.3
+PROXY_PATIENCE_S = 1.5
+
+
+@behave.then('a request through the proxy under "{mode}" gets {result}')
+def step_proxy(context, mode, result):
+    faults = proxy.FaultProxy(context.loop_thread)
+    context.closers.append(faults.stop)
+    address = faults.listen(context.engine.address)
+    if mode != "none":
+        rule = proxy.Rule("", context.engine.address, mode, PROXY_DELAY_S)
+        faults.set_rules([rule])
+    patience_s = 20.0 if mode == "freeze" else PROXY_PATIENCE_S
+    sender = caller.Caller(address, timeout_s=patience_s)
+    with concurrent.futures.ThreadPoolExecutor(1) as pool:
+        running = pool.submit(sender.chat, "through", 3, False, MODEL)
+        if mode == "freeze":
+            time.sleep(PROXY_PATIENCE_S)
+            assert not running.done()
+            faults.set_rules([])
+        answer = running.result(30)
+    if result.startswith("an answer"):
+        assert answer.complete, answer.failure
+        slow = result != "an answer"
+        assert answer.total_s > PROXY_DELAY_S or not slow, answer.total_s
+    elif result == "no answer":
+        assert "timed out" in answer.failure, answer.failure
+    else:
+        assert answer.failure and answer.total_s < PROXY_PATIENCE_S
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -171,6 +171,8 @@
     assert answer.status == int(status), (answer.status, answer.body)
     assert answer.code == code, answer.error
     assert answer.ran == ran, answer.error
+    if answer.status == 503:
+        assert int(answer.headers["retry-after"]) >= 1, answer.headers
 
 
 @behave.then("the caller first gets {expected}")
--- a/src/bilberryturn_standins/engine.py
+++ b/src/bilberryturn_standins/engine.py
@@ -111,6 +111,7 @@
         self.duplicate_events = False
         self.refuse_resume = False
         self.fencing_seen = 0
+        self.role = "mixed"
         self.orders: list[dict] = []
         self.loaded_models = set(options.models)
         self._running = 0
@@ -453,6 +454,7 @@
             {
                 "running": running,
                 "slots": self.options.slots,
+                "role": self.role,
                 "models": sorted(self.loaded_models),
             }
         )
@@ -486,6 +488,8 @@
         self.orders.append(order)
         if order["kind"] == "load_model":
             self.loaded_models.add(order["model"])
+        if order["kind"] == "change_role":
+            self.role = order["role"]
         return web.json_response({"state": "accepted"})
 
     async def _health(self, request):
