Split the fleet controller's view of servers from its decision

Cause: one method built views twice and filtered orders in two places. Change: _server_views builds them once.

--- a/src/bilberryturn/fleet/controller.py
+++ b/src/bilberryturn/fleet/controller.py
@@ -115,22 +115,11 @@
         names = (target, f"service:{target}")
         wanted = {f"{self._options.failure_domain}/{name}" for name in names}
         summaries = [p for p in view.pools if p.pool in wanted]
-        busy = sum(p.busy for p in summaries)
-        marks = view.declared.backend_server_marks
-        views = [
-            scaling.ServerView(
-                server["name"],
-                server.get("state", vms.RUNNING) == vms.RUNNING
-                and server["name"] not in marks,
-                server.get("cheap", False),
-                server.get("slots", 8),
-                0 if busy == 0 else 1,
-            )
-            for server in serving
-        ]
-        running = sum(1 for v in views if v.is_running)
-        per_server = busy // running if running else 0
-        views = [v._replace(busy=per_server) for v in views]
+        views = _server_views(
+            serving,
+            sum(p.busy for p in summaries),
+            view.declared.backend_server_marks,
+        )
         scaler = self._scalers.setdefault(
             target, scheduling.Scaler(self._scaler_options)
         )
@@ -140,14 +129,14 @@
             sum(p.cheap_waiting for p in summaries),
             self._clock(),
         )
-        kept = [order for order in orders if order.desired == vms.RUNNING]
         for order in orders:
             if order.desired == vms.STOPPED:
                 self._mark_draining(order.server, view.declared)
         return [
             order
-            for order in kept
-            if not self._clear_mark(order.server, view.declared)
+            for order in orders
+            if order.desired == vms.RUNNING
+            and not self._clear_mark(order.server, view.declared)
         ]
 
     def _is_kept_out(self, server: dict, declared) -> bool:
@@ -231,3 +220,26 @@
             epoch=epoch,
         )
         return True
+
+
+def _server_views(
+    servers: list[dict], busy: int, marks: dict
+) -> list[scaling.ServerView]:
+    """Return servers as the scaler sees them, with the load spread evenly."""
+    running = [
+        server["name"]
+        for server in servers
+        if server.get("state", vms.RUNNING) == vms.RUNNING
+        and server["name"] not in marks
+    ]
+    share = busy // len(running) if running else 0
+    return [
+        scaling.ServerView(
+            server["name"],
+            server["name"] in running,
+            server.get("cheap", False),
+            server.get("slots", 8),
+            share,
+        )
+        for server in servers
+    ]
