Close an engine's connection in one place

Cause: _finish_call and _abort_call did the same with the same call. Change: the first is gone. Result: behaviour as before; eight scenarios that end, cut or withdraw streams pass (path 3, whole 4, keys 1); lint and contracts clean.

--- a/src/bilberryturn/entry/completions.py
+++ b/src/bilberryturn/entry/completions.py
@@ -337,7 +337,8 @@
         """Yield the new events of one connection until the answer ends."""
         for event in self._decoded(call):
             if event.data == "[DONE]":
-                self._finish_call(call)
+                # What may follow the end of the answer is dropped.
+                self._abort_call()
                 return
             chunk = self._answer.take_event(event)
             if chunk is not None:
@@ -384,12 +385,8 @@
             if isinstance(event, backends.CallEnd):
                 return b"".join(parts)
 
-    def _finish_call(self, call: backends.Call) -> None:
-        """Drop what may follow the end of the answer."""
-        self._call = None
-        self._node.stream_loop.cancel(call)
-
     def _abort_call(self) -> None:
+        """Close the connection to the engine if there is one."""
         call, self._call = self._call, None
         if call is not None:
             self._node.stream_loop.cancel(call)
