--- /dev/null
+++ b/features/support/gateway_rig.py
@@ -0,0 +1,198 @@
+"""Run the gateway on loopback in front of scripted servers."""
+
+import asyncio
+import socket
+import threading
+import time
+
+from bilberryturn.gateway import beliefs
+from bilberryturn.gateway import server
+from bilberryturn.gateway import upstream
+from bilberryturn.routing import table
+from bilberryturn.routing import types
+from support import scripted
+
+KEY = "key-1"
+KINDS = {
+    "safe": types.Repeatability.IDEMPOTENT,
+    "unsafe": types.Repeatability.AT_MOST_ONCE,
+    "resumable": types.Repeatability.RESUMABLE,
+    "stream": types.Repeatability.AT_MOST_ONCE,
+}
+
+
+def make_route(kind, **changes):
+    """Return the route of a kind of request, under /KIND/."""
+    route = types.Route(
+        name=kind,
+        host="h.example",
+        prefix=f"/{kind}/",
+        repeatability=KINDS[kind],
+        is_stream=kind in ("resumable", "stream"),
+        timeout_s=3.0,
+        target_s=0.5,
+        gap_target_s=0.2,
+        priority=0,
+        attempts=1 if kind in ("unsafe", "stream") else 2,
+        is_public=False,
+        targets=(types.Target("app", 1.0),),
+    )
+    return route._replace(**changes)
+
+
+def make_table(version=1, keys=(KEY,), **changes):
+    """Return a configuration with one route of each kind."""
+    return table.RouteTable(
+        version,
+        [make_route(kind, **changes) for kind in KINDS],
+        [types.Service("app", 100, None, None)],
+        types.Limits(body_bytes=100_000),
+        {
+            table.key_hash(key): types.ClientAccount("workshop", None)
+            for key in keys
+        },
+    )
+
+
+def make_server(name, port, **changes):
+    """Return a backend server on loopback."""
+    found = types.BackendServer(
+        name, "app", "127.0.0.1", port, "here", 8, False, False, 1, 1
+    )
+    return found._replace(**changes)
+
+
+class Rig:
+    """Holds a gateway with its event loop on a thread.
+
+    Attributes:
+        shared: What the gateway believes.
+        port: Where callers connect.
+    """
+
+    def __init__(self, servers, route_table=None):
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        self.call(self._start, servers, route_table or make_table())
+
+    def call(self, function, *arguments):
+        """Run a coroutine function on the loop and wait for it."""
+        return asyncio.run_coroutine_threadsafe(
+            function(*arguments), self.loop
+        ).result(10)
+
+    async def _start(self, servers, route_table):
+        self.shared = beliefs.Shared(
+            "here",
+            beliefs.RepeatLimits(0.2, 10.0, 10.0),
+            5.0,
+            upstream.ConnectionPool(),
+            lambda print_, count: None,
+        )
+        self.shared.table = route_table
+        for found in servers:
+            self.shared.directory.report(found, time.monotonic())
+        self.server = server.CallerServer(self.shared)
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            self.port = probe.getsockname()[1]
+        await self.server.start("127.0.0.1", self.port)
+
+    def close(self):
+        async def stop():
+            self.server.stop_listening()
+            self.server.abort_all()
+
+        self.call(stop)
+        self.loop.call_soon_threadsafe(self.loop.stop)
+
+
+def request_text(kind, request_id, key=KEY, extra="", body=b"", path="x"):
+    """Return a request of a kind as a caller sends it."""
+    method = "GET" if kind == "safe" and not body else "POST"
+    length = f"Content-Length: {len(body)}\r\n" if method == "POST" else ""
+    head = (
+        f"{method} /{kind}/{path} HTTP/1.1\r\nHost: h.example\r\n"
+        f"X-Bilberryturn-Attempt-Id: {request_id}\r\n"
+        f"Authorization: Bearer {key}\r\n{extra}{length}\r\n"
+    )
+    return head.encode("latin-1") + body
+
+
+class Answer:
+    """Holds what a caller saw of one answer.
+
+    Attributes:
+        is_whole: Whether the answer ended as its framing says.
+    """
+
+    def __init__(self, head, body, is_whole):
+        self.head = head
+        self.body = body
+        self.is_whole = is_whole
+        self.status = int(head.split(" ", 2)[1]) if head else 0
+
+    def header(self, name):
+        """Return a header of the answer."""
+        return scripted.header(self.head, name)
+
+
+def connect(port):
+    """Return a caller's connection."""
+    connection = socket.create_connection(("127.0.0.1", port), 5)
+    connection.settimeout(8)
+    return connection
+
+
+def ask(port, data, connection=None):
+    """Send a request and return the Answer."""
+    own = connection or connect(port)
+    own.sendall(data)
+    answer = read_answer(own)
+    if connection is None:
+        own.close()
+    return answer
+
+
+def read_answer(connection):
+    """Read one answer; an early end is noted in it."""
+    buffer = b""
+    try:
+        while b"\r\n\r\n" not in buffer:
+            data = connection.recv(65536)
+            if not data:
+                return Answer("", buffer, False)
+            buffer += data
+        head, _, rest = buffer.partition(b"\r\n\r\n")
+        text = head.decode("latin-1")
+        if (scripted.header(text, "transfer-encoding") or "") == "chunked":
+            return _read_chunks(connection, text, rest)
+        length = int(scripted.header(text, "content-length") or 0)
+        while len(rest) < length:
+            data = connection.recv(65536)
+            if not data:
+                return Answer(text, rest, False)
+            rest += data
+        return Answer(text, rest, True)
+    except ConnectionResetError:
+        return Answer("", buffer, False)
+
+
+def _read_chunks(connection, text, rest):
+    body = b""
+    while True:
+        line, found, after = rest.partition(b"\r\n")
+        if found:
+            size = int(line, 16)
+            if len(after) >= size + 2:
+                body += after[:size]
+                rest = after[size + 2 :]
+                if size == 0:
+                    return Answer(text, body, True)
+                continue
+        try:
+            data = connection.recv(65536)
+        except ConnectionResetError:
+            return Answer(text, body, False)
+        if not data:
+            return Answer(text, body, False)
+        rest += data
--- /dev/null
+++ b/features/support/scripted.py
@@ -0,0 +1,128 @@
+"""Backend servers for tests that answer each connection by a script."""
+
+import socket
+import struct
+import threading
+
+SEAL = "X-Bilberryturn-Server-Seal: s.1\r\n"
+
+
+class ScriptedServer:
+    """Listens on loopback and runs one function for each request.
+
+    Attributes:
+        requests: Head and body of each request received, in order.
+    """
+
+    def __init__(self, script):
+        self.requests = []
+        self._script = script
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.port = self._socket.getsockname()[1]
+        self._lock = threading.Lock()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def close(self):
+        self._socket.close()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        peer = Peer(connection)
+        try:
+            while True:
+                head, body = peer.read_request()
+                if head is None:
+                    break
+                with self._lock:
+                    self.requests.append((head, body))
+                    number = len(self.requests)
+                if self._script(peer, head, body, number) == "close":
+                    break
+        except OSError:
+            pass
+        finally:
+            connection.close()
+
+
+class Peer:
+    """Is one accepted connection."""
+
+    def __init__(self, connection):
+        self.connection = connection
+        self._buffer = b""
+
+    def read_request(self):
+        """Return head and body of the next request, or None at the end."""
+        while b"\r\n\r\n" not in self._buffer:
+            data = self.connection.recv(65536)
+            if not data:
+                return None, b""
+            self._buffer += data
+        head, _, rest = self._buffer.partition(b"\r\n\r\n")
+        text = head.decode("latin-1")
+        length = 0
+        for line in text.split("\r\n")[1:]:
+            name, _, value = line.partition(":")
+            if name.lower() == "content-length":
+                length = int(value)
+        while len(rest) < length:
+            rest += self.connection.recv(65536)
+        self._buffer = rest[length:]
+        return text, rest[:length]
+
+    def send(self, text):
+        """Send bytes or text."""
+        data = text if isinstance(text, bytes) else text.encode("latin-1")
+        self.connection.sendall(data)
+
+    def reset(self):
+        """Close so that the other side sees a reset."""
+        self.connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        self.connection.close()
+
+    def answer(self, head, body=b"", status="200 OK", extra="", request=None):
+        """Send a sealed answer with a length."""
+        request = request or header(head, "X-Bilberryturn-Attempt-Id")
+        self.send(
+            f"HTTP/1.1 {status}\r\nX-Bilberryturn-Attempt-Id: {request}\r\n"
+            f"{SEAL}{extra}Content-Length: {len(body)}\r\n\r\n"
+        )
+        self.send(body)
+
+    def start_stream(self, head):
+        """Send the head of a chunked stream."""
+        request = header(head, "X-Bilberryturn-Attempt-Id")
+        self.send(
+            f"HTTP/1.1 200 OK\r\nX-Bilberryturn-Attempt-Id: {request}\r\n"
+            f"{SEAL}Content-Type: text/event-stream\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+
+    def chunk(self, data):
+        """Send one chunk; an empty one ends the stream."""
+        self.send(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+def header(head, name):
+    """Return the value of a header, or None."""
+    for line in head.split("\r\n")[1:]:
+        found, _, value = line.partition(":")
+        if found.lower() == name.lower():
+            return value.strip()
+    return None
+
+
+def event(number):
+    """Return an event of a stream."""
+    return b"id: %d\ndata: token-%d\n\n" % (number, number)
--- a/src/bilberryturn/gateway/events_stream.py
+++ b/src/bilberryturn/gateway/events_stream.py
@@ -38,10 +38,12 @@
         """Return whether a part of an event is held back."""
         return bool(self._buffer)
 
-    def take_partial(self) -> bytes:
-        """Return and drop what follows the last whole event."""
-        rest, self._buffer = self._buffer, b""
-        return rest
+    def drop_partial(self) -> None:
+        """Forget a part whose rest will never come.
+
+        A resumed stream sends the event from its beginning.
+        """
+        self._buffer = b""
 
     def _note(self, whole: bytes) -> None:
         for line in whole.splitlines():
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -255,6 +255,7 @@
         shared = self._shared
         server = chosen.server
         self._server_id = server.server_id
+        self._splitter.drop_partial()
         self._excluded.add(server.server_id)
         self._ticket = shared.chooser.begin(chosen, self._wish, _now())
         repeatable = (
@@ -370,7 +371,6 @@
             if whole:
                 await self._pass_on(head, whole)
         if self._splitter.has_partial:
-            self._splitter.take_partial()
             raise upstream.UpstreamError("stream ended inside an event", True)
         if not self._stream_started:
             self._caller.start_stream(head.status, head.headers)
