--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -164,7 +164,7 @@
             service,
             shared.failure_domain,
             headers.prompt if service.engine else None,
-            priority,
+            route.gap_target_s,
         )
         return await self._serve()
 
--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -30,6 +30,16 @@
 # A smoothed share of failures loses half of its value in this time, so that
 # a mended server is tried again.
 FAILURE_HALF_LIFE_S = 3.0
+# Longest step of an engine that reads a long prompt beside running requests;
+# at 51.1 tokens a millisecond a piece of 2,048 tokens takes 40 ms, and a
+# third more with a long context.
+LONG_STEP_S = 0.06
+# Share of a failure domain's engines that read no long prompts while others
+# can.
+QUIET_SHARE = 0.3
+# Cost of sending a request to an engine of the other kind: its own pauses, or
+# those of all that run there, grow beyond their target.
+MIXING_COST_S = 0.4
 # Parts remembered for each server.
 MAX_CACHED_PARTS = 4000
 
@@ -40,12 +50,13 @@
     Attributes:
         failure_domain: Where the caller's node runs.
         prompt: The prompt, or None for a plain service.
+        gap_target_s: Longest pause between events that is on time.
     """
 
     service: types.Service
     failure_domain: str
     prompt: types.Prompt | None
-    priority: int
+    gap_target_s: float = 0.0
 
 
 class Choice(NamedTuple):
@@ -95,6 +106,31 @@
     return prompt.parts[-2].part_id
 
 
+def needs_quiet(wish: Wish) -> bool:
+    """Return whether long prompts beside it would break a request's target."""
+    engine = wish.service.engine
+    if engine is None or wish.gap_target_s <= 0:
+        return False
+    return wish.gap_target_s < LONG_STEP_S * engine.tokens_per_event
+
+
+def quiet_servers(servers: list[types.BackendServer]) -> set[str]:
+    """Return the engines that read no long prompts while others can.
+
+    All nodes choose the same ones without a message: those that rank first by
+    hash in each failure domain, servers that cannot be reclaimed before.
+    """
+    by_domain: dict[str, list[types.BackendServer]] = {}
+    for server in servers:
+        by_domain.setdefault(server.failure_domain, []).append(server)
+    quiet: set[str] = set()
+    for found in by_domain.values():
+        count = round(len(found) * QUIET_SHARE)
+        found.sort(key=lambda s: (s.is_cheap, home_score("quiet", s.server_id)))
+        quiet.update(s.server_id for s in found[:count])
+    return quiet
+
+
 class Chooser:
     """Counts this node's own work and chooses servers by it."""
 
@@ -113,10 +149,22 @@
         """Return the server with the least expected time to an answer."""
         candidates = [s for s in servers if s.server_id not in excluded]
         allowed = [s for s in candidates if self._load(s).breaker.allows(now_s)]
-        home = self._home(wish, allowed or candidates)
+        allowed = allowed or candidates
+        quiet = quiet_servers(servers) if wish.prompt is not None else set()
+        mixing = {
+            s.server_id
+            for s in allowed
+            if quiet and (s.server_id in quiet) != needs_quiet(wish)
+        }
+        matching = [s for s in allowed if s.server_id not in mixing]
+        home = self._home(wish, matching or allowed)
         best = None
-        for server in allowed or candidates:
+        for server in allowed:
             choice = self._rate(wish, server, now_s, server is home)
+            if server.server_id in mixing:
+                choice = choice._replace(
+                    expected_s=choice.expected_s + MIXING_COST_S
+                )
             if best is None or choice.expected_s < best.expected_s:
                 best = choice
         return best
