Order reclaimable servers in place of the others

One steady server stays in each failure domain, as many reclaimable ones as there were first; what is missing is ordered in steady ones.

--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -6,6 +6,7 @@
 
 from bilberryturn import events
 from bilberryturn import leases
+from bilberryturn.edge import orders
 from bilberryturn.edge import presence
 from bilberryturn.edge import usage_windows
 
@@ -33,7 +34,8 @@
         here: presence.Presence,
         sealer: usage_windows.Sealer,
         reporter: usage_windows.Reporter | None,
-        orders,
+        servers_orders: orders.Orders | None,
+        is_first_start: bool,
     ):
         """Set the duties.
 
@@ -45,7 +47,8 @@
             here: The other nodes.
             sealer: Writes this node's own usage.
             reporter: Reports usage, if that is a duty here.
-            orders: Orders servers, if that is a duty here.
+            servers_orders: Orders servers, if that is a duty here.
+            is_first_start: Whether no node has run before.
         """
         self._name = name
         self._lease = lease
@@ -53,11 +56,13 @@
         self._here = here
         self._sealer = sealer
         self._reporter = reporter
-        self._orders = orders
+        self._orders = servers_orders
         self._held_since_s: float | None = None
         # A process that starts waits before it asks for the lease: it may
         # have held it in its last lifetime.
-        self._look_s = leases.boottime_s() + lease_s
+        self._look_s = leases.boottime_s()
+        if not is_first_start:
+            self._look_s += lease_s
         self._presence_s = 0.0
 
     def run(self, stopping: threading.Event) -> None:
@@ -86,7 +91,7 @@
             return
         if self._reporter is not None:
             self._reporter.step(time.time())
-        if self._orders is not None and self._may_act():
+        if self._orders is not None:
             self._orders.step(now_s)
 
     def _hold(self, now_s: float) -> bool:
@@ -98,6 +103,8 @@
             self._held_since_s = None
             if self._reporter is not None:
                 self._reporter.lost()
+            if self._orders is not None:
+                self._orders.lost()
             return False
         if self._held_since_s is None:
             self._held_since_s = now_s
@@ -105,10 +112,12 @@
 
     def _may_act(self) -> bool:
         held_s = self._held_since_s
+        if held_s is None or not self._lease.believes():
+            return False
+        # Nobody can have acted before the first holder.
         return (
-            held_s is not None
-            and leases.boottime_s() - held_s >= self._lease_s
-            and self._lease.believes()
+            self._lease.epoch == 1
+            or leases.boottime_s() - held_s >= self._lease_s
         )
 
     def _look_interval_s(self, held: bool) -> float:
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -11,6 +11,7 @@
 from bilberryturn import metrics
 from bilberryturn.edge import duties
 from bilberryturn.edge import feeds
+from bilberryturn.edge import orders
 from bilberryturn.edge import presence
 from bilberryturn.edge import usage_windows
 from bilberryturn.gateway import beliefs
@@ -141,15 +142,19 @@
             leases.LeaseOptions(settings.lease_s, duties.LEASE_MARGIN_S),
             store,
         )
-        reporter = None
-        if settings.duties is not None and "usage" in settings.duty_names:
-            reporter = usage_windows.Reporter(
-                store,
-                lease,
-                duty_calls.DutyCalls(self._duty_client(), settings.name),
-                settings.usage_window_s,
-                settings.usage_due_s,
-            )
+        reporter = server_orders = None
+        if settings.duties is not None:
+            calls = duty_calls.DutyCalls(self._duty_client(), settings.name)
+            if duty_calls.USAGE in settings.duty_names:
+                reporter = usage_windows.Reporter(
+                    store,
+                    lease,
+                    calls,
+                    settings.usage_window_s,
+                    settings.usage_due_s,
+                )
+            if duty_calls.SERVERS in settings.duty_names:
+                server_orders = orders.Orders(store, lease, calls, self.shared)
         lifetime = f"{settings.name}@{int(time.time() * 1000)}"
         sealer = usage_windows.Sealer(store, lifetime, self.shared.usage)
         return duties.DutyKeeper(
@@ -159,7 +164,8 @@
             here,
             sealer,
             reporter,
-            None,
+            server_orders,
+            settings.is_first_start,
         )
 
     def _duty_client(self) -> http.HttpClient:
--- /dev/null
+++ b/src/bilberryturn/edge/orders.py
@@ -0,0 +1,125 @@
+"""Order backend servers while this node holds the lease."""
+
+import expression
+
+from bilberryturn import events
+from bilberryturn import leases
+from bilberryturn.gateway import beliefs
+from bilberryturn.platform import duty_calls
+from bilberryturn.platform import rows
+from bilberryturn.platform import tables
+from bilberryturn.routing import provisioning
+from bilberryturn.routing import types
+
+BASELINE_PREFIX = "fleet/"
+# Servers register within one of their heartbeats (1.2 s) after they start; the
+# baseline is taken once their number has not grown for twice as long.
+SETTLED_S = 2.4
+
+
+class Orders:
+    """Sends the orders that the decision asks for."""
+
+    def __init__(
+        self,
+        store: rows.RowStore,
+        lease: leases.Lease,
+        calls: duty_calls.DutyCalls,
+        shared: beliefs.Shared,
+    ):
+        """Set what to order with.
+
+        Args:
+            store: Keeps what each service was first given.
+            lease: Right to order; its epoch is the fencing number.
+            calls: Where orders go.
+            shared: Known services and servers.
+        """
+        self._store = store
+        self._lease = lease
+        self._calls = calls
+        self._shared = shared
+        self._book = provisioning.OrderBook()
+        self._baselines: dict[str, dict[str, int]] = {}
+        self._sizes: dict[str, tuple[int, float]] = {}
+
+    def lost(self) -> None:
+        """Note that this node does not hold the lease."""
+        self._book.clear()
+
+    def step(self, now_s: float) -> None:
+        """Send the orders that are due."""
+        table = self._shared.table
+        if table is None:
+            return
+        for service in list(table.services.values()):
+            if service.scaling is not None:
+                self._step_service(service, now_s)
+
+    def _step_service(self, service: types.Service, now_s: float) -> None:
+        servers = self._shared.directory.usable(service.name)
+        counts = provisioning.count_servers(servers)
+        baseline = self._baseline(service.name, counts, now_s)
+        if not baseline:
+            return
+        orders = provisioning.plan(service, baseline, counts)
+        for order in self._book.due(orders, counts, now_s):
+            if not self._lease.believes():
+                return
+            result = self._send(order)
+            self._book.note(order, now_s)
+            events.log(
+                events.ORDER_SENT if result.is_ok() else events.ORDER_REFUSED,
+                order="servers",
+                service=order.service,
+                failure_domain=order.failure_domain,
+                cheap=order.is_cheap,
+                count=order.count,
+                epoch=self._lease.epoch,
+                servers_age_s=self._shared.servers_age_s(),
+                error=None if result.is_ok() else str(result.error),
+            )
+
+    def _send(self, order: provisioning.Order) -> expression.Result:
+        return self._calls.order_servers(
+            order.service,
+            order.failure_domain,
+            order.count,
+            order.is_cheap,
+            self._lease.epoch,
+        )
+
+    def _baseline(
+        self,
+        service: str,
+        counts: dict[str, provisioning.Counts],
+        now_s: float,
+    ) -> dict[str, int]:
+        """Return what the service was first given, kept in the store."""
+        known = self._baselines.get(service)
+        if known is not None:
+            return known
+        key = BASELINE_PREFIX + service
+        found = self._store.read(key)
+        if found.is_error():
+            return {}
+        value = found.ok.value
+        if value is None:
+            value = {d: c.steady + c.cheap for d, c in counts.items()}
+            if not self._is_settled(service, sum(value.values()), now_s):
+                return {}
+            result = self._store.transact(
+                {key: 0, **self._lease.epoch_check()}, {key: value}
+            )
+            if result.is_error() or isinstance(result.ok, tables.Failed):
+                return {}
+        self._baselines[service] = value
+        return value
+
+    def _is_settled(self, service: str, size: int, now_s: float) -> bool:
+        """Return whether the number of servers has stopped to grow."""
+        known, since_s = self._sizes.get(service, (0, now_s))
+        if size > known:
+            known, since_s = size, now_s
+        self._sizes[service] = (known, since_s)
+        return known > 0 and now_s - since_s >= SETTLED_S
--- a/src/bilberryturn/platform/duty_calls.py
+++ b/src/bilberryturn/platform/duty_calls.py
@@ -8,7 +8,9 @@
 from bilberryturn.platform import http
 from bilberryturn.platform import wire
 
-NONE_AVAILABLE = 409
+# Names of the duties in the settings.
+USAGE = "usage"
+SERVERS = "scale"
 
 
 class DutyCalls:
--- a/src/bilberryturn/platform/settings_file.py
+++ b/src/bilberryturn/platform/settings_file.py
@@ -36,6 +36,7 @@
             together.
         repeat_slack: Repeated sends allowed besides, all nodes together.
         usage_due_s: Time from the end of a window until its usage is due.
+        is_first_start: Whether the whole system starts for the first time.
     """
 
     name: str
@@ -60,7 +61,7 @@
     repeat_slack: float
     usage_window_s: float
     usage_due_s: float
-    vms_lost_at_once: int
+    is_first_start: bool
 
 
 def parse_lines(text: str) -> dict[str, str]:
@@ -189,7 +190,7 @@
         repeat_slack=reader.number("bounds.retrySlack", 10.0),
         usage_window_s=reader.number("bounds.usageWindowS", 5.0),
         usage_due_s=reader.number("bounds.usageDelayS", 10.0),
-        vms_lost_at_once=int(reader.number("tolerate.machines", 1)),
+        is_first_start=reader.text("bootstrap", "false") == "true",
     )
     if reader.faults:
         return expression.Error(reader.faults)
--- /dev/null
+++ b/src/bilberryturn/routing/provisioning.py
@@ -0,0 +1,149 @@
+"""Decide how many backend servers run in each failure domain.
+
+Pattern answered: cheap servers that vanish a failure domain at a time. They
+carry the load, spread over all failure domains; a few others stay everywhere,
+and more are ordered as soon as less is left than the load was first given.
+"""
+
+from collections.abc import Mapping
+import math
+from typing import NamedTuple
+
+from bilberryturn.routing import types
+
+# Servers that cannot be reclaimed, kept in each failure domain.
+FEWEST_STEADY = 1
+# An order is repeated after this time while what runs differs from it.
+REPEAT_ORDER_S = 3.0
+
+
+class Order(NamedTuple):
+    """Says how many servers of one kind are to run in a failure domain."""
+
+    service: str
+    failure_domain: str
+    is_cheap: bool
+    count: int
+
+
+class Counts(NamedTuple):
+    """Counts the servers of a failure domain that take requests."""
+
+    steady: int
+    cheap: int
+
+
+def count_servers(
+    servers: list[types.BackendServer],
+) -> dict[str, Counts]:
+    """Return the counts by failure domain."""
+    counts: dict[str, Counts] = {}
+    for server in servers:
+        if server.is_leaving:
+            continue
+        found = counts.get(server.failure_domain, Counts(0, 0))
+        if server.is_cheap:
+            found = found._replace(cheap=found.cheap + 1)
+        else:
+            found = found._replace(steady=found.steady + 1)
+        counts[server.failure_domain] = found
+    return counts
+
+
+def plan(
+    service: types.Service,
+    baseline: Mapping[str, int],
+    counts: Mapping[str, Counts],
+) -> list[Order]:
+    """Return the orders that should stand.
+
+    Args:
+        service: A service whose servers can be ordered.
+        baseline: Servers that each failure domain was first given.
+        counts: Servers that run now.
+    """
+    scaling = service.scaling
+    domains = sorted(baseline)
+    ready = sum(
+        counts.get(domain, Counts(0, 0)).steady
+        + counts.get(domain, Counts(0, 0)).cheap
+        for domain in domains
+    )
+    wanted = sum(baseline.values())
+    cheap = {d: _cheap_count(scaling, baseline[d]) for d in domains}
+    steady = {
+        d: max(FEWEST_STEADY, scaling.minimum - cheap[d]) for d in domains
+    }
+    cheap_ready = sum(counts.get(d, Counts(0, 0)).cheap for d in domains)
+    missing = wanted - cheap_ready - sum(steady.values())
+    _add_steady(scaling, steady, cheap, missing)
+    if ready < wanted:
+        # Nothing is taken away before its replacement runs.
+        for domain in domains:
+            running = counts.get(domain, Counts(0, 0)).steady
+            steady[domain] = max(steady[domain], running)
+    orders = []
+    for domain in domains:
+        if cheap[domain]:
+            orders.append(Order(service.name, domain, True, cheap[domain]))
+        orders.append(Order(service.name, domain, False, steady[domain]))
+    return orders
+
+
+def _cheap_count(scaling: types.Scaling, baseline: int) -> int:
+    if scaling.cheap_price is None or scaling.cheap_price >= 1:
+        return 0
+    return max(0, min(baseline, scaling.maximum - FEWEST_STEADY))
+
+
+def _add_steady(
+    scaling: types.Scaling,
+    steady: dict[str, int],
+    cheap: Mapping[str, int],
+    missing: int,
+) -> None:
+    """Add servers that cannot be reclaimed, the least expensive first."""
+    prices = scaling.domain_prices
+    for domain in sorted(steady, key=lambda d: (prices.get(d, math.inf), d)):
+        room = scaling.maximum - cheap[domain] - steady[domain]
+        added = max(0, min(room, missing))
+        steady[domain] += added
+        missing -= added
+
+
+class OrderBook:
+    """Remembers which orders were accepted, and when."""
+
+    def __init__(self):
+        self._accepted: dict[tuple[str, str, bool], tuple[int, float]] = {}
+
+    def due(
+        self,
+        orders: list[Order],
+        counts: Mapping[str, Counts],
+        now_s: float,
+    ) -> list[Order]:
+        """Return the orders to send now."""
+        return [o for o in orders if self._is_due(o, counts, now_s)]
+
+    def note(self, order: Order, now_s: float) -> None:
+        """Note an order that was sent, accepted or not."""
+        key = (order.service, order.failure_domain, order.is_cheap)
+        self._accepted[key] = (order.count, now_s)
+
+    def clear(self) -> None:
+        """Forget all: another node may have ordered since."""
+        self._accepted.clear()
+
+    def _is_due(
+        self, order: Order, counts: Mapping[str, Counts], now_s: float
+    ) -> bool:
+        key = (order.service, order.failure_domain, order.is_cheap)
+        found = self._accepted.get(key)
+        if found is None or found[0] != order.count:
+            return True
+        running = counts.get(order.failure_domain, Counts(0, 0))
+        is_met = order.count == (
+            running.cheap if order.is_cheap else running.steady
+        )
+        return not is_met and now_s - found[1] >= REPEAT_ORDER_S
