Read the store through one relay a failure domain

Nodes ranked first by hash read for the others, which ask them twice a second; a silent relay is passed over, and without one the store is read directly.

--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -1,6 +1,6 @@
 """Hold the lease for reports and orders, and do both while it is held."""
 
-import hashlib
+from collections.abc import Callable
 import threading
 import time
 
@@ -15,12 +15,17 @@
 LEASE_MARGIN_S = 0.5
 # A call of a duty must end while the lease is still believed in.
 DUTY_CALL_TIMEOUT_S = 0.9
-# Nodes that watch the lease closely; the others only look now and then, so
-# that reads of the store do not grow with the fleet.
-WATCHERS = 4
-DISTANT_LOOK_S = 8.0
+# How often a node that reads the store for others looks who holds the lease.
+LOOK_S = 1.5
+# The other nodes hardly look, so that calls do not grow with the fleet; a node
+# that loses its relay reads the store and looks.
+DISTANT_LOOK_S = 30.0
 STEP_S = 0.5
-PRESENCE_S = 15.0
+# Nodes that come or go are found by then; the dead are noticed sooner by
+# asking them.
+PRESENCE_S = 30.0
+# All nodes have written their rows this long after they start together.
+SECOND_LOOK_S = 3.0
 
 
 class DutyKeeper:
@@ -36,6 +41,7 @@
         reporter: usage_windows.Reporter | None,
         servers_orders: orders.Orders | None,
         is_first_start: bool,
+        reads_store: Callable[[], bool],
     ):
         """Set the duties.
 
@@ -49,6 +55,7 @@
             reporter: Reports usage, if that is a duty here.
             servers_orders: Orders servers, if that is a duty here.
             is_first_start: Whether no node has run before.
+            reads_store: Returns whether this node reads the store itself.
         """
         self._name = name
         self._lease = lease
@@ -63,7 +70,10 @@
         self._look_s = leases.boottime_s()
         if not is_first_start:
             self._look_s += lease_s
+        self._distant_look_s = self._look_s
         self._presence_s = 0.0
+        self._presence_count = 0
+        self._reads_store = reads_store
 
     def run(self, stopping: threading.Event) -> None:
         """Do the duties until the node stops, then hand them over."""
@@ -84,7 +94,11 @@
     def _step(self) -> None:
         now_s = leases.boottime_s()
         if now_s >= self._presence_s:
-            self._presence_s = now_s + PRESENCE_S
+            self._presence_count += 1
+            is_early = self._presence_count == 1
+            self._presence_s = now_s + (
+                SECOND_LOOK_S if is_early else PRESENCE_S
+            )
             self._here.refresh()
         self._sealer.step()
         if not self._hold(now_s):
@@ -96,9 +110,10 @@
 
     def _hold(self, now_s: float) -> bool:
         """Renew or look at the lease; returns whether to act."""
-        if now_s >= self._look_s:
+        if self._is_look_due(now_s):
             held = self._lease.step()
             self._look_s = now_s + self._look_interval_s(held)
+            self._distant_look_s = now_s + DISTANT_LOOK_S
         if not self._lease.believes():
             self._held_since_s = None
             if self._reporter is not None:
@@ -121,15 +136,12 @@
         )
 
     def _look_interval_s(self, held: bool) -> float:
-        if held or self._is_watcher():
+        if held:
             return self._lease.renew_interval_s
-        return DISTANT_LOOK_S
+        return LOOK_S
 
-    def _is_watcher(self) -> bool:
-        own = _rank_key(self._here.own_address)
-        lower = sum(1 for p in self._here.peers() if _rank_key(p) < own)
-        return lower < WATCHERS
-
-
-def _rank_key(address: str) -> bytes:
-    return hashlib.blake2b(address.encode(), digest_size=8).digest()
+    def _is_look_due(self, now_s: float) -> bool:
+        if now_s >= self._distant_look_s:
+            return True
+        may_look = self._reads_store() or self._lease.believes()
+        return may_look and now_s >= self._look_s
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -4,6 +4,7 @@
 import base64
 from collections.abc import Callable
 import random
+import secrets
 import threading
 import time
 
@@ -25,14 +26,13 @@
 CONFIG_WAIT_S = 2.0
 # How often the servers' entries are read. A leaving server must get nothing
 # new 2.5 s after it said so (drainMs).
-SERVER_POLL_S = 1.0
+SERVER_POLL_S = 0.8
 # Added to the wait for the path and a slow store.
 CALL_TIMEOUT_S = 1.0
 RETRY_S = 0.3
+PAUSE_CHECK_S = 0.5
 # Peers are asked after the store has been silent for this time.
 ASK_PEERS_AFTER_S = 1.0
-PEER_TIMEOUT_S = 0.8
-PEERS_ASKED = 2
 # What a peer has heard within this time is as good as the store's word.
 FRESH_S = 3.0
 
@@ -41,40 +41,57 @@
     """Holds what one node tells another about the platform.
 
     Attributes:
-        config: The operator's configuration as written, in Base64.
-        servers: Entry of each server as written, in Base64.
+        revision: Changes with the two fields that follow.
+        config: The operator's configuration as written, in Base64; None if
+            the asker has this revision.
+        servers: Entry of each server as written, in Base64, or None.
         config_age_s: Time since the store confirmed the configuration.
         servers_age_s: Time since the store confirmed the entries.
     """
 
-    config: str
-    servers: dict[str, str]
+    revision: str
+    config: str | None
+    servers: dict[str, str] | None
     config_age_s: float
     servers_age_s: float
 
 
 class Raw:
-    """Keeps what the store said as written, for peers that cannot reach it."""
+    """Keeps what the store said as written, to tell it to peers."""
 
     def __init__(self):
         self.config = b""
         self.servers: dict[str, bytes] = {}
         self.config_heard_s = -1e9
         self.servers_heard_s = -1e9
+        self._lifetime = secrets.token_hex(4)
+        self._changes = 0
 
-    def encode(self) -> bytes:
-        """Return the state for a peer."""
+    @property
+    def revision(self) -> str:
+        """Return what names the present content."""
+        return f"{self._lifetime}.{self._changes}"
+
+    def changed(self) -> None:
+        """Note that the content has changed."""
+        self._changes += 1
+
+    def state(self, known: str) -> PeerState:
+        """Return the state for a peer that knows a revision."""
         now_s = time.monotonic()
-        return msgspec.json.encode(
-            PeerState(
-                base64.b64encode(self.config).decode(),
-                {
-                    key: base64.b64encode(value).decode()
-                    for key, value in self.servers.items()
-                },
-                now_s - self.config_heard_s,
-                now_s - self.servers_heard_s,
-            )
+        config = servers = None
+        if known != self.revision:
+            config = base64.b64encode(self.config).decode()
+            servers = {
+                key: base64.b64encode(value).decode()
+                for key, value in self.servers.items()
+            }
+        return PeerState(
+            self.revision,
+            config,
+            servers,
+            now_s - self.config_heard_s,
+            now_s - self.servers_heard_s,
         )
 
 
@@ -101,6 +118,7 @@
         if previous is not None and table.version < previous:
             return
         self._raw.config = value
+        self._raw.changed()
         shared.table = table
         metrics.set_gauge(metrics.CONFIG_VERSION, {}, float(table.version))
         events.log(
@@ -124,6 +142,8 @@
     ) -> None:
         """Take changed entries, or all of them."""
         now_s = time.monotonic()
+        if changed or is_snapshot:
+            self._raw.changed()
         decoded = []
         for server_id, value in changed.items():
             if value is None:
@@ -156,19 +176,25 @@
     def peer(self, state: PeerState) -> None:
         """Take what a peer heard from the store lately."""
         now_s = time.monotonic()
-        if state.config and state.config_age_s < FRESH_S:
-            self.config(
-                base64.b64decode(state.config),
-                now_s - state.config_age_s,
-                "peer",
-            )
-        if state.servers_age_s < FRESH_S:
-            self.servers(
-                {k: base64.b64decode(v) for k, v in state.servers.items()},
-                True,
-                now_s - state.servers_age_s,
-                False,
-            )
+        config_heard_s = now_s - state.config_age_s
+        servers_heard_s = now_s - state.servers_age_s
+        if state.config_age_s < FRESH_S:
+            if state.config:
+                value = base64.b64decode(state.config)
+                self.config(value, config_heard_s, "peer")
+            elif state.config is None:
+                self.config_confirmed(config_heard_s)
+        if state.servers_age_s >= FRESH_S:
+            return
+        if state.servers is None:
+            self._note([], servers_heard_s)
+            return
+        self.servers(
+            {k: base64.b64decode(v) for k, v in state.servers.items()},
+            True,
+            servers_heard_s,
+            False,
+        )
 
     def tick(self) -> None:
         """Drop lapsed entries."""
@@ -241,7 +267,6 @@
         pause_s: float,
         source_ip: str,
         deliver: Callable[[rows.Changes, bool, bool], None],
-        ask_peers: Callable[[], None],
     ):
         """Set what to follow.
 
@@ -253,7 +278,6 @@
             source_ip: IP to call from.
             deliver: Takes the changes, whether they are a snapshot and
                 whether the store was away just before.
-            ask_peers: Called while the store does not answer.
         """
         client = http.HttpClient(
             "store", store_address, wait_s + CALL_TIMEOUT_S, source_ip
@@ -263,13 +287,16 @@
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._deliver = deliver
-        self._ask_peers = ask_peers
         self._since: int | None = None
         self.outage = Outage(f"store/{table}")
+        self.active = threading.Event()
+        self.active.set()
 
     def run(self, stopping: threading.Event) -> None:
-        """Follow until the node stops."""
+        """Follow until the node stops; pauses while a relay does."""
         while not stopping.is_set():
+            if not self.active.wait(PAUSE_CHECK_S):
+                continue
             result = self._step()
             pause_s = self._pause_s
             if result.is_error():
@@ -297,62 +324,9 @@
             self._since = None
             return 0.0
         self.outage.failed(error)
-        if self.outage.lasts_s() >= ASK_PEERS_AFTER_S:
-            self._ask_peers()
         return RETRY_S * random.uniform(0.7, 1.3)
 
 
-class PeerAsker:
-    """Asks other nodes for what they heard from the store."""
-
-    def __init__(
-        self,
-        own_address: str,
-        peers: Callable[[], list[str]],
-        source_ip: str,
-        deliver: Callable[[PeerState], None],
-    ):
-        """Set whom to ask and who takes the replies."""
-        self._own_address = own_address
-        self._peers = peers
-        self._source_ip = source_ip
-        self._deliver = deliver
-        self._lock = threading.Lock()
-
-    def ask(self) -> None:
-        """Ask a few peers; silent ones are passed over."""
-        if not self._lock.acquire(blocking=False):
-            return
-        try:
-            peers = [p for p in self._peers() if p != self._own_address]
-            random.shuffle(peers)
-            for address in peers[:PEERS_ASKED]:
-                self._ask_one(address)
-        finally:
-            self._lock.release()
-
-    def _ask_one(self, address: str) -> None:
-        client = http.HttpClient(
-            "peer", address, PEER_TIMEOUT_S, self._source_ip
-        )
-        result = client.call("GET", "/state")
-        if result.is_error() or result.ok.status != 200:
-            events.log(events.MEMBER_LOST, member=address)
-            return
-        try:
-            state = msgspec.json.decode(result.ok.body, type=PeerState)
-        except msgspec.DecodeError as error:
-            events.log(events.FRAME_REFUSED, member=address, problem=str(error))
-            return
-        events.log(
-            events.PEER_STATE_TAKEN,
-            member=address,
-            config_age_s=round(state.config_age_s, 3),
-            servers_age_s=round(state.servers_age_s, 3),
-        )
-        self._deliver(state)
-
-
 def on_loop(loop: asyncio.AbstractEventLoop, function: Callable) -> Callable:
     """Return a function that runs another on the event loop."""
 
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -6,6 +6,8 @@
 import threading
 import time
 
+import msgspec
+
 from bilberryturn import events
 from bilberryturn import leases
 from bilberryturn import metrics
@@ -13,6 +15,7 @@
 from bilberryturn.edge import feeds
 from bilberryturn.edge import orders
 from bilberryturn.edge import presence
+from bilberryturn.edge import relays
 from bilberryturn.edge import usage_windows
 from bilberryturn.gateway import beliefs
 from bilberryturn.gateway import server as caller_server
@@ -72,7 +75,7 @@
             loop.add_signal_handler(number, self._ask_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         executor = concurrent.futures.ThreadPoolExecutor(
-            max_workers=4, thread_name_prefix="store"
+            max_workers=5, thread_name_prefix="store"
         )
         jobs = self._start_jobs(loop, executor)
         await self._listen()
@@ -104,12 +107,6 @@
             str(settings.peers or ""),
             tuple(str(seed) for seed in settings.seeds),
         )
-        asker = feeds.PeerAsker(
-            str(settings.peers or ""),
-            here.peers,
-            settings.ip,
-            feeds.on_loop(loop, self._applier.peer),
-        )
         config = feeds.Follower(
             rows.OPERATOR_TABLE,
             store_address,
@@ -117,7 +114,6 @@
             0.0,
             settings.ip,
             feeds.on_loop(loop, self._take_config),
-            asker.ask,
         )
         servers = feeds.Follower(
             rows.SERVER_TABLE,
@@ -126,15 +122,23 @@
             feeds.SERVER_POLL_S,
             settings.ip,
             feeds.on_loop(loop, self._take_servers),
-            asker.ask,
         )
-        keeper = self._duty_keeper(store, here)
+        relay = relays.RelayClient(
+            str(settings.peers or ""),
+            settings.failure_domain,
+            settings.ip,
+            here.domain_peers,
+            here.peers,
+            [config, servers],
+            feeds.on_loop(loop, self._applier.peer),
+        )
+        keeper = self._duty_keeper(store, here, relay)
         return [
             executor.submit(job.run, self._stopping)
-            for job in (config, servers, keeper)
+            for job in (config, servers, relay, keeper)
         ]
 
-    def _duty_keeper(self, store, here) -> duties.DutyKeeper:
+    def _duty_keeper(self, store, here, relay) -> duties.DutyKeeper:
         settings = self._settings
         lease = leases.Lease(
             "duties",
@@ -166,6 +170,7 @@
             reporter,
             server_orders,
             settings.is_first_start,
+            lambda: relay.reads_store,
         )
 
     def _duty_client(self) -> http.HttpClient:
@@ -221,15 +226,26 @@
 
     # questions
 
-    def _answer_ready(self, path: str) -> small_server.Reply:
+    def _answer_ready(self, path: str, body: bytes) -> small_server.Reply:
         return small_server.Reply(200 if self._is_ready else 503)
 
-    def _answer_metrics(self, path: str) -> small_server.Reply:
+    def _answer_metrics(self, path: str, body: bytes) -> small_server.Reply:
         body, _ = metrics.render()
         return small_server.Reply(200, body, "text/plain; version=0.0.4")
 
-    def _answer_peer(self, path: str) -> small_server.Reply:
-        return small_server.Reply(200, self._raw.encode(), "application/json")
+    def _answer_peer(self, path: str, body: bytes) -> small_server.Reply:
+        try:
+            question = msgspec.json.decode(body, type=relays.Question)
+        except msgspec.DecodeError as error:
+            events.log(
+                events.FRAME_REFUSED, member="unknown", problem=str(error)
+            )
+            return small_server.Reply(400)
+        return small_server.Reply(
+            200,
+            msgspec.json.encode(self._raw.state(question.revision)),
+            "application/json",
+        )
 
     # time
 
--- a/src/bilberryturn/edge/presence.py
+++ b/src/bilberryturn/edge/presence.py
@@ -51,6 +51,14 @@
                 if isinstance(row.value, str)
             }
 
+    def domain_peers(self) -> list[str]:
+        """Return the addresses of the nodes of this failure domain."""
+        prefix = self._key.rpartition(".")[0] + "."
+        with self._lock:
+            return [
+                a for key, a in self._found.items() if key.startswith(prefix)
+            ]
+
     def peers(self) -> list[str]:
         """Return the addresses of other nodes, seeds included."""
         with self._lock:
--- /dev/null
+++ b/src/bilberryturn/edge/relays.py
@@ -0,0 +1,193 @@
+"""Read the store once for many nodes.
+
+In each failure domain the nodes that rank first by hash read the store; the
+others ask one of them a few times a second. Whoever finds no relay that hears
+the store reads the store itself, so that nothing depends on a relay.
+"""
+
+from collections.abc import Callable
+import hashlib
+import random
+import threading
+import time
+
+import msgspec
+
+from bilberryturn import events
+from bilberryturn.edge import feeds
+from bilberryturn.platform import http
+
+# A change is heard twice, by the relay and by the asker; both intervals
+# together stay well under the time in which a leaving server must get nothing
+# new (drainMs, 2.5 s).
+ASK_INTERVAL_S = 0.5
+ASK_TIMEOUT_S = 0.5
+# Nodes that one relay serves.
+NODES_A_RELAY = 16
+# A relay that did not answer is passed over for this time.
+SILENT_S = 20.0
+# Relays tried before the store is read directly.
+RELAYS_TRIED = 2
+# A relay is as good as the store while it heard it within this time; it waits
+# for changes of the configuration for up to 2 s.
+CURRENT_S = 2.8
+# Peers asked while the store does not answer.
+PEERS_ASKED = 2
+
+
+class Question(msgspec.Struct):
+    """Holds what a node sends to a relay: the content that it has."""
+
+    revision: str
+
+
+def rank(addresses: list[str], domain: str) -> list[str]:
+    """Return addresses in the order in which they become relays."""
+    return sorted(
+        addresses,
+        key=lambda address: hashlib.blake2b(
+            f"{domain}/{address}".encode(), digest_size=8
+        ).digest(),
+    )
+
+
+class RelayClient:
+    """Asks relays on a thread of its own; wakes the followers if none works."""
+
+    def __init__(
+        self,
+        address: str,
+        domain: str,
+        source_ip: str,
+        domain_peers: Callable[[], list[str]],
+        all_peers: Callable[[], list[str]],
+        followers: list[feeds.Follower],
+        deliver: Callable[[feeds.PeerState], None],
+    ):
+        """Set whom to ask.
+
+        Args:
+            address: Where peers ask this node.
+            domain: Its failure domain.
+            source_ip: IP to call from.
+            domain_peers: Addresses of the nodes of the failure domain.
+            all_peers: Addresses of all known nodes.
+            followers: Readers of the store.
+            deliver: Takes a reply.
+        """
+        self._address = address
+        self._domain = domain
+        self._source_ip = source_ip
+        self._domain_peers = domain_peers
+        self._all_peers = all_peers
+        self._followers = followers
+        self._deliver = deliver
+        self._silent_until_s: dict[str, float] = {}
+        self._revisions: dict[str, str] = {}
+        self._clients: dict[str, http.HttpClient] = {}
+        self._relay = ""
+        self.reads_store = True
+
+    def run(self, stopping: threading.Event) -> None:
+        """Ask until the node stops."""
+        while not stopping.is_set():
+            try:
+                self._step()
+            except Exception as error:
+                # The followers go on reading the store meanwhile.
+                self._set_reading(True)
+                events.log(
+                    events.JOB_FAILED,
+                    job="relays",
+                    error=f"{type(error).__name__}: {error}",
+                )
+            stopping.wait(ASK_INTERVAL_S * random.uniform(0.8, 1.2))
+
+    def _step(self) -> None:
+        is_served = any(self._ask(relay) for relay in self._candidates())
+        self._set_reading(not is_served)
+        if not is_served and self._is_store_away():
+            self._ask_anyone()
+
+    def _candidates(self) -> list[str]:
+        """Return the relays to try; none if this node is one itself."""
+        peers = self._domain_peers()
+        now_s = time.monotonic()
+        live = [
+            p
+            for p in {*peers, self._address}
+            if self._silent_until_s.get(p, 0.0) <= now_s
+        ]
+        ranked = rank(live, self._domain)
+        relays = ranked[: 1 + len(ranked) // NODES_A_RELAY]
+        if self._address in relays:
+            return []
+        start = hash_index(self._address, len(relays))
+        tried = relays[start:] + relays[:start]
+        return tried[:RELAYS_TRIED]
+
+    def _set_reading(self, reads_store: bool) -> None:
+        self.reads_store = reads_store
+        for follower in self._followers:
+            if reads_store:
+                follower.active.set()
+            else:
+                follower.active.clear()
+
+    def _is_store_away(self) -> bool:
+        return any(
+            follower.outage.lasts_s() >= feeds.ASK_PEERS_AFTER_S
+            for follower in self._followers
+        )
+
+    def _ask_anyone(self) -> None:
+        """Ask nodes anywhere; one of them may still hear the store."""
+        now_s = time.monotonic()
+        peers = [
+            p
+            for p in self._all_peers()
+            if self._silent_until_s.get(p, 0.0) <= now_s
+        ]
+        random.shuffle(peers)
+        for address in peers[:PEERS_ASKED]:
+            self._ask(address)
+
+    def _ask(self, address: str) -> bool:
+        """Ask one node; returns whether it hears the store."""
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = http.HttpClient(
+                "peer", address, ASK_TIMEOUT_S, self._source_ip
+            )
+        question = Question(self._revisions.get(address, ""))
+        result = client.call("PUT", "/state", question, may_repeat=True)
+        if result.is_error() or result.ok.status != 200:
+            self._silent_until_s[address] = time.monotonic() + SILENT_S
+            self._revisions.pop(address, None)
+            events.log(events.MEMBER_LOST, member=address)
+            return False
+        try:
+            state = msgspec.json.decode(result.ok.body, type=feeds.PeerState)
+        except msgspec.DecodeError as error:
+            events.log(events.FRAME_REFUSED, member=address, problem=str(error))
+            return False
+        self._revisions[address] = state.revision
+        is_current = (
+            state.config_age_s < CURRENT_S and state.servers_age_s < CURRENT_S
+        )
+        if is_current and address != self._relay:
+            self._relay = address
+            events.log(
+                events.PEER_STATE_TAKEN,
+                member=address,
+                config_age_s=round(state.config_age_s, 3),
+                servers_age_s=round(state.servers_age_s, 3),
+            )
+        self._deliver(state)
+        return is_current
+
+
+def hash_index(text: str, size: int) -> int:
+    """Return a stable index below a size."""
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big") % max(1, size)
--- a/src/bilberryturn/gateway/small_server.py
+++ b/src/bilberryturn/gateway/small_server.py
@@ -7,7 +7,7 @@
 import h11
 
 QUESTION_TIMEOUT_S = 5.0
-MAX_QUESTION_BYTES = 16384
+MAX_QUESTION_BYTES = 65536
 
 
 class Reply(NamedTuple):
@@ -19,10 +19,10 @@
 
 
 class SmallServer:
-    """Serves GET requests whose answers are at hand."""
+    """Serves short requests whose answers are at hand."""
 
-    def __init__(self, answer: Callable[[str], Reply]):
-        """Set the function that answers a path."""
+    def __init__(self, answer: Callable[[str, bytes], Reply]):
+        """Set the function that answers a path and a body."""
         self._answer = answer
         self._server: asyncio.Server | None = None
 
@@ -49,7 +49,8 @@
             writer.close()
 
     async def _serve_one(self, reader, writer, parser) -> bool:
-        path = None
+        path = ""
+        body = b""
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
@@ -59,11 +60,15 @@
                 parser.receive_data(data)
             elif isinstance(event, h11.Request):
                 path = event.target.decode("latin-1")
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_QUESTION_BYTES:
+                    return False
             elif isinstance(event, h11.EndOfMessage):
                 break
             elif isinstance(event, h11.ConnectionClosed):
                 return False
-        reply = self._answer(path)
+        reply = self._answer(path, body)
         headers = [
             ("content-length", str(len(reply.body))),
             ("content-type", reply.content_type),
--- a/src/bilberryturn/platform/http.py
+++ b/src/bilberryturn/platform/http.py
@@ -81,6 +81,7 @@
         body: Any = None,
         raw: bytes | None = None,
         headers: tuple[str, ...] = (),
+        may_repeat: bool | None = None,
     ) -> expression.Result[Answer, exceptions.PlatformError]:
         """Send one request and wait for the answer.
 
@@ -90,6 +91,8 @@
             body: Value sent as JSON when not None.
             raw: Bytes sent as they are when not None.
             headers: Further header lines.
+            may_repeat: Whether the call may take effect twice; by default
+                only a GET may.
 
         Returns:
             The answer, or PlatformUnreachableError.
@@ -117,7 +120,9 @@
         if self._drops_unsent:
             handle.setopt(pycurl.SOCKOPTFUNCTION, _reset_on_close)
             handle.setopt(pycurl.FORBID_REUSE, 1)
-        if method != "GET":
+        if may_repeat is None:
+            may_repeat = method == "GET"
+        if not may_repeat:
             # On a kept connection that turns out to be closed, curl would
             # silently send the request a second time.
             handle.setopt(pycurl.FRESH_CONNECT, 1)
--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -134,10 +134,8 @@
 class Chooser:
     """Counts this node's own work and chooses servers by it."""
 
-    def __init__(self, peers: int = 1):
+    def __init__(self):
         self._loads: dict[tuple[str, int], _ServerLoad] = {}
-        self.peers = peers
-        self._remote: dict[str, tuple[int, int]] = {}
 
     def choose(
         self,
@@ -227,18 +225,6 @@
         """Return how many requests of this node run on some servers."""
         return sum(self._load(server).running for server in servers)
 
-    def counts(self) -> dict[str, tuple[int, int]]:
-        """Return running requests and unread tokens by server."""
-        return {
-            server_id: (load.running, load.unread_tokens)
-            for (server_id, _), load in self._loads.items()
-            if load.running
-        }
-
-    def set_remote(self, counts: dict[str, tuple[int, int]]) -> None:
-        """Take the summed counts of other nodes."""
-        self._remote = counts
-
     def _load(self, server: types.BackendServer) -> _ServerLoad:
         key = (server.server_id, server.born_ms)
         load = self._loads.get(key)
@@ -264,23 +250,18 @@
         is_home: bool,
     ) -> Choice:
         load = self._load(server)
-        remote_running, remote_tokens = self._remote.get(
-            server.server_id, (0, 0)
-        )
-        running = load.running + remote_running
-        unread = load.unread_tokens + remote_tokens
         uncached = self._uncached(wish, load, is_home)
-        expected_s = (unread + uncached) / PREFILL_TOKENS_PER_S
-        expected_s += running * SLOT_COST_S
+        expected_s = (load.unread_tokens + uncached) / PREFILL_TOKENS_PER_S
+        expected_s += load.running * SLOT_COST_S
         slots = max(1, server.slots)
-        if running >= slots:
-            expected_s += (running - slots + 1) / slots
+        if load.running >= slots:
+            expected_s += (load.running - slots + 1) / slots
         if server.failure_domain != wish.failure_domain:
             expected_s += REMOTE_COST_S
         expected_s += self._failure_share(load, now_s) * FAILURE_COST_S
         if load.breaker.is_open:
             expected_s += FAILURE_COST_S
-        return Choice(server, expected_s, uncached, running)
+        return Choice(server, expected_s, uncached, load.running)
 
     def _failure_share(self, load: _ServerLoad, now_s: float) -> float:
         age_s = max(0.0, now_s - load.failure_s)
