Probe a failed server again; keep room for steady servers; prove decisions

Cause (routing.feature, failed first): an open circuit breaker cost 1.5 s of expected time for good, so that a mended engine got no probe while others were free; and where the maximum of a failure domain left no room, steady servers were ordered away before cheap ones could start. The breaker now alone decides when a probe may go; cheap servers are ordered only beside the steady ones that run.

--- /dev/null
+++ b/features/steps/routing_steps.py
@@ -0,0 +1,402 @@
+"""Steps of routing.feature: pure decisions with an explicit clock."""
+
+import random
+
+import behave
+
+from bilberryturn.routing import budget
+from bilberryturn.routing import choice
+from bilberryturn.routing import directory
+from bilberryturn.routing import provisioning
+from bilberryturn.routing import suspects
+from bilberryturn.routing import table
+from bilberryturn.routing import types
+from support import gateway_rig
+
+ENGINE = types.Engine(slots=64, memory_tokens=600_000, tokens_per_event=3)
+SERVICE = types.Service("llm", 300, ENGINE, None)
+DOMAINS = ("east", "west", "north")
+
+
+# routes
+
+
+@behave.given('routes "/a/" and "/a/b/" of host "h" and "/a/" of host "g"')
+def given_routes(context):
+    routes = [
+        gateway_rig.make_route(
+            "safe", name=host + prefix, host=host, prefix=prefix
+        )
+        for host, prefix in (("h", "/a/"), ("h", "/a/b/"), ("g", "/a/"))
+    ]
+    context.routes = table.RouteTable(1, routes, [], types.Limits(), None)
+
+
+@behave.then("these requests find these routes")
+def then_routes(context):
+    for row in context.table:
+        found = context.routes.find_route(row["host"], row["path"])
+        name = found.name if found else "none"
+        assert name == row["route"], (row, name)
+
+
+@behave.given("a route split 90 to 10")
+def given_split(context):
+    context.route = gateway_rig.make_route("safe")._replace(
+        targets=(types.Target("old", 90), types.Target("new", 10))
+    )
+
+
+@behave.then("2000 requests are shared within 3 in 100 of the weights")
+def then_shared(context):
+    new = sum(
+        table.choose_service(context.route, f"r{n}") == "new"
+        for n in range(2000)
+    )
+    assert 140 <= new <= 260, new
+
+
+@behave.then("a request always goes to the same side")
+def then_same_side(context):
+    for n in range(50):
+        sides = {table.choose_service(context.route, f"r{n}") for _ in range(3)}
+        assert len(sides) == 1
+
+
+# directory
+
+
+@behave.given("a directory that heard {heard}")
+def given_directory(context, heard):
+    found = directory.Directory()
+    now_s = 100.0
+    server = gateway_rig.make_server("s", 80)
+    for item in heard.split(", "):
+        now_s += 0.1
+        now_s = _hear(found, server, item, now_s)
+    found.expire(now_s)
+    context.directory = found
+
+
+def _hear(found, server, item, now_s):
+    if item == "ready":
+        newest = server._replace(sequence=int(now_s * 10))
+        found.report(newest, now_s)
+    elif item == "draining":
+        newest = server._replace(sequence=int(now_s * 10), is_leaving=True)
+        found.report(newest, now_s)
+    elif item == "an older ready":
+        found.report(server._replace(sequence=1), now_s)
+    elif item == "a new lifetime":
+        found.report(server._replace(born_ms=2, sequence=0), now_s)
+    elif item == "an older draining":
+        found.report(server._replace(sequence=9, is_leaving=True), now_s)
+    elif item.startswith("removed"):
+        found.remove("s", now_s, "outage" in item)
+    elif item.startswith("a snapshot"):
+        found.replace_all([], now_s, "outage" in item)
+    elif item.endswith(" s"):
+        now_s += float(item[:-2])
+    else:
+        raise AssertionError(item)
+    return now_s
+
+
+@behave.then("the server is {state:w}")
+def then_state(context, state):
+    server = context.directory.find("s")
+    is_usable = bool(context.directory.usable("app"))
+    expected = {
+        "usable": (True, True),
+        "leaving": (True, False),
+        "gone": (False, False),
+    }[state]
+    assert (server is not None, is_usable) == expected, server
+
+
+# repeats and suspects
+
+
+@behave.then(
+    "over 200 seeded histories of 9 nodes no window holds more repeats than"
+    " a fifth of its requests and the slack"
+)
+def then_budget(context):
+    ratio, slack, window_s, nodes = 0.2, 58.0, 10.0, 9
+    for seed in range(200):
+        numbers = random.Random(seed)
+        budgets = [
+            budget.RepeatBudget(ratio, slack / nodes, window_s)
+            for _ in range(nodes)
+        ]
+        firsts, repeats = [], []
+        now_s = 0.0
+        for _ in range(400):
+            now_s += numbers.expovariate(20)
+            node = min(nodes - 1, int(numbers.expovariate(0.5)))
+            if numbers.random() < 0.5:
+                budgets[node].note_request(now_s)
+                firsts.append(now_s)
+            elif budgets[node].take(now_s):
+                repeats.append(now_s)
+        for end_s in repeats:
+            start_s = end_s - window_s
+            sent = sum(start_s <= t <= end_s for t in repeats)
+            allowed = slack + ratio * sum(
+                start_s - window_s <= t <= end_s for t in firsts
+            )
+            assert sent <= allowed, (seed, sent, allowed)
+
+
+@behave.given("a node where a request crashed two servers")
+def given_crashes(context):
+    context.suspects = suspects.Suspects()
+    context.print_ = suspects.fingerprint("account", "/x", b"body")
+    context.suspects.note_crash(context.print_, 1.0)
+    assert not context.suspects.is_refused(context.print_, 1.0)
+    context.suspects.note_crash(context.print_, 2.0)
+
+
+@behave.then("that node refuses it and others do after hearing of it")
+def then_refused(context):
+    assert context.suspects.is_refused(context.print_, 3.0)
+    other = suspects.Suspects()
+    assert not other.is_refused(context.print_, 3.0)
+    other.merge(context.print_, 2, 3.0)
+    assert other.is_refused(context.print_, 3.0)
+    assert not other.is_refused(context.print_, 3.0 + suspects.MEMORY_S), (
+        "an entry ends"
+    )
+
+
+@behave.then("a good end clears an innocent request")
+def then_cleared(context):
+    found = suspects.Suspects()
+    found.note_crash("p", 1.0)
+    found.clear("p")
+    found.note_crash("p", 2.0)
+    assert not found.is_refused("p", 2.0)
+
+
+# choice
+
+
+@behave.given("3 failure domains of 4 engines and requests of both kinds")
+def given_engines(context):
+    context.engines = [
+        gateway_rig.make_server(f"{domain}-{n}", 80)._replace(
+            service="llm", failure_domain=domain, slots=64, is_cheap=n > 0
+        )
+        for domain in DOMAINS
+        for n in range(4)
+    ]
+    context.chooser = choice.Chooser()
+    context.numbers = random.Random(7)
+
+
+def _long(context, shared=None, domain="east"):
+    part = shared or f"doc-{context.numbers.randrange(200)}"
+    prompt = types.Prompt(
+        (types.PromptPart(part, 13_000), types.PromptPart("own", 4_000)),
+        17_000,
+        120,
+    )
+    return choice.Wish(SERVICE, domain, prompt, gap_target_s=0.6)
+
+
+def _short(context, domain="east"):
+    prompt = types.Prompt(
+        (
+            types.PromptPart(f"chat-{context.numbers.randrange(8)}", 300),
+            types.PromptPart("own", 1_000),
+        ),
+        1_300,
+        170,
+    )
+    return choice.Wish(SERVICE, domain, prompt, gap_target_s=0.15)
+
+
+def _send(context, wish, now_s):
+    found = context.chooser.choose(wish, context.engines, now_s)
+    ticket = context.chooser.begin(found, wish, now_s)
+    return found.server, ticket
+
+
+@behave.then("no long prompt goes to an engine with short-pause answers")
+def then_apart(context):
+    used = {"long": set(), "short": set()}
+    for n in range(300):
+        domain = DOMAINS[n % 3]
+        for kind, make in (("long", _long), ("short", _short)):
+            server, ticket = _send(context, make(context, domain=domain), n)
+            used[kind].add(server.server_id)
+            context.chooser.end(ticket, True, n + 0.5)
+    assert not used["long"] & used["short"], used
+
+
+@behave.then("all nodes agree on those engines")
+def then_agree(context):
+    expected = choice.quiet_servers(context.engines)
+    for _ in range(5):
+        context.numbers.shuffle(context.engines)
+        assert choice.quiet_servers(context.engines) == expected
+    assert len(expected) == 3, expected
+
+
+@behave.when("200 long prompts arrive at once in one failure domain")
+def when_burst(context):
+    context.used = [_send(context, _long(context), 1.0)[0] for _ in range(200)]
+
+
+@behave.then("some spill to the other engines and failure domains")
+def then_spill(context):
+    quiet = choice.quiet_servers(context.engines)
+    assert any(s.server_id in quiet for s in context.used)
+    assert {s.failure_domain for s in context.used} == set(DOMAINS)
+
+
+@behave.then("prompts with one shared part go to one engine of their domain")
+def then_home(context):
+    for n in range(20):
+        servers = set()
+        for turn in range(4):
+            # Another node has no history, yet chooses the same engine.
+            context.chooser = choice.Chooser()
+            wish = _long(context, shared=f"same-{n}")
+            server, _ = _send(context, wish, float(turn))
+            servers.add(server.server_id)
+        assert len(servers) == 1, servers
+
+
+@behave.when("one engine fails 6 requests")
+def when_fails(context):
+    wish = _short(context)
+    context.failing, ticket = _send(context, wish, 1.0)
+    context.chooser.end(ticket, False, 1.0)
+    for _ in range(5):
+        found = choice.Choice(context.failing, 0.0, 0, 0)
+        ticket = context.chooser.begin(found, wish, 1.0)
+        context.chooser.end(ticket, False, 1.0)
+
+
+@behave.then("it gets none of the next 20 and some after it has recovered")
+def then_avoided(context):
+    for _ in range(20):
+        server, ticket = _send(context, _short(context), 1.1)
+        context.chooser.end(ticket, True, 1.1)
+        assert server.server_id != context.failing.server_id
+    later = set()
+    for _ in range(40):
+        server, _ = _send(context, _short(context), 60.0)
+        later.add(server.server_id)
+    assert context.failing.server_id in later
+
+
+# provisioning
+
+
+@behave.given("a service first given 3 servers in each of 3 failure domains")
+def given_service(context):
+    context.baseline = dict.fromkeys(DOMAINS, 3)
+    context.scaling = types.Scaling(
+        1, 6, 4.0, 0.2, {"east": 1.0, "west": 0.8, "north": 1.25}
+    )
+    context.counts = {d: provisioning.Counts(3, 0) for d in DOMAINS}
+
+
+def _orders(context):
+    service = types.Service("llm", 100, ENGINE, context.scaling)
+    return provisioning.plan(service, context.baseline, context.counts)
+
+
+@behave.when("nothing cheap runs yet")
+def when_nothing(context):
+    pass
+
+
+@behave.when("all cheap servers run")
+def when_all(context):
+    context.counts = {d: provisioning.Counts(1, 3) for d in DOMAINS}
+
+
+@behave.when("one failure domain is reclaimed")
+def when_one(context):
+    when_all(context)
+    context.counts["east"] = provisioning.Counts(1, 0)
+
+
+@behave.when("two failure domains are reclaimed")
+def when_two(context):
+    when_one(context)
+    context.counts["west"] = provisioning.Counts(1, 0)
+
+
+@behave.when("all cheap servers are reclaimed")
+def when_reclaimed(context):
+    context.counts = {d: provisioning.Counts(1, 0) for d in DOMAINS}
+
+
+@behave.when("the maximum is 2 a domain")
+def when_maximum(context):
+    context.scaling = context.scaling._replace(maximum=2)
+    context.baseline = dict.fromkeys(DOMAINS, 2)
+    context.counts = {d: provisioning.Counts(2, 0) for d in DOMAINS}
+
+
+@behave.when("there is no cheap kind")
+def when_no_cheap(context):
+    context.scaling = context.scaling._replace(cheap_price=None)
+
+
+@behave.then(
+    "the standing orders are {steady:d} steady and {cheap:d} cheap servers"
+)
+def then_orders(context, steady, cheap):  # fmt: skip
+    orders = _orders(context)
+    found = [
+        sum(o.count for o in orders if o.is_cheap == kind)
+        for kind in (False, True)
+    ]
+    assert found == [steady, cheap], orders
+
+
+@behave.then(
+    "over 300 seeded steps the ordered servers never fall below the first"
+)
+def then_never_below(context):  # fmt: skip
+    numbers = random.Random(11)
+    first = sum(context.baseline.values())
+    for _ in range(300):
+        before = sum(sum(c) for c in context.counts.values())
+        for order in _orders(context):
+            counts = context.counts[order.failure_domain]
+            if order.is_cheap:
+                grown = min(order.count, counts.cheap + numbers.randrange(2))
+                counts = counts._replace(cheap=grown)
+            elif order.count < counts.steady:
+                counts = counts._replace(steady=order.count)
+            else:
+                grown = min(order.count, counts.steady + numbers.randrange(2))
+                counts = counts._replace(steady=grown)
+            context.counts[order.failure_domain] = counts
+        after = sum(sum(c) for c in context.counts.values())
+        assert after >= min(before, first), (before, after)
+        if numbers.random() < 0.1:
+            lost = numbers.choice(DOMAINS)
+            context.counts[lost] = context.counts[lost]._replace(cheap=0)
+
+
+@behave.then("a met order is sent once and a refused one every 3 s")
+def then_repeated(context):
+    book = provisioning.OrderBook()
+    order = provisioning.Order("llm", "east", True, 3)
+    none = {"east": provisioning.Counts(1, 0)}
+    met = {"east": provisioning.Counts(1, 3)}
+    sent_s = []
+    for tenth in range(100):
+        now_s = tenth / 10
+        counts = none if now_s < 5 else met
+        for due in book.due([order], counts, now_s):
+            book.note(due, now_s)
+            sent_s.append(now_s)
+    assert sent_s == [0.0, 3.0], sent_s
--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -259,8 +259,6 @@
         if server.failure_domain != wish.failure_domain:
             expected_s += REMOTE_COST_S
         expected_s += self._failure_share(load, now_s) * FAILURE_COST_S
-        if load.breaker.is_open:
-            expected_s += FAILURE_COST_S
         return Choice(server, expected_s, uncached, load.running)
 
     def _failure_share(self, load: _ServerLoad, now_s: float) -> float:
--- a/src/bilberryturn/routing/provisioning.py
+++ b/src/bilberryturn/routing/provisioning.py
@@ -70,7 +70,12 @@
         for domain in domains
     )
     wanted = sum(baseline.values())
-    cheap = {d: _cheap_count(scaling, baseline[d]) for d in domains}
+    cheap = {
+        d: _cheap_count(
+            scaling, baseline[d], counts.get(d, Counts(0, 0)).steady
+        )
+        for d in domains
+    }
     steady = {
         d: max(FEWEST_STEADY, scaling.minimum - cheap[d]) for d in domains
     }
@@ -90,10 +95,14 @@
     return orders
 
 
-def _cheap_count(scaling: types.Scaling, baseline: int) -> int:
+def _cheap_count(
+    scaling: types.Scaling, baseline: int, steady_running: int
+) -> int:
+    """Return how many cheap servers fit beside the others that run."""
     if scaling.cheap_price is None or scaling.cheap_price >= 1:
         return 0
-    return max(0, min(baseline, scaling.maximum - FEWEST_STEADY))
+    room = scaling.maximum - max(FEWEST_STEADY, steady_running)
+    return max(0, min(baseline, room))
 
 
 def _add_steady(
