--- /dev/null
+++ b/features/steps/users_platform_steps.py
@@ -0,0 +1,485 @@
+"""Steps of users_platform.feature."""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import socket
+import tempfile
+import threading
+import time
+
+import behave
+import msgspec
+
+from bilberryturn.edge import feeds
+from bilberryturn.edge import relays
+from bilberryturn.gateway import beliefs
+from bilberryturn.gateway import small_server
+from bilberryturn.gateway import upstream
+from bilberryturn.platform import duty_calls
+from bilberryturn.platform import exceptions
+from bilberryturn.platform import http
+from bilberryturn.platform import operator_config
+from bilberryturn.platform import rows
+from bilberryturn.platform import server_entries
+from bilberryturn.platform import settings_file
+from bilberryturn.platform import tables
+from bilberryturn.platform import wire
+from support import store_standin
+
+TROUBLES = {
+    "works": "",
+    "answers 503": "503",
+    "answers 429": "429",
+    "loses its answers": "lost",
+    "stays silent": "silent",
+    "answers garbage": "garbage",
+}
+ERRORS = {
+    "refused": exceptions.PlatformRefusedError,
+    "unreachable": exceptions.PlatformUnreachableError,
+    "unreadable": exceptions.PlatformFormatError,
+}
+
+
+def _config(version):
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "r",
+                "host": "h",
+                "prefix": "/p/",
+                "type": "safe",
+                "timeoutMs": 1000,
+                "service": "app",
+            }
+        ],
+        "services": [{"name": "app", "maxConns": 9}],
+        "tenants": [{"name": "w", "apiKeys": ["k"]}],
+    }
+
+
+def _entry(**changes):
+    entry = {
+        "service": "app",
+        "addr": "10.0.0.1:80",
+        "zone": "east",
+        "state": "ready",
+        "seq": 1,
+        "slots": 4,
+    }
+    entry.update(changes)
+    return entry
+
+
+def _start_standin(context):
+    context.standin = store_standin.StoreStandin()
+    context.closers.append(context.standin.close)
+
+
+def _wait_for(check, limit_s, what):
+    end_s = time.monotonic() + limit_s
+    while not check():
+        assert time.monotonic() < end_s, what()
+        time.sleep(0.02)
+
+
+# the row interface
+
+
+@behave.given("a stand-in of the users' store that {trouble}")
+def given_standin(context, trouble):
+    _start_standin(context)
+    context.standin.put("t", "k", {"x": 1})
+    context.standin.fault = TROUBLES[trouble]
+    client = http.HttpClient("store", context.standin.address, 0.5)
+    context.store = rows.RowStore(client)
+
+
+@behave.then("a read gives {outcome}")
+def then_read(context, outcome):
+    result = context.store.read("t/k")
+    if outcome == "the row":
+        assert result.ok == tables.Row("t/k", 1, {"x": 1}), result
+        return
+    assert isinstance(result.error, ERRORS[outcome]), result.error
+
+
+@behave.then("a transaction gives {outcome}")
+def then_transaction(context, outcome):
+    result = context.store.transact({"t/new": 0}, {"t/new": 5})
+    if outcome == "committed":
+        assert result.ok.versions == {"t/new": 2}, result
+        assert context.store.read("t/new").ok == tables.Row("t/new", 2, 5)
+        return
+    assert isinstance(result.error, ERRORS[outcome]), result.error
+
+
+@behave.then("a transaction with an old version fails and writes nothing")
+def then_old_version(context):
+    result = context.store.transact({"t/k": 99, "t/z": 0}, {"t/k": 2, "t/z": 3})
+    assert isinstance(result.ok, tables.Failed), result
+    assert context.store.read("t/k").ok.value == {"x": 1}
+    assert context.store.read("t/z").ok.version == 0
+
+
+@behave.when("{count:d} rows are written to a table")
+def when_rows(context, count):
+    for number in range(count):
+        context.standin.put("many", f"{number:05d}", number)
+
+
+@behave.then("a snapshot holds all of them once")
+def then_snapshot(context):
+    found = [r.value for r in context.store.scan("many/").ok]
+    assert found == list(range(1100)), len(found)
+
+
+@behave.then("the duty client resets its connection when it gives up")
+def then_resets(context):
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.closers.append(listener.close)
+    client = http.HttpClient(
+        "duties",
+        f"127.0.0.1:{listener.getsockname()[1]}",
+        0.3,
+        drops_unsent=True,
+    )
+    result = duty_calls.DutyCalls(client, "vm").report_usage(1, {"a": 1}, 5)
+    assert isinstance(result.error, exceptions.PlatformUnreachableError)
+    accepted, _ = listener.accept()
+    accepted.settimeout(2)
+    try:
+        while accepted.recv(65536):
+            pass
+    except ConnectionResetError:
+        return
+    raise AssertionError("the connection was closed in order, not reset")
+
+
+# feeds
+
+
+class _Node:
+    """Holds the feeds and the relay client of one node."""
+
+    def __init__(self, store_address, domain_peers, name):
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        self.shared = beliefs.Shared(
+            "east",
+            beliefs.RepeatLimits(0.2, 1, 10),
+            5.0,
+            upstream.ConnectionPool(),
+            lambda print_, count: None,
+        )
+        self.raw = feeds.Raw()
+        self.applier = feeds.Applier(self.shared, self.raw)
+        self.server = small_server.SmallServer(self._answer)
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            port = probe.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        asyncio.run_coroutine_threadsafe(
+            self.server.start("127.0.0.1", port), self.loop
+        ).result(5)
+        self.followers = [
+            feeds.Follower(
+                rows.OPERATOR_TABLE, store_address, 1.0, 0.0, "",
+                feeds.on_loop(self.loop, self._take_config),
+            ),
+            feeds.Follower(
+                rows.SERVER_TABLE, store_address, 0.0, 0.2, "",
+                feeds.on_loop(self.loop, self._take_servers),
+            ),
+        ]  # fmt: skip
+        domain_peers.append(self.address)
+        self.relay = relays.RelayClient(
+            self.address,
+            "east",
+            "",
+            lambda: list(domain_peers),
+            lambda: list(domain_peers),
+            self.followers,
+            feeds.on_loop(self.loop, self.applier.peer),
+        )
+        self.stopping = threading.Event()
+        for job in (*self.followers, self.relay):
+            threading.Thread(
+                target=job.run, args=(self.stopping,), daemon=True
+            ).start()
+
+    def _answer(self, path, body):
+        known = json.loads(body)["revision"]
+        state = msgspec.json.encode(self.raw.state(known))
+        return small_server.Reply(200, state)
+
+    def _take_config(self, changes, is_snapshot, after_outage):
+        self.applier.config_confirmed(time.monotonic())
+        for row in changes.rows:
+            if row.key == rows.CONFIG_KEY and row.value is not None:
+                self.applier.config(row.value, time.monotonic(), "store")
+
+    def _take_servers(self, changes, is_snapshot, after_outage):
+        self.applier.servers(
+            {row.key: row.value for row in changes.rows},
+            is_snapshot,
+            time.monotonic(),
+            after_outage,
+        )
+
+    @property
+    def version(self):
+        return self.shared.table.version if self.shared.table else None
+
+    def known(self):
+        return sorted(s.server_id for s in self.shared.directory.usable("app"))
+
+    def close(self):
+        self.stopping.set()
+        self.loop.call_soon_threadsafe(self.server.stop)
+
+
+@behave.given("a node's feeds on a stand-in of the users' store")
+def given_feeds(context):
+    _start_standin(context)
+    context.peers = []
+    context.standin.put("op", "config", _config(7))
+    context.standin.put("servers", "good", _entry())
+    context.node = _Node(context.standin.address, context.peers, "n1")
+    context.closers.append(context.node.close)
+    _wait_for(
+        lambda: context.node.version == 7 and context.node.known() == ["good"],
+        5,
+        lambda: (context.node.version, context.node.known()),
+    )
+
+
+@behave.when(
+    "the store forgets its history while a server joins and another leaves"
+)
+def when_forgets(context):
+    context.standin.fault = "503"
+    time.sleep(0.5)
+    context.standin.put("servers", "joined", _entry(addr="10.0.0.2:80"))
+    context.standin.put("servers", "good", _entry(state="draining", seq=2))
+    context.standin.forget_history()
+    context.standin.fault = ""
+
+
+@behave.then("the feeds know both within {limit_s:d} s")
+def then_both(context, limit_s):
+    _wait_for(
+        lambda: context.node.known() == ["joined"], limit_s, context.node.known
+    )
+
+
+BAD_ENTRIES = {
+    "is no JSON": b"\xff{",
+    "lacks its address": {"service": "app", "zone": "e", "state": "ready"},
+    "has a list as service": _entry(service=["app"]),
+    "has an unknown state": _entry(state="odd"),
+    "has a port of 0": _entry(addr="10.0.0.1:0"),
+    "has text as number": _entry(seq="one"),
+}
+
+
+@behave.when("an entry that {fault} is written")
+def when_bad_entry(context, fault):
+    if fault == "is no Base64":
+        context.standin.put_text("servers", "bad", "***")
+    else:
+        context.standin.put("servers", "bad", BAD_ENTRIES[fault])
+    context.standin.put("servers", "later", _entry(addr="10.0.0.3:80"))
+
+
+@behave.then("the feeds know only the good server")
+def then_only_good(context):
+    _wait_for(
+        lambda: context.node.known() == ["good", "later"],
+        5,
+        context.node.known,
+    )
+
+
+@behave.when("the operator's row is {what}")
+def when_operator(context, what):
+    if what == "older":
+        context.standin.put("op", "config", _config(6))
+    elif what == "no JSON":
+        context.standin.put("op", "config", b"{")
+    elif what == "without versions":
+        context.standin.put("op", "config", {"routes": []})
+    else:
+        context.standin.remove("op", "config")
+
+
+@behave.then("version {version:d} stays in force")
+def then_stays(context, version):
+    time.sleep(0.6)
+    assert context.node.version == version
+    assert context.node.shared.table.find_route("h", "/p/x") is not None
+
+
+@behave.given("a node whose own way to the store is cut")
+def given_cut(context):
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        dead = f"127.0.0.1:{probe.getsockname()[1]}"
+    context.cut = _Node(dead, context.peers, "n2")
+    context.closers.append(context.cut.close)
+
+
+@behave.when("the operator writes version {version:d}")
+def when_version(context, version):
+    context.standin.put("op", "config", _config(version))
+
+
+@behave.then(
+    "the cut node has version {version:d} in force within {limit_s:d} s"
+)
+def then_cut(context, version, limit_s):  # fmt: skip
+    _wait_for(
+        lambda: context.cut.version == version,
+        limit_s,
+        lambda: context.cut.version,
+    )
+
+
+@behave.given("3 nodes of one failure domain on a stand-in of the users' store")
+def given_three(context):
+    given_feeds(context)
+    context.nodes = [context.node]
+    for number in range(2):
+        node = _Node(context.standin.address, context.peers, f"m{number}")
+        context.closers.append(node.close)
+        context.nodes.append(node)
+
+
+def _readers(context):
+    return [n for n in context.nodes if n.relay.reads_store]
+
+
+@behave.then("only 1 of them reads the store after {limit_s:d} s")
+def then_one(context, limit_s):
+    _wait_for(
+        lambda: len(_readers(context)) == 1,
+        limit_s,
+        lambda: len(_readers(context)),
+    )
+
+
+@behave.when("the node that reads the store is stopped")
+def when_reader_stops(context):
+    reader = _readers(context)[0]
+    reader.close()
+    context.nodes.remove(reader)
+
+
+@behave.then(
+    "the others have version {version:d} in force within {limit_s:d} s"
+)
+def then_others(context, version, limit_s):  # fmt: skip
+    _wait_for(
+        lambda: all(n.version == version for n in context.nodes),
+        limit_s,
+        lambda: [n.version for n in context.nodes],
+    )
+
+
+# settings
+
+SETTINGS = """node=edge-1
+ip=10.1.0.1
+zone=east
+region=r
+zones.east=r
+listen.front=10.1.0.1:80
+listen.ready=10.1.0.1:81
+listen.control=10.1.0.1:82
+seeds=10.1.0.1:82,10.1.0.2:82
+platform.addr=10.2.0.1:80
+cloud.addr=10.2.0.2:80
+cloud.duties=usage,scale
+bounds.graceS=8
+bootstrap=true
+"""
+BAD_SETTINGS = {
+    "is complete": ("", ""),
+    "has unknown names": ("bootstrap=true", "bootstrap=true\nnew.x=1\nodd"),
+    "lacks the node's name": ("node=edge-1\n", ""),
+    "lacks the store": ("platform.addr=10.2.0.1:80\n", ""),
+    "has a port of text": ("10.1.0.1:80", "10.1.0.1:http"),
+    "has text as bound": ("graceS=8", "graceS=long"),
+}
+
+
+@behave.then("a settings file that {fault} gives {outcome}")
+def then_settings(context, fault, outcome):
+    if fault == "cannot be read":
+        result = settings_file.load("/nowhere/settings.conf")
+        assert result.error[0].number == "E289"
+        return
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "settings.conf"
+        path.write_text(SETTINGS.replace(*BAD_SETTINGS[fault]))
+        result = settings_file.load(os.fspath(path))
+    if outcome == "settings":
+        assert result.ok.name == "edge-1"
+        assert result.ok.stop_grace_s == 8
+        assert result.ok.is_first_start
+        return
+    assert [f.option for f in result.error] == [outcome.rpartition(" ")[2]]
+    assert all(fault.remedy for fault in result.error)
+
+
+# any bytes
+
+
+def _spoil(numbers, data):
+    data = bytearray(data)
+    for _ in range(numbers.randrange(1, 6)):
+        place = numbers.randrange(len(data))
+        kind = numbers.randrange(3)
+        if kind == 0:
+            data[place] = numbers.randrange(256)
+        elif kind == 1:
+            del data[place : place + numbers.randrange(1, 9)]
+        else:
+            data[place:place] = numbers.randbytes(numbers.randrange(1, 9))
+        if not data:
+            data = bytearray(b"x")
+    return bytes(data)
+
+
+@behave.then(
+    "{count:d} seeded inputs of each kind give a result or a typed error"
+)
+def then_fuzz(context, count):
+    numbers = random.Random(23)
+    config = json.dumps(_config(3)).encode()
+    entry = json.dumps(_entry()).encode()
+    names = (
+        wire.REQUEST_ID,
+        wire.PATIENCE,
+        wire.PROMPT_PARTS,
+        wire.PROMPT_TOKENS,
+        b"authorization",
+        b"connection",
+        b"host",
+        b"keep-alive",
+        b"retry-after",
+    )
+    for _ in range(count):
+        operator_config.decode(_spoil(numbers, config)).is_ok()
+        server_entries.decode("s", _spoil(numbers, entry)).is_ok()
+        text = _spoil(numbers, SETTINGS.encode()).decode("utf-8", "replace")
+        settings_file.check_text(text, "file").is_ok()
+        headers = [
+            (name, _spoil(numbers, b"a1:20,b2:3,900 Bearer k"))
+            for name in names
+        ]
+        read = wire.read_caller_headers(headers)
+        assert read.patience_s is None or read.patience_s >= 0
+        wire.read_server_answer(200, headers)
--- /dev/null
+++ b/features/support/store_standin.py
@@ -0,0 +1,215 @@
+"""A stand-in of the users' store and duties, by the published protocol."""
+
+import base64
+import http.server
+import json
+import threading
+import time
+import urllib.parse
+
+
+class StoreStandin:
+    """Keeps rows and changes; misbehaves when told.
+
+    Attributes:
+        faults: Kinds of misbehaviour for the next calls, first one first.
+        fault: Misbehaviour of all calls until it is cleared, or "".
+        calls: Method, path and headers of all calls.
+        duty_calls: Path, body and headers of all orders and reports.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.changes = []
+        self.version = 0
+        self.history_from = 0
+        self.faults = []
+        self.fault = ""
+        self.calls = []
+        self.duty_calls = []
+        self.lock = threading.Condition()
+        handler = type("Handler", (_Handler,), {"standin": self})
+        self._server = http.server.ThreadingHTTPServer(
+            ("127.0.0.1", 0), handler
+        )
+        self._server.daemon_threads = True
+        self.address = f"127.0.0.1:{self._server.server_address[1]}"
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
+    def close(self):
+        self._server.shutdown()
+        self._server.server_close()
+
+    def put(self, table, key, value):
+        """Write a row as the operator or a server does; raw bytes or JSON."""
+        raw = value if isinstance(value, bytes) else json.dumps(value).encode()
+        with self.lock:
+            self._write(table, key, base64.b64encode(raw).decode())
+            self.lock.notify_all()
+
+    def put_text(self, table, key, text):
+        """Write a value that is no Base64."""
+        with self.lock:
+            self._write(table, key, text)
+            self.lock.notify_all()
+
+    def remove(self, table, key):
+        """Remove a row."""
+        with self.lock:
+            self._write(table, key, None)
+            self.lock.notify_all()
+
+    def forget_history(self):
+        """Drop the history, as a compaction does."""
+        with self.lock:
+            self.history_from = self.version
+            self.lock.notify_all()
+
+    def value(self, table, key):
+        """Return the decoded value of a row, or None."""
+        with self.lock:
+            found = self.rows.get((table, key))
+        return json.loads(base64.b64decode(found[0])) if found else None
+
+    def _write(self, table, key, value):
+        self.version += 1
+        if value is None:
+            self.rows.pop((table, key), None)
+        else:
+            self.rows[(table, key)] = (value, self.version)
+        self.changes.append((self.version, table, key, value))
+
+    # calls
+
+    def get(self, query):
+        with self.lock:
+            rows = [
+                self._row(table, key, value, version)
+                for (table, key), (value, version) in sorted(self.rows.items())
+                if table == query["table"]
+                and query.get("from", "") <= key
+                and (not query.get("to") or key < query["to"])
+            ]
+            limit = min(int(query.get("limit", 500)), 500)
+            return 200, {
+                "rows": rows[:limit],
+                "hasMore": len(rows) > limit,
+                "ver": self.version,
+                "nowMs": 1,
+            }
+
+    def feed(self, query):
+        since = int(query["sinceRev"])
+        until_s = time.monotonic() + int(query["waitMs"]) / 1000
+        with self.lock:
+            while True:
+                if since < self.history_from:
+                    return 410, {}
+                found = [
+                    c
+                    for c in self.changes
+                    if c[0] > since and c[1] == query["table"]
+                ]
+                left_s = until_s - time.monotonic()
+                if found or left_s <= 0:
+                    break
+                self.lock.wait(left_s)
+            rows = []
+            for version, table, key, value in found:
+                row = self._row(table, key, value or "", version)
+                if value is None:
+                    row["deleted"] = True
+                rows.append(row)
+            return 200, {"rows": rows, "ver": self.version, "nowMs": 1}
+
+    def transact(self, body):
+        with self.lock:
+            for check in body["expectRev"]:
+                place = (check["table"], check["key"])
+                version = self.rows.get(place, ("", 0))[1]
+                if version != check["ver"]:
+                    return 412, {"rows": []}
+            self.version += 1
+            for write in body["write"]:
+                place = (write["table"], write["key"])
+                self.rows[place] = (write["value"], self.version)
+                self.changes.append((self.version, *place, write["value"]))
+            for place in body["remove"]:
+                self.rows.pop((place["table"], place["key"]), None)
+            self.lock.notify_all()
+            return 200, {"ver": self.version, "nowMs": 1}
+
+    def _row(self, table, key, value, version):
+        return {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": value,
+            "ver": version,
+        }
+
+    def take_fault(self):
+        """Return the misbehaviour of the next call."""
+        with self.lock:
+            if self.faults:
+                return self.faults.pop(0)
+            return self.fault
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    standin = None
+
+    def log_message(self, *arguments):
+        pass
+
+    def do_GET(self):  # noqa: N802
+        self._serve(b"")
+
+    def do_POST(self):  # noqa: N802
+        length = int(self.headers.get("Content-Length", 0))
+        self._serve(self.rfile.read(length))
+
+    def _serve(self, body):
+        path, _, query = self.path.partition("?")
+        self.standin.calls.append((self.command, path, dict(self.headers)))
+        fault = self.standin.take_fault()
+        if fault == "silent":
+            time.sleep(3)
+            self.close_connection = True
+            return
+        if fault in ("429", "503", "500"):
+            self._answer(int(fault), {"error": fault})
+            return
+        status, value = self._result(path, query, body)
+        if fault == "lost":
+            self.close_connection = True
+            return
+        if fault == "garbage":
+            self._send(200, b"\x00{nonsense")
+            return
+        self._answer(status, value)
+
+    def _result(self, path, query, body):
+        arguments = dict(urllib.parse.parse_qsl(query))
+        if path == "/rows-get":
+            return self.standin.get(arguments)
+        if path == "/rows-feed":
+            return self.standin.feed(arguments)
+        if path == "/rows-tx":
+            return self.standin.transact(json.loads(body))
+        if path in ("/usage", "/scale"):
+            self.standin.duty_calls.append(
+                (path, json.loads(body), dict(self.headers))
+            )
+            return 200, {}
+        return 404, {}
+
+    def _answer(self, status, value):
+        self._send(status, json.dumps(value).encode())
+
+    def _send(self, status, data):
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
--- /dev/null
+++ b/features/users_platform.feature
@@ -0,0 +1,89 @@
+Feature: The adapter meets the users' platform by its published protocol
+
+  Scenario Outline: The store <trouble>
+    Given a stand-in of the users' store that <trouble>
+    Then a read gives <read>
+    And a transaction gives <transaction>
+
+    Examples:
+      | trouble             | read         | transaction  |
+      | works               | the row      | committed    |
+      | answers 503         | refused      | refused      |
+      | answers 429         | refused      | refused      |
+      | loses its answers   | unreachable  | unreachable  |
+      | stays silent        | unreachable  | unreachable  |
+      | answers garbage     | unreadable   | unreadable   |
+
+  Scenario: A transaction under a wrong version changes nothing
+    Given a stand-in of the users' store that works
+    Then a transaction with an old version fails and writes nothing
+
+  Scenario: Long tables are read in pages
+    Given a stand-in of the users' store that works
+    When 1100 rows are written to a table
+    Then a snapshot holds all of them once
+
+  Scenario: A lost history is replaced by a snapshot
+    Given a node's feeds on a stand-in of the users' store
+    When the store forgets its history while a server joins and another leaves
+    Then the feeds know both within 5 s
+
+  Scenario Outline: An entry that <fault> names no server and hides no other
+    Given a node's feeds on a stand-in of the users' store
+    When an entry that <fault> is written
+    Then the feeds know only the good server
+
+    Examples:
+      | fault                      |
+      | is no JSON                 |
+      | is no Base64               |
+      | lacks its address          |
+      | has a list as service      |
+      | has an unknown state       |
+      | has a port of 0            |
+      | has text as number         |
+
+  Scenario Outline: A configuration that is <what>
+    Given a node's feeds on a stand-in of the users' store
+    When the operator's row is <what>
+    Then version 7 stays in force
+
+    Examples:
+      | what             |
+      | older            |
+      | no JSON          |
+      | without versions |
+      | removed          |
+
+  Scenario: A node that the store turns away hears from a peer
+    Given a node's feeds on a stand-in of the users' store
+    And a node whose own way to the store is cut
+    When the operator writes version 9
+    Then the cut node has version 9 in force within 5 s
+
+  Scenario: Nodes behind a relay make few calls and lose nothing with it
+    Given 3 nodes of one failure domain on a stand-in of the users' store
+    Then only 1 of them reads the store after 5 s
+    When the node that reads the store is stopped
+    And the operator writes version 9
+    Then the others have version 9 in force within 5 s
+
+  Scenario: A duty call that is given up does not arrive later
+    Given a stand-in of the users' store that works
+    Then the duty client resets its connection when it gives up
+
+  Scenario Outline: A settings file that <fault>
+    Then a settings file that <fault> gives <outcome>
+
+    Examples:
+      | fault                  | outcome                 |
+      | is complete            | settings                |
+      | has unknown names      | settings                |
+      | lacks the node's name  | a fault named node      |
+      | lacks the store        | a fault named addr      |
+      | has a port of text     | a fault named front     |
+      | has text as bound      | a fault named graceS    |
+      | cannot be read         | a fault of the file     |
+
+  Scenario: Any bytes as settings, configuration, entry or header
+    Then 600 seeded inputs of each kind give a result or a typed error
