--- /dev/null
+++ b/features/steps/usage_window_steps.py
@@ -0,0 +1,237 @@
+"""Steps of usage_windows.feature: holders that die, freeze or are cut."""
+
+import random
+
+import behave
+import expression
+
+from bilberryturn import leases
+from bilberryturn.edge import duties
+from bilberryturn.edge import usage_windows
+from bilberryturn.gateway import beliefs
+from bilberryturn.platform import exceptions
+from support import fakes
+
+WINDOW_S = 5.0
+DUE_S = 10.0
+START_S = 1_000_000.0
+LEASE = leases.LeaseOptions(3.0, 0.5)
+
+
+class _Calls:
+    """Takes reports and keeps them in the order of arrival."""
+
+    def __init__(self, numbers=None, lost=0.0):
+        self.sent = []
+        self._numbers = numbers
+        self._lost = lost
+        self.dies = False
+
+    def report_usage(self, window, counts, fence):
+        if self.dies:
+            raise fakes.KilledError
+        self.sent.append((window, dict(counts), fence))
+        if self._numbers and self._numbers.random() < self._lost:
+            return expression.Error(
+                exceptions.PlatformUnreachableError("duties", "lost")
+            )
+        return expression.Ok(None)
+
+
+class _Holder:
+    """Is one process that may hold the lease."""
+
+    def __init__(self, name, table, calls, clock):
+        self.lease = leases.Lease("duties", name, LEASE, table, clock)
+        self.reporter = usage_windows.Reporter(
+            table, self.lease, calls, WINDOW_S, DUE_S
+        )
+        self.reporter._first_window = int(START_S // WINDOW_S)
+        self.frozen_until_s = 0.0
+        self.name = name
+
+    def step(self, clock):
+        if clock() < self.frozen_until_s:
+            return
+        self.lease.step()
+        if not self.lease.believes():
+            self.reporter.lost()
+            return
+        self.reporter.step(START_S + clock() - 1000.0)
+
+
+def _seal(table, node, window, counts):
+    key = f"usage/{usage_windows.window_key(window)}/{node}@1"
+    table.rows[key] = (1, counts)
+
+
+@behave.then(
+    "over {count:d} seeded histories no window has two figures and no fence"
+    " goes back"
+)
+def then_histories(context, count):
+    trouble = context.active_outline["trouble"]
+    for seed in range(count):
+        _play(seed, trouble)
+
+
+def _play(seed, trouble):
+    numbers = random.Random(seed)
+    clock = fakes.FakeClock()
+    lost = 0.2 if trouble == "loses answers" else 0.0
+    table = fakes.FakeTable(seed, lost)
+    calls = _Calls(numbers, 0.2)
+    holders = [_Holder(f"h{n}", table, calls, clock) for n in range(2)]
+    first = int(START_S // WINDOW_S)
+    for tick in range(240):
+        clock.now_s += 0.25
+        if trouble in ("is down at times", "fails while holders freeze"):
+            table.is_down = numbers.random() < 0.3
+        if trouble == "fails while holders freeze" and (
+            numbers.random() < 0.03
+        ):
+            frozen = numbers.choice(holders)
+            frozen.frozen_until_s = clock() + numbers.uniform(2, 8)
+        window = first + int((clock() - 1000.0) // WINDOW_S) - 1
+        if numbers.random() < 0.4:
+            node = f"n{numbers.randrange(3)}"
+            _seal(table, node, window, {"a": numbers.randrange(9), "b": tick})
+        numbers.shuffle(holders)
+        for holder in holders:
+            holder.step(clock)
+    _check(calls.sent, seed)
+    if trouble == "works":
+        assert len({w for w, _, _ in calls.sent}) >= 9, seed
+
+
+def _check(sent, seed):
+    figures = {}
+    highest = 0
+    for window, counts, fence in sent:
+        assert figures.setdefault(window, counts) == counts, (seed, window)
+        assert fence >= highest, (seed, window, fence)
+        highest = fence
+
+
+@behave.given("3 nodes that count requests in a window")
+def given_nodes(context):
+    context.clock = fakes.FakeClock()
+    context.rows = fakes.FakeTable()
+    context.calls = _Calls()
+    context.holder = _Holder("h", context.rows, context.calls, context.clock)
+    context.first = int(START_S // WINDOW_S)
+    for number in range(3):
+        usage = beliefs.UsageCounts(WINDOW_S)
+        usage.note("a", START_S + number)
+        usage.note("b", START_S + number)
+        _seal(
+            context.rows, f"n{number}", context.first, usage.get(context.first)
+        )
+
+
+def _run_until(context, limit_s):
+    while context.clock() < 1000.0 + limit_s:
+        context.clock.now_s += 0.25
+        context.holder.step(context.clock)
+
+
+@behave.then("the report of that window holds all of them")
+def then_all(context):
+    _run_until(context, WINDOW_S + 2.0)
+    assert context.calls.sent == [(context.first, {"a": 3, "b": 3}, 1)]
+
+
+@behave.when("one of them never seals the next window")
+def when_never(context):
+    _run_until(context, WINDOW_S + 2.0)
+    for number in range(2):
+        _seal(context.rows, f"n{number}", context.first + 1, {"a": 1})
+
+
+@behave.then("that window is reported without it before it is due")
+def then_without(context):
+    _run_until(context, 2 * WINDOW_S + DUE_S - 5.0)
+    assert len(context.calls.sent) == 1, "the missing node is waited for"
+    _run_until(context, 2 * WINDOW_S + DUE_S - 1.0)
+    assert context.calls.sent[1][:2] == (context.first + 1, {"a": 2})
+
+
+@behave.when("the holder dies between freezing and sending")
+def when_dies(context):
+    context.calls.dies = True
+    try:
+        _run_until(context, WINDOW_S + 3.0)
+    except fakes.KilledError:
+        pass
+    context.calls.dies = False
+    assert context.calls.sent == []
+    # A late count must not change what is frozen.
+    _seal(context.rows, "late", context.first, {"a": 50})
+
+
+@behave.then("its successor sends the same figures under a higher fence")
+def then_successor(context):
+    context.holder = _Holder(
+        "successor", context.rows, context.calls, context.clock
+    )
+    _run_until(context, WINDOW_S + 12.0)
+    assert context.calls.sent[0] == (context.first, {"a": 3, "b": 3}, 2)
+
+
+@behave.then(
+    "over {count:d} seeded histories of 3 nodes no two acts of one holder"
+    " surround another's within the lease's time"
+)
+def then_no_alternation(context, count):
+    for seed in range(count):
+        _play_turns(seed)
+
+
+def _play_turns(seed):
+    numbers = random.Random(1000 + seed)
+    clock = fakes.FakeClock()
+    table = fakes.FakeTable(seed)
+    names = ("a", "b", "c")
+    nodes = {name: _Turns(name, table, clock) for name in names}
+    acts = []
+    for _ in range(400):
+        clock.now_s += 0.25
+        table.is_down = numbers.random() < 0.15
+        for name in names:
+            if numbers.random() < 0.02:
+                nodes[name].stop(numbers.random() < 0.5)
+                nodes[name] = _Turns(name, table, clock)
+            if nodes[name].may_act():
+                acts.append((clock(), name))
+    for index, (at_s, name) in enumerate(acts):
+        between = False
+        for later_s, later in acts[index + 1 :]:
+            if later_s - at_s > LEASE.ttl_s:
+                break
+            if later != name:
+                between = True
+            elif between:
+                raise AssertionError((seed, at_s, later_s))
+
+
+class _Turns:
+    """Is one lifetime of a node that follows the duty keeper's waits."""
+
+    def __init__(self, name, table, clock):
+        self.keeper = _keeper(name, table, clock)
+        self._clock = clock
+
+    def may_act(self):
+        return self.keeper._hold(self._clock())
+
+    def stop(self, in_order):
+        if in_order:
+            self.keeper._lease.release()
+
+
+def _keeper(name, table, clock):
+    lease = leases.Lease("duties", name, LEASE, table, clock)
+    return duties.DutyKeeper(
+        name, lease, LEASE.ttl_s, None, None, None, None, False,
+        lambda: True, clock,
+    )  # fmt: skip
--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -42,6 +42,7 @@
         servers_orders: orders.Orders | None,
         is_first_start: bool,
         reads_store: Callable[[], bool],
+        clock: Callable[[], float] = leases.boottime_s,
     ):
         """Set the duties.
 
@@ -56,6 +57,7 @@
             servers_orders: Orders servers, if that is a duty here.
             is_first_start: Whether no node has run before.
             reads_store: Returns whether this node reads the store itself.
+            clock: Seconds that go on while the VM is suspended.
         """
         self._name = name
         self._lease = lease
@@ -67,7 +69,8 @@
         self._held_since_s: float | None = None
         # A process that starts waits before it asks for the lease: it may
         # have held it in its last lifetime.
-        self._look_s = leases.boottime_s()
+        self._clock = clock
+        self._look_s = clock()
         if not is_first_start:
             self._look_s += lease_s
         self._distant_look_s = self._look_s
@@ -92,7 +95,7 @@
         self._lease.release()
 
     def _step(self) -> None:
-        now_s = leases.boottime_s()
+        now_s = self._clock()
         if now_s >= self._presence_s:
             self._presence_count += 1
             is_early = self._presence_count == 1
@@ -130,10 +133,7 @@
         if held_s is None or not self._lease.believes():
             return False
         # Nobody can have acted before the first holder.
-        return (
-            self._lease.epoch == 1
-            or leases.boottime_s() - held_s >= self._lease_s
-        )
+        return self._lease.epoch == 1 or self._clock() - held_s >= self._lease_s
 
     def _look_interval_s(self, held: bool) -> float:
         if held:
