Let holders freeze inside calls in the usage histories

Now taking away the check of the epoch when a window is frozen fails "a store that fails while holders freeze".

--- a/features/steps/usage_window_steps.py
+++ b/features/steps/usage_window_steps.py
@@ -38,6 +38,33 @@
         return expression.Ok(None)
 
 
+class _PausingTable(fakes.FakeTable):
+    """Lets a process freeze inside a call while the others go on.
+
+    Attributes:
+        pause: Runs the other processes for some seconds, or None.
+    """
+
+    def __init__(self, seed, lost, numbers):
+        super().__init__(seed, lost)
+        self._pauses = numbers
+        self.pause = None
+
+    def _maybe_pause(self):
+        if self.pause is not None and self._pauses.random() < 0.02:
+            run, self.pause = self.pause, None
+            run()
+
+    def read(self, key):
+        result = super().read(key)
+        self._maybe_pause()
+        return result
+
+    def transact(self, checks, writes):
+        self._maybe_pause()
+        return super().transact(checks, writes)
+
+
 class _Holder:
     """Is one process that may hold the lease."""
 
@@ -47,12 +74,8 @@
             table, self.lease, calls, WINDOW_S, DUE_S
         )
         self.reporter._first_window = int(START_S // WINDOW_S)
-        self.frozen_until_s = 0.0
-        self.name = name
 
     def step(self, clock):
-        if clock() < self.frozen_until_s:
-            return
         self.lease.step()
         if not self.lease.believes():
             self.reporter.lost()
@@ -75,33 +98,58 @@
         _play(seed, trouble)
 
 
-def _play(seed, trouble):
-    numbers = random.Random(seed)
-    clock = fakes.FakeClock()
-    lost = 0.2 if trouble == "loses answers" else 0.0
-    table = fakes.FakeTable(seed, lost)
-    calls = _Calls(numbers, 0.2)
-    holders = [_Holder(f"h{n}", table, calls, clock) for n in range(2)]
-    first = int(START_S // WINDOW_S)
-    for tick in range(240):
+class _Play:
+    """Plays one history of two holders."""
+
+    def __init__(self, seed, trouble):
+        self.numbers = random.Random(seed)
+        self.trouble = trouble
+        self.clock = fakes.FakeClock()
+        lost = 0.2 if trouble == "loses answers" else 0.0
+        self.table = _PausingTable(seed, lost, self.numbers)
+        self.calls = _Calls(self.numbers, 0.2)
+        self.holders = [
+            _Holder(f"h{n}", self.table, self.calls, self.clock)
+            for n in range(2)
+        ]
+
+    def run(self):
+        """Run for a minute and return the reports sent."""
+        while self.clock() < 1060.0:
+            self._tick(self.holders)
+        return self.calls.sent
+
+    def _tick(self, holders):
+        clock, numbers = self.clock, self.numbers
         clock.now_s += 0.25
-        if trouble in ("is down at times", "fails while holders freeze"):
-            table.is_down = numbers.random() < 0.3
-        if trouble == "fails while holders freeze" and (
-            numbers.random() < 0.03
-        ):
-            frozen = numbers.choice(holders)
-            frozen.frozen_until_s = clock() + numbers.uniform(2, 8)
-        window = first + int((clock() - 1000.0) // WINDOW_S) - 1
+        freezes = self.trouble == "fails while holders freeze"
+        self.table.is_down = self.trouble == "is down at times" and (
+            clock() % 11 < 4
+        )
+        window = int((START_S + clock() - 1000.0) // WINDOW_S) - 1
         if numbers.random() < 0.4:
             node = f"n{numbers.randrange(3)}"
-            _seal(table, node, window, {"a": numbers.randrange(9), "b": tick})
-        numbers.shuffle(holders)
-        for holder in holders:
+            counts = {"a": numbers.randrange(9), "b": int(clock() * 4)}
+            _seal(self.table, node, window, counts)
+        for holder in numbers.sample(holders, len(holders)):
+            if freezes and len(holders) > 1:
+                others = [h for h in holders if h is not holder]
+                self.table.pause = lambda others=others: self._go_on(others)
             holder.step(clock)
-    _check(calls.sent, seed)
+            self.table.pause = None
+
+    def _go_on(self, others):
+        """Run the others while one process stands still."""
+        end_s = self.clock() + self.numbers.uniform(3, 9)
+        while self.clock() < end_s:
+            self._tick(others)
+
+
+def _play(seed, trouble):
+    sent = _Play(seed, trouble).run()
+    _check(sent, seed)
     if trouble == "works":
-        assert len({w for w, _, _ in calls.sent}) >= 9, seed
+        assert len({w for w, _, _ in sent}) >= 9, seed
 
 
 def _check(sent, seed):
@@ -194,12 +242,19 @@
     names = ("a", "b", "c")
     nodes = {name: _Turns(name, table, clock) for name in names}
     acts = []
-    for _ in range(400):
+    away = dict.fromkeys(names, 0.0)
+    for _ in range(600):
         clock.now_s += 0.25
-        table.is_down = numbers.random() < 0.15
         for name in names:
             if numbers.random() < 0.02:
-                nodes[name].stop(numbers.random() < 0.5)
+                away[name] = clock() + numbers.uniform(0, 6)
+            # Only this node's way to the store is cut.
+            table.is_down = clock() < away[name]
+            # Most often a holder is stopped right after its first acts.
+            acted = [n for _, n in acts[-2:]]
+            is_new = name in acted and len(set(acted)) == 2
+            if numbers.random() < (0.4 if is_new else 0.01):
+                nodes[name].stop(numbers.random() < 0.8)
                 nodes[name] = _Turns(name, table, clock)
             if nodes[name].may_act():
                 acts.append((clock(), name))
