--- /dev/null
+++ b/features/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against the real programs, as separate processes."""
--- /dev/null
+++ b/features/soak/world.py
@@ -0,0 +1,226 @@
+"""Start nodes of the gateway, backend servers and a store on loopback."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+from bilberryturn_standins import ports
+from bilberryturn_standins import proxy
+from bilberryturn_standins import server as loop_server
+from support import scripted
+from support import store_standin
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+HEARTBEAT_S = 1.0
+STOP_GRACE_S = 4
+EVENTS = 6
+ROUTES = {
+    "safe": {"type": "safe", "attempts": 2, "service": "app"},
+    "unsafe": {"type": "unsafe", "attempts": 1, "service": "app"},
+    "resumable": {
+        "type": "stream",
+        "attempts": 2,
+        "resumable": True,
+        "service": "llm",
+    },
+    "stream": {"type": "stream", "attempts": 1, "service": "llm"},
+}
+
+
+class BackendRecord:
+    """Notes what all backend servers ran.
+
+    Attributes:
+        runs: Number of runs by request.
+        faults: Broken promises that backend servers saw.
+    """
+
+    def __init__(self):
+        self.runs = {}
+        self.faults = []
+        self._lock = threading.Lock()
+
+    def note(self, head, keys):
+        request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
+        with self._lock:
+            self.runs[request] = self.runs.get(request, 0) + 1
+            if any(key in head for key in keys):
+                self.faults.append(f"{request}: a backend server saw a key")
+            account = scripted.header(head, "X-Bilberryturn-Tenant")
+            if account != "workshop":
+                self.faults.append(f"{request}: ran for {account}")
+
+
+class Node:
+    """Is one node's process; started again after each end."""
+
+    def __init__(self, world, number):
+        self.name = f"edge-{number}"
+        self.ip = f"127.0.{world.subnet}.{number + 1}"
+        self.port = ports.take()
+        self.ready_port = ports.take()
+        self.peer_port = ports.take()
+        self._world = world
+        self.process = None
+        self.is_paused = False
+        self.log_path = world.folder / f"{self.name}.log"
+
+    def write_settings(self, is_first):
+        world = self._world
+        seeds = ",".join(f"{n.ip}:{n.peer_port}" for n in world.nodes[:3])
+        text = "\n".join(
+            [
+                f"node={self.name}",
+                f"ip={self.ip}",
+                f"zone=zone-{self.name[-1]}" if world.apart else "zone=zone-0",
+                f"listen.front={self.ip}:{self.port}",
+                f"listen.ready={self.ip}:{self.ready_port}",
+                f"listen.control={self.ip}:{self.peer_port}",
+                f"seeds={seeds}",
+                f"bootstrap={'true' if is_first else 'false'}",
+                f"platform.addr={world.store_address}",
+                f"cloud.addr={world.store_address}",
+                "cloud.duties=usage",
+                f"bounds.graceS={STOP_GRACE_S}",
+                "bounds.leaseMs=2000",
+                "bounds.usageWindowS=2",
+                "bounds.usageDelayS=6",
+            ]
+        )
+        self.settings_path = world.folder / f"{self.name}.conf"
+        self.settings_path.write_text(text + "\n", "utf-8")
+
+    def start(self, is_first=False):
+        self.write_settings(is_first)
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "deploy/edge.py"],
+                cwd=ROOT,
+                env={
+                    "PATH": os.environ.get("PATH", ""),
+                    "BILBERRYTURN_SETTINGS": str(self.settings_path),
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def is_running(self):
+        return self.process is not None and self.process.poll() is None
+
+
+class World:
+    """Holds everything that one seed runs."""
+
+    def __init__(self, folder, node_count, subnet, apart):
+        self.folder = folder
+        self.subnet = subnet
+        self.apart = apart
+        self.keys = ["key-a", "key-b"]
+        self.version = 0
+        self.record = BackendRecord()
+        self.store = store_standin.StoreStandin()
+        self._loop = loop_server.LoopThread()
+        self.proxy = proxy.FaultProxy(self._loop)
+        self.store_address = self.proxy.listen(self.store.address)
+        self.backends = {}
+        self._stopping = threading.Event()
+        for number in range(5):
+            self._add_backend(f"s{number}", "llm" if number < 3 else "app")
+        self.write_config()
+        self.nodes = []
+        self.nodes.extend(Node(self, n) for n in range(node_count))
+        for node in self.nodes:
+            node.start(is_first=True)
+
+    def _add_backend(self, name, service):
+        server = scripted.ScriptedServer(self._script)
+        address = self.proxy.listen(f"127.0.0.1:{server.port}")
+        self.backends[name] = (server, address, service)
+        self.store.put("servers", name, self.entry(name, 1))
+
+    def entry(self, name, sequence, state="ready"):
+        """Return a server's entry."""
+        _, address, service = self.backends[name]
+        return {
+            "service": service,
+            "addr": address,
+            "zone": "zone-0",
+            "state": state,
+            "seq": sequence,
+            "slots": 16,
+        }
+
+    def write_config(self):
+        """Write the next version of the configuration."""
+        self.version += 1
+        self.store.put(
+            "op",
+            "config",
+            {
+                "version": self.version,
+                "routes": [
+                    {
+                        "name": kind,
+                        "host": "h.example",
+                        "prefix": f"/{kind}/",
+                        "timeoutMs": 3000,
+                        "targetLatencyMs": 500,
+                        **route,
+                    }
+                    for kind, route in ROUTES.items()
+                ],
+                "services": [
+                    {"name": "app", "maxConns": 50},
+                    {
+                        "name": "llm",
+                        "maxConns": 50,
+                        "engine": {
+                            "slots": 16,
+                            "kvCapacity": 100000,
+                            "stride": 3,
+                        },
+                    },
+                ],
+                "tenants": [{"name": "workshop", "apiKeys": self.keys}],
+            },
+        )
+
+    def _script(self, peer, head, body, number):
+        self.record.note(head, ("key-a", "key-b"))
+        if "/safe/" in head or "/unsafe/" in head:
+            request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
+            peer.answer(head, f"answer to {request}".encode())
+            return
+        peer.start_stream(head)
+        after = int(scripted.header(head, "Last-Event-Id") or 0)
+        for found in range(after + 1, EVENTS + 1):
+            peer.chunk(scripted.event(found))
+            time.sleep(0.02)
+        peer.chunk(b"")
+
+    def restart_ended(self):
+        """Start nodes whose process has ended."""
+        for node in self.nodes:
+            if not node.is_running():
+                node.start()
+
+    def close(self):
+        """End everything that was started here."""
+        self._stopping.set()
+        for node in self.nodes:
+            node.signal(signal.SIGCONT)
+            node.signal(signal.SIGKILL)
+        for node in self.nodes:
+            node.process.wait(10)
+        self.proxy.stop()
+        for server, _, _ in self.backends.values():
+            server.close()
+        self.store.close()
