Give each soak addresses of its own

Cause: soak.feature failed once because a soak with the same seed ran beside it on the same loopback addresses ("address already in use" in the nodes' logs).

--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -11,6 +11,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
+from bilberryturn_standins import ports  # noqa: E402
 from soak import callers  # noqa: E402
 from soak import faults  # noqa: E402
 from soak import world as world_module  # noqa: E402
@@ -28,7 +29,7 @@
     numbers = random.Random(seed)
     folder = folder or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     world = world_module.World(
-        folder, node_count, 1 + seed % 200, numbers.random() < 0.5
+        folder, node_count, 1 + ports.block_number(), numbers.random() < 0.5
     )
     verdicts = callers.Verdicts()
     stopping = threading.Event()
--- a/src/bilberryturn_standins/ports.py
+++ b/src/bilberryturn_standins/ports.py
@@ -64,3 +64,8 @@
     if _block is None:
         _block = PortBlock()
     return _block.take()
+
+
+def block_number() -> int:
+    """Return a number that no other process on this machine has."""
+    return (take() - FIRST_PORT) // BLOCK_PORTS
