Keep counts through relays; share crashes; trust only a relay that reads

Nodes tell their sums to their relay twice a second, which writes them once a second; rows hold sums, so that writing again changes nothing. Crashes go the same way; a request is refused after three, since resets look like crashes.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -93,5 +93,5 @@
   Scenario: A request that crashes its servers stops
     Given a gateway before servers that reset after the request always
     When the same safe request is sent 6 times
-    Then the servers received the request 2 times
+    Then the servers received the request 3 times
     And the caller sees status 503 without a seal
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -39,8 +39,8 @@
   Scenario: Repeats of all nodes stay within the bound
     Then over 200 seeded histories of 9 nodes no window holds more repeats than a fifth of its requests and the slack
 
-  Scenario: A request that crashed two servers is refused everywhere
-    Given a node where a request crashed two servers
+  Scenario: A request that crashed three servers is refused everywhere
+    Given a node where a request crashed three servers
     Then that node refuses it and others do after hearing of it
     And a good end clears an innocent request
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -148,11 +148,12 @@
             assert sent <= allowed, (seed, sent, allowed)
 
 
-@behave.given("a node where a request crashed two servers")
+@behave.given("a node where a request crashed three servers")
 def given_crashes(context):
     context.suspects = suspects.Suspects()
     context.print_ = suspects.fingerprint("account", "/x", b"body")
     context.suspects.note_crash(context.print_, 1.0)
+    context.suspects.note_crash(context.print_, 1.5)
     assert not context.suspects.is_refused(context.print_, 1.0)
     context.suspects.note_crash(context.print_, 2.0)
 
@@ -162,7 +163,9 @@
     assert context.suspects.is_refused(context.print_, 3.0)
     other = suspects.Suspects()
     assert not other.is_refused(context.print_, 3.0)
-    other.merge(context.print_, 2, 3.0)
+    other.merge(context.print_, "n1", 2, 3.0)
+    assert not other.is_refused(context.print_, 3.0)
+    other.merge(context.print_, "n2", 1, 3.0)
     assert other.is_refused(context.print_, 3.0)
     assert not other.is_refused(context.print_, 3.0 + suspects.MEMORY_S), (
         "an entry ends"
@@ -172,9 +175,9 @@
 @behave.then("a good end clears an innocent request")
 def then_cleared(context):
     found = suspects.Suspects()
-    found.note_crash("p", 1.0)
-    found.clear("p")
-    found.note_crash("p", 2.0)
+    for _ in range(4):
+        found.note_crash("p", 1.0)
+        found.clear("p")
     assert not found.is_refused("p", 2.0)
 
 
--- a/features/steps/usage_window_steps.py
+++ b/features/steps/usage_window_steps.py
@@ -85,7 +85,7 @@
 
 def _seal(table, node, window, counts):
     key = f"usage/{usage_windows.window_key(window)}/{node}@1"
-    table.rows[key] = (1, counts)
+    table.rows[key] = (1, {"counts": counts, "is_sealed": True})
 
 
 @behave.then(
@@ -172,8 +172,12 @@
         usage = beliefs.UsageCounts(WINDOW_S)
         usage.note("a", START_S + number)
         usage.note("b", START_S + number)
+        told = usage.snapshot(START_S + WINDOW_S)
         _seal(
-            context.rows, f"n{number}", context.first, usage.get(context.first)
+            context.rows,
+            f"n{number}",
+            context.first,
+            told[context.first].counts,
         )
 
 
@@ -185,7 +189,7 @@
 
 @behave.then("the report of that window holds all of them")
 def then_all(context):
-    _run_until(context, WINDOW_S + 2.0)
+    _run_until(context, WINDOW_S + 3.0)
     assert context.calls.sent == [(context.first, {"a": 3, "b": 3}, 1)]
 
 
@@ -204,6 +208,25 @@
     assert context.calls.sent[1][:2] == (context.first + 1, {"a": 2})
 
 
+@behave.when("the store is away for 5 s and back while the holder is alive")
+def when_away(context):
+    _run_until(context, 2.0)
+    assert context.holder.lease.believes()
+    context.rows.is_down = True
+    _run_until(context, 7.0)
+    assert not context.holder.lease.believes()
+    context.rows.is_down = False
+
+
+@behave.then(
+    "the holder acts again within 1 s of its return under the same fence"
+)
+def then_again(context):  # fmt: skip
+    _run_until(context, 8.0)
+    assert context.holder.lease.believes()
+    assert context.holder.lease.epoch == 1
+
+
 @behave.when("the holder dies between freezing and sending")
 def when_dies(context):
     context.calls.dies = True
--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -174,7 +174,6 @@
             beliefs.RepeatLimits(0.2, 1, 10),
             5.0,
             upstream.ConnectionPool(),
-            lambda print_, count: None,
         )
         self.raw = feeds.Raw()
         self.applier = feeds.Applier(self.shared, self.raw)
@@ -197,11 +196,14 @@
         ]  # fmt: skip
         domain_peers.append(self.address)
         self.relay = relays.RelayClient(
+            name,
             self.address,
             "east",
             "",
             lambda: list(domain_peers),
             lambda: list(domain_peers),
+            lambda: self.shared.usage.snapshot(time.time()),
+            lambda: self.shared.suspects.own_counts(time.monotonic()),
             self.followers,
             feeds.on_loop(self.loop, self.applier.peer),
         )
@@ -212,17 +214,20 @@
             ).start()
 
     def _answer(self, path, body):
-        known = json.loads(body)["revision"]
-        state = msgspec.json.encode(self.raw.state(known))
+        question = msgspec.json.decode(body, type=relays.Question)
+        self.applier.suspects(question.lifetime, question.suspects)
+        state = msgspec.json.encode(self.raw.state(question.revision))
         return small_server.Reply(200, state)
 
     def _take_config(self, changes, is_snapshot, after_outage):
+        self.raw.config_read_s = time.monotonic()
         self.applier.config_confirmed(time.monotonic())
         for row in changes.rows:
             if row.key == rows.CONFIG_KEY and row.value is not None:
                 self.applier.config(row.value, time.monotonic(), "store")
 
     def _take_servers(self, changes, is_snapshot, after_outage):
+        self.raw.servers_read_s = time.monotonic()
         self.applier.servers(
             {row.key: row.value for row in changes.rows},
             is_snapshot,
@@ -331,6 +336,28 @@
     context.closers.append(context.cut.close)
 
 
+@behave.given("a node that would be its relay but is cut from the store")
+def given_cut_relay(context):
+    for _ in range(40):
+        given_cut(context)
+        if relays.rank(list(context.peers), "east")[0] == context.cut.address:
+            return
+        context.peers.remove(context.cut.address)
+    raise AssertionError("no address ranked first")
+
+
+@behave.then(
+    "the node's own reading of the store stays under {age_s:d} s old for"
+    " {limit_s:d} s"
+)
+def then_reads(context, age_s, limit_s):
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        found_s = time.monotonic() - context.node.raw.servers_read_s
+        assert found_s < age_s, found_s
+        time.sleep(0.05)
+
+
 @behave.when("the operator writes version {version:d}")
 def when_version(context, version):
     context.standin.put("op", "config", _config(version))
--- a/features/support/gateway_rig.py
+++ b/features/support/gateway_rig.py
@@ -87,7 +87,6 @@
             beliefs.RepeatLimits(0.2, 10.0, 10.0),
             5.0,
             upstream.ConnectionPool(),
-            lambda print_, count: None,
         )
         self.shared.table = route_table
         for found in servers:
--- a/features/usage_windows.feature
+++ b/features/usage_windows.feature
@@ -19,6 +19,11 @@
     When one of them never seals the next window
     Then that window is reported without it before it is due
 
+  Scenario: A holder goes on after an outage that nobody used
+    Given 3 nodes that count requests in a window
+    When the store is away for 5 s and back while the holder is alive
+    Then the holder acts again within 1 s of its return under the same fence
+
   Scenario: A new holder sends the frozen figures again
     Given 3 nodes that count requests in a window
     When the holder dies between freezing and sending
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -68,6 +68,11 @@
     And the operator writes version 9
     Then the others have version 9 in force within 5 s
 
+  Scenario: Two nodes do not take each other for the store
+    Given a node's feeds on a stand-in of the users' store
+    And a node that would be its relay but is cut from the store
+    Then the node's own reading of the store stays under 2 s old for 6 s
+
   Scenario: A duty call that is given up does not arrive later
     Given a stand-in of the users' store that works
     Then the duty client resets its connection when it gives up
--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -21,6 +21,8 @@
 # that loses its relay reads the store and looks.
 DISTANT_LOOK_S = 30.0
 STEP_S = 0.5
+# How often counts are written; a node that dies loses what came later.
+WRITE_S = 1.0
 # Nodes that come or go are found by then; the dead are noticed sooner by
 # asking them.
 PRESENCE_S = 30.0
@@ -37,7 +39,7 @@
         lease: leases.Lease,
         lease_s: float,
         here: presence.Presence,
-        sealer: usage_windows.Sealer,
+        write: Callable[[], None],
         reporter: usage_windows.Reporter | None,
         servers_orders: orders.Orders | None,
         is_first_start: bool,
@@ -52,7 +54,7 @@
             lease_s: Time in which two holders must not act in turn; a new
                 holder waits as long before its first act.
             here: The other nodes.
-            sealer: Writes this node's own usage.
+            write: Writes what this node and those that ask it have to keep.
             reporter: Reports usage, if that is a duty here.
             servers_orders: Orders servers, if that is a duty here.
             is_first_start: Whether no node has run before.
@@ -63,7 +65,8 @@
         self._lease = lease
         self._lease_s = lease_s
         self._here = here
-        self._sealer = sealer
+        self._write = write
+        self._write_s = 0.0
         self._reporter = reporter
         self._orders = servers_orders
         self._held_since_s: float | None = None
@@ -91,7 +94,10 @@
                     error=f"{type(error).__name__}: {error}",
                 )
             stopping.wait(STEP_S)
-        self._sealer.seal_current()
+        if not self._reads_store():
+            # The relay has heard all but the last half second.
+            return
+        self._write()
         self._lease.release()
 
     def _step(self) -> None:
@@ -103,7 +109,9 @@
                 SECOND_LOOK_S if is_early else PRESENCE_S
             )
             self._here.refresh()
-        self._sealer.step()
+        if now_s >= self._write_s and self._reads_store():
+            self._write_s = now_s + WRITE_S
+            self._write()
         if not self._hold(now_s):
             return
         if self._reporter is not None:
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -20,6 +20,11 @@
 from bilberryturn.platform import rows
 from bilberryturn.platform import server_entries
 
+# Lifetimes whose crashes are remembered.
+MAX_LIFETIMES = 1000
+# How often the crashes that other nodes counted are read. A request that
+# crashes its servers must be known everywhere 4 s later (stableMs).
+SUSPECT_POLL_S = 1.5
 # How long the store holds a call back until the configuration changes. It
 # ends before configurations must be in force (configMs, 2.5 s), so that a
 # silent connection is noticed.
@@ -47,6 +52,9 @@
         servers: Entry of each server as written, in Base64, or None.
         config_age_s: Time since the store confirmed the configuration.
         servers_age_s: Time since the store confirmed the entries.
+        read_age_s: Time since the node itself last read both from the store.
+        suspects: Crashes by fingerprint that each lifetime of a node
+            counted, or None.
     """
 
     revision: str
@@ -54,6 +62,8 @@
     servers: dict[str, str] | None
     config_age_s: float
     servers_age_s: float
+    read_age_s: float
+    suspects: dict[str, dict[str, int]] | None = None
 
 
 class Raw:
@@ -64,6 +74,9 @@
         self.servers: dict[str, bytes] = {}
         self.config_heard_s = -1e9
         self.servers_heard_s = -1e9
+        self.config_read_s = -1e9
+        self.servers_read_s = -1e9
+        self.suspects: dict[str, dict[str, int]] = {}
         self._lifetime = secrets.token_hex(4)
         self._changes = 0
 
@@ -79,21 +92,33 @@
     def state(self, known: str) -> PeerState:
         """Return the state for a peer that knows a revision."""
         now_s = time.monotonic()
-        config = servers = None
+        config = servers = suspects = None
         if known != self.revision:
             config = base64.b64encode(self.config).decode()
             servers = {
                 key: base64.b64encode(value).decode()
                 for key, value in self.servers.items()
             }
+            suspects = dict(self.suspects)
         return PeerState(
             self.revision,
             config,
             servers,
             now_s - self.config_heard_s,
             now_s - self.servers_heard_s,
+            self._read_age_s(now_s),
+            suspects,
         )
 
+    def _read_age_s(self, now_s: float) -> float:
+        """Return how old the older of the two own readings is.
+
+        The configuration is read with a wait, so that its reading may be
+        older by that much.
+        """
+        config_age_s = now_s - self.config_read_s - CONFIG_WAIT_S
+        return max(0.0, config_age_s, now_s - self.servers_read_s)
+
 
 class Applier:
     """Applies what was heard; runs on the event loop only."""
@@ -173,8 +198,36 @@
                 changes.append(directory.remove(server_id, now_s, after_outage))
         self._note(changes, heard_s)
 
+    def suspects(self, lifetime: str, counts: dict[str, int]) -> None:
+        """Take the crashes that another node has counted."""
+        if self._raw.suspects.get(lifetime, {}) == counts:
+            return
+        self._raw.suspects[lifetime] = counts
+        while len(self._raw.suspects) > MAX_LIFETIMES:
+            self._raw.suspects.pop(next(iter(self._raw.suspects)))
+        self._raw.changed()
+        now_s = time.monotonic()
+        for print_, count in counts.items():
+            self._shared.suspects.merge(print_, lifetime, count, now_s)
+
+    def suspect_rows(self, changed: dict[str, bytes | None]) -> None:
+        """Take changed rows of crashes."""
+        for lifetime, value in changed.items():
+            try:
+                counts = msgspec.json.decode(
+                    value or b"{}", type=dict[str, int]
+                )
+            except msgspec.DecodeError as error:
+                events.log(
+                    events.FRAME_REFUSED, member=lifetime, problem=str(error)
+                )
+                continue
+            self.suspects(lifetime, counts)
+
     def peer(self, state: PeerState) -> None:
         """Take what a peer heard from the store lately."""
+        for lifetime, counts in (state.suspects or {}).items():
+            self.suspects(lifetime, counts)
         now_s = time.monotonic()
         config_heard_s = now_s - state.config_age_s
         servers_heard_s = now_s - state.servers_age_s
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -52,6 +52,7 @@
         self._stop_asked = asyncio.Event()
         self._is_ready = False
         self._raw = feeds.Raw()
+        self._own_counts: dict[str, int] = {}
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT."""
@@ -67,7 +68,6 @@
             ),
             settings.usage_window_s,
             self._pool,
-            self._share_suspect,
         )
         self._applier = feeds.Applier(self.shared, self._raw)
         self._callers = caller_server.CallerServer(self.shared)
@@ -75,7 +75,7 @@
             loop.add_signal_handler(number, self._ask_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         executor = concurrent.futures.ThreadPoolExecutor(
-            max_workers=5, thread_name_prefix="store"
+            max_workers=6, thread_name_prefix="store"
         )
         jobs = self._start_jobs(loop, executor)
         await self._listen()
@@ -95,11 +95,13 @@
     def _start_jobs(self, loop, executor) -> list[concurrent.futures.Future]:
         settings = self._settings
         store_address = str(settings.store)
+        self._lifetime = f"{settings.name}@{int(time.time() * 1000)}"
         store = rows.RowStore(
             http.HttpClient(
                 "store", store_address, STORE_CALL_TIMEOUT_S, settings.ip
             )
         )
+        self._ledger = usage_windows.Ledger(store, settings.usage_window_s)
         here = presence.Presence(
             store,
             settings.name,
@@ -123,19 +125,30 @@
             settings.ip,
             feeds.on_loop(loop, self._take_servers),
         )
+        suspects = feeds.Follower(
+            rows.SUSPECT_TABLE,
+            store_address,
+            0.0,
+            feeds.SUSPECT_POLL_S,
+            settings.ip,
+            feeds.on_loop(loop, self._take_suspects),
+        )
         relay = relays.RelayClient(
+            self._lifetime,
             str(settings.peers or ""),
             settings.failure_domain,
             settings.ip,
             here.domain_peers,
             here.peers,
-            [config, servers],
+            self._usage_now,
+            self._own_suspects,
+            [config, servers, suspects],
             feeds.on_loop(loop, self._applier.peer),
         )
         keeper = self._duty_keeper(store, here, relay)
         return [
             executor.submit(job.run, self._stopping)
-            for job in (config, servers, relay, keeper)
+            for job in (config, servers, suspects, relay, keeper)
         ]
 
     def _duty_keeper(self, store, here, relay) -> duties.DutyKeeper:
@@ -159,14 +172,12 @@
                 )
             if duty_calls.SERVERS in settings.duty_names:
                 server_orders = orders.Orders(store, lease, calls, self.shared)
-        lifetime = f"{settings.name}@{int(time.time() * 1000)}"
-        sealer = usage_windows.Sealer(store, lifetime, self.shared.usage)
         return duties.DutyKeeper(
             settings.name,
             lease,
             settings.lease_s,
             here,
-            sealer,
+            self._write,
             reporter,
             server_orders,
             settings.is_first_start,
@@ -204,6 +215,7 @@
         self, changes: rows.Changes, is_snapshot: bool, after_outage: bool
     ) -> None:
         now_s = time.monotonic()
+        self._raw.config_read_s = now_s
         self._applier.config_confirmed(now_s)
         for row in changes.rows:
             if row.key == rows.CONFIG_KEY and row.value is not None:
@@ -212,6 +224,7 @@
     def _take_servers(
         self, changes: rows.Changes, is_snapshot: bool, after_outage: bool
     ) -> None:
+        self._raw.servers_read_s = time.monotonic()
         self._applier.servers(
             {row.key: row.value for row in changes.rows},
             is_snapshot,
@@ -219,11 +232,30 @@
             after_outage,
         )
 
-    def _share_suspect(self, print_: str, count: int) -> None:
-        events.log(
-            events.REQUEST_QUARANTINED, fingerprint=print_, crashes=count
+    def _take_suspects(
+        self, changes: rows.Changes, is_snapshot: bool, after_outage: bool
+    ) -> None:
+        self._applier.suspect_rows(
+            {
+                row.key: row.value
+                for row in changes.rows
+                if row.key != self._lifetime
+            }
         )
 
+    def _own_suspects(self) -> dict[str, int]:
+        return self._own_counts
+
+    def _write(self) -> None:
+        """Write this node's counts and those of the nodes that ask it."""
+        now_s = time.time()
+        self._ledger.take(self._lifetime, self._usage_now())
+        self._ledger.take_suspects(self._lifetime, self._own_suspects())
+        self._ledger.write(now_s)
+
+    def _usage_now(self) -> dict[int, beliefs.WindowCounts]:
+        return self.shared.usage.snapshot(time.time())
+
     # questions
 
     def _answer_ready(self, path: str, body: bytes) -> small_server.Reply:
@@ -241,6 +273,9 @@
                 events.FRAME_REFUSED, member="unknown", problem=str(error)
             )
             return small_server.Reply(400)
+        self._ledger.take(question.lifetime, question.usage)
+        self._ledger.take_suspects(question.lifetime, question.suspects)
+        self._applier.suspects(question.lifetime, question.suspects)
         return small_server.Reply(
             200,
             msgspec.json.encode(self._raw.state(question.revision)),
@@ -253,6 +288,7 @@
         sweep_s = 0.0
         while True:
             self._applier.tick()
+            self._own_counts = self.shared.suspects.own_counts(time.monotonic())
             self._update_ready()
             now_s = time.monotonic()
             if now_s >= sweep_s:
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -15,6 +15,7 @@
 
 from bilberryturn import events
 from bilberryturn.edge import feeds
+from bilberryturn.gateway import beliefs
 from bilberryturn.platform import http
 
 # A change is heard twice, by the relay and by the asker; both intervals
@@ -28,17 +29,28 @@
 SILENT_S = 20.0
 # Relays tried before the store is read directly.
 RELAYS_TRIED = 2
-# A relay is as good as the store while it heard it within this time; it waits
-# for changes of the configuration for up to 2 s.
-CURRENT_S = 2.8
+# A relay serves while it read the store itself within this time. What it only
+# heard from a peer does not count: two nodes would take each other for current
+# while neither reads.
+CURRENT_S = 1.6
 # Peers asked while the store does not answer.
 PEERS_ASKED = 2
 
 
 class Question(msgspec.Struct):
-    """Holds what a node sends to a relay: the content that it has."""
+    """Holds what a node sends to a relay.
 
+    Attributes:
+        lifetime: Name of the node and of its start.
+        revision: Content that it has.
+        usage: Its counts of the last windows, by the window's number.
+        suspects: Its new counts of crashes, by fingerprint.
+    """
+
+    lifetime: str
     revision: str
+    usage: dict[int, beliefs.WindowCounts]
+    suspects: dict[str, int]
 
 
 def rank(addresses: list[str], domain: str) -> list[str]:
@@ -56,30 +68,40 @@
 
     def __init__(
         self,
+        lifetime: str,
         address: str,
         domain: str,
         source_ip: str,
         domain_peers: Callable[[], list[str]],
         all_peers: Callable[[], list[str]],
+        usage: Callable[[], dict[int, beliefs.WindowCounts]],
+        suspects: Callable[[], dict[str, int]],
         followers: list[feeds.Follower],
         deliver: Callable[[feeds.PeerState], None],
     ):
         """Set whom to ask.
 
         Args:
+            lifetime: Name of this node and of its start.
             address: Where peers ask this node.
             domain: Its failure domain.
             source_ip: IP to call from.
             domain_peers: Addresses of the nodes of the failure domain.
             all_peers: Addresses of all known nodes.
+            usage: Returns this node's counts of the last windows.
+            suspects: Returns this node's counts of crashes that were not
+                told yet.
             followers: Readers of the store.
             deliver: Takes a reply.
         """
+        self._lifetime = lifetime
         self._address = address
         self._domain = domain
         self._source_ip = source_ip
         self._domain_peers = domain_peers
         self._all_peers = all_peers
+        self._usage = usage
+        self._suspects = suspects
         self._followers = followers
         self._deliver = deliver
         self._silent_until_s: dict[str, float] = {}
@@ -159,7 +181,12 @@
             client = self._clients[address] = http.HttpClient(
                 "peer", address, ASK_TIMEOUT_S, self._source_ip
             )
-        question = Question(self._revisions.get(address, ""))
+        question = Question(
+            self._lifetime,
+            self._revisions.get(address, ""),
+            self._usage(),
+            self._suspects(),
+        )
         result = client.call("PUT", "/state", question, may_repeat=True)
         if result.is_error() or result.ok.status != 200:
             self._silent_until_s[address] = time.monotonic() + SILENT_S
@@ -172,9 +199,7 @@
             events.log(events.FRAME_REFUSED, member=address, problem=str(error))
             return False
         self._revisions[address] = state.revision
-        is_current = (
-            state.config_age_s < CURRENT_S and state.servers_age_s < CURRENT_S
-        )
+        is_current = state.read_age_s < CURRENT_S
         if is_current and address != self._relay:
             self._relay = address
             events.log(
--- a/src/bilberryturn/edge/usage_windows.py
+++ b/src/bilberryturn/edge/usage_windows.py
@@ -1,14 +1,17 @@
 """Gather the usage of all nodes and report each window once.
 
-Every node writes a row with its counts of a window. The holder of the lease
-sums them, freezes the sum in a row of its own in a transaction that fails
-under a newer holder, and only then sends it. Whatever is sent again is what
-was frozen.
+The nodes that read the store write the counts of a window, their own and those
+of the nodes that ask them. The holder of the lease sums them, freezes the sum
+in a row of its own in a transaction that fails under a newer holder, and only
+then sends it. Whatever is sent again is what was frozen.
 """
 
+import threading
 import time
 from typing import NamedTuple
 
+import msgspec
+
 from bilberryturn import events
 from bilberryturn import leases
 from bilberryturn.gateway import beliefs
@@ -18,22 +21,25 @@
 
 COUNTS_PREFIX = "usage/"
 FROZEN_PREFIX = "reports/"
-# A node writes its counts this long after a window's end, so that requests
-# counted at the edge are in.
-SEAL_AFTER_S = 0.4
+# Windows kept for writing; a store that is away longer than that loses them.
+KEPT_WINDOWS = 6
+# Most rows of one transaction.
+MAX_ROWS_A_WRITE = 100
 # The holder waits for nodes that sealed the window before; this much before
 # a report is due it goes on without them.
 RESERVE_S = 4.0
-# All live nodes have sealed by then in quiet times.
-SUM_AFTER_S = 1.5
+# In quiet times all nodes have told their relay by then (0.5 s) and it has
+# written (1 s).
+SUM_AFTER_S = 2.5
 # Windows that a new holder looks at.
 LOOK_BACK = 3
 
 
 class WindowState(NamedTuple):
-    """Says who has sealed a window and what they counted."""
+    """Says which lifetimes of nodes ended a window and what all counted."""
 
-    nodes: frozenset[str]
+    sealed: frozenset[str]
+    unsealed: frozenset[str]
     counts: dict[str, int]
 
 
@@ -42,50 +48,74 @@
     return f"{window:012d}"
 
 
-class Sealer:
-    """Writes this node's counts of each window that ended."""
+Counts = dict[int, beliefs.WindowCounts]
 
-    def __init__(
-        self, store: rows.RowStore, lifetime: str, usage: beliefs.UsageCounts
-    ):
+
+class Ledger:
+    """Writes what this node and those that ask it have counted.
+
+    Rows hold sums, so that writing one again changes nothing, and are written
+    a second or so after the requests began: a node that dies loses little.
+    """
+
+    def __init__(self, store: rows.RowStore, window_s: float):
         """Set where to write.
 
         Args:
             store: The platform's store.
-            lifetime: Name of this node and of its start.
-            usage: What the node counted.
+            window_s: Length of a window.
         """
         self._store = store
-        self._lifetime = lifetime
-        self._usage = usage
-        self._next = int(time.time() // usage.window_s)
-
-    def step(self) -> None:
-        """Seal the windows that have ended; repeats what failed."""
-        now_s = time.time()
-        while now_s >= (self._next + 1) * self._usage.window_s + SEAL_AFTER_S:
-            if not self._seal(self._next):
-                return
-            self._next += 1
-
-    def seal_current(self) -> None:
-        """Seal the running window too; the node stops."""
-        self.step()
-        self._seal(self._next)
-
-    def _seal(self, window: int) -> bool:
-        counts = self._usage.get(window)
-        key = f"{COUNTS_PREFIX}{window_key(window)}/{self._lifetime}"
-        result = self._store.transact({}, {key: counts})
+        self._window_s = window_s
+        self._lock = threading.Lock()
+        self._known: dict[str, beliefs.WindowCounts | dict[str, int]] = {}
+        self._dirty: set[str] = set()
+
+    def take(self, lifetime: str, counts: Counts) -> None:
+        """Take the sums of one lifetime of a node."""
+        with self._lock:
+            for window, found in counts.items():
+                key = f"{COUNTS_PREFIX}{window_key(window)}/{lifetime}"
+                if self._known.get(key) != found:
+                    self._known[key] = found
+                    self._dirty.add(key)
+
+    def take_suspects(self, lifetime: str, counts: dict[str, int]) -> None:
+        """Take the crashes that one lifetime of a node has counted."""
+        key = f"{rows.SUSPECT_TABLE}/{lifetime}"
+        with self._lock:
+            if self._known.get(key, {}) != counts:
+                self._known[key] = counts
+                self._dirty.add(key)
+
+    def write(self, now_s: float) -> None:
+        """Write the sums that changed; what fails is written next time."""
+        with self._lock:
+            self._forget(now_s)
+            keys = sorted(self._dirty)[:MAX_ROWS_A_WRITE]
+            writes = {key: self._known[key] for key in keys}
+        if not writes:
+            return
+        result = self._store.transact({}, writes)
         if result.is_error():
             events.log(
                 events.USAGE_FLUSH_FAILED,
-                window=window,
+                rows=len(writes),
                 error=str(result.error),
             )
-            return False
-        self._usage.forget_before(window - 1)
-        return True
+            return
+        with self._lock:
+            for key, found in writes.items():
+                if self._known.get(key) == found:
+                    self._dirty.discard(key)
+
+    def _forget(self, now_s: float) -> None:
+        oldest = window_key(int(now_s // self._window_s) - KEPT_WINDOWS)
+        for key in list(self._known):
+            is_count = key.startswith(COUNTS_PREFIX)
+            if is_count and key[len(COUNTS_PREFIX) :] < oldest:
+                del self._known[key]
+                self._dirty.discard(key)
 
 
 class Reporter:
@@ -114,7 +144,7 @@
         self._window_s = window_s
         self._due_s = due_s
         self._next: int | None = None
-        self._previous_nodes: frozenset[str] = frozenset()
+        self._previous: frozenset[str] = frozenset()
         self._first_window = int(time.time() // window_s)
 
     def lost(self) -> None:
@@ -148,7 +178,7 @@
             state = self._read(window)
             if state is None:
                 return False
-            missing = self._previous_nodes - state.nodes
+            missing = (self._previous | state.unsealed) - state.sealed
             is_late = now_s >= self._end_s(window) + self._due_s - RESERVE_S
             if missing and not is_late:
                 return False
@@ -160,7 +190,7 @@
                 )
             if not self._freeze(key, window, state.counts):
                 return False
-            self._previous_nodes = state.nodes
+            self._previous = state.sealed
             counts = state.counts
         return self._send(window, counts)
 
@@ -169,14 +199,25 @@
         result = self._store.scan(prefix)
         if result.is_error():
             return None
-        nodes = set()
+        sealed: set[str] = set()
+        open_: set[str] = set()
         counts: dict[str, int] = {}
         for row in result.ok:
-            # One node may have several lifetimes in a window.
-            nodes.add(row.key[len(prefix) :].partition("@")[0])
-            for account, count in (row.value or {}).items():
+            try:
+                found = msgspec.convert(row.value, beliefs.WindowCounts)
+            except msgspec.ValidationError as error:
+                events.log(
+                    events.USAGE_WINDOW_INCOMPLETE,
+                    window=window,
+                    row=row.key,
+                    error=str(error),
+                )
+                continue
+            lifetime = row.key[len(prefix) :]
+            (sealed if found.is_sealed else open_).add(lifetime)
+            for account, count in found.counts.items():
                 counts[account] = counts.get(account, 0) + count
-        return WindowState(frozenset(nodes), counts)
+        return WindowState(frozenset(sealed), frozenset(open_), counts)
 
     def _freeze(self, key: str, window: int, counts: dict[str, int]) -> bool:
         checks = {key: 0, **self._lease.epoch_check()}
--- a/src/bilberryturn/gateway/beliefs.py
+++ b/src/bilberryturn/gateway/beliefs.py
@@ -1,9 +1,10 @@
 """Hold what a node believes and shares between its requests."""
 
 import collections
-from collections.abc import Callable
 import time
 
+import msgspec
+
 from bilberryturn import metrics
 from bilberryturn.gateway import upstream
 from bilberryturn.routing import budget
@@ -12,6 +13,21 @@
 from bilberryturn.routing import suspects
 from bilberryturn.routing import table as route_tables
 
+# Ended windows that a node goes on telling, in case a write of them is lost.
+KEPT_WINDOWS = 2
+
+
+class WindowCounts(msgspec.Struct):
+    """Holds the requests of one window that one node counted.
+
+    Attributes:
+        counts: Requests that began, by client account.
+        is_sealed: Whether the window has ended for the node.
+    """
+
+    counts: dict[str, int]
+    is_sealed: bool
+
 
 class UsageCounts:
     """Counts the requests that began to run, by window and account."""
@@ -26,14 +42,24 @@
         counts = self._counts.setdefault(window, collections.Counter())
         counts[client_account] += 1
 
-    def get(self, window: int) -> dict[str, int]:
-        """Return the counts of a window."""
-        return dict(self._counts.get(window, {}))
-
-    def forget_before(self, window: int) -> None:
-        """Drop windows that have been reported."""
-        for old in [w for w in self._counts if w < window]:
-            del self._counts[old]
+    def snapshot(self, now_s: float) -> dict[int, WindowCounts]:
+        """Return the counts of the last windows, the running one included.
+
+        Args:
+            now_s: Time of day.
+        """
+        running = int(now_s // self.window_s)
+        first = running - KEPT_WINDOWS
+        # The event loop may count meanwhile.
+        for window in list(self._counts):
+            if window < first:
+                self._counts.pop(window, None)
+        return {
+            window: WindowCounts(
+                dict(self._counts.get(window, {})), window < running
+            )
+            for window in range(first, running + 1)
+        }
 
 
 class RepeatLimits:
@@ -59,7 +85,6 @@
         repeats: RepeatLimits,
         usage_window_s: float,
         pool: upstream.ConnectionPool,
-        share_suspect: Callable[[str, int], None],
     ):
         self.failure_domain = failure_domain
         self.table: route_tables.RouteTable | None = None
@@ -68,7 +93,6 @@
         self.suspects = suspects.Suspects()
         self.usage = UsageCounts(usage_window_s)
         self.pool = pool
-        self.share_suspect = share_suspect
         self.is_stopping = False
         self.config_heard_s: float | None = None
         self.servers_heard_s: float | None = None
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -207,6 +207,8 @@
         if may_have_run and self._run_count() >= self._route.attempts:
             return False
         now_s = time.monotonic()
+        if self._shared.suspects.is_refused(self._print, now_s):
+            return False
         return self._shared.budget(self._service.name).take(now_s)
 
     def _run_count(self) -> int:
@@ -408,7 +410,13 @@
 
     def _note_crash(self) -> None:
         count = self._shared.suspects.note_crash(self._print, _now())
-        self._shared.share_suspect(self._print, count)
+        if count == suspects.CRASHES_TO_REFUSE:
+            events.log(
+                events.REQUEST_QUARANTINED,
+                request=self._incoming.headers.request_id,
+                fingerprint=self._print,
+                crashes=count,
+            )
 
     def _release(
         self,
--- a/src/bilberryturn/gateway/small_server.py
+++ b/src/bilberryturn/gateway/small_server.py
@@ -45,6 +45,9 @@
         except (OSError, TimeoutError, h11.ProtocolError):
             # The asker went away or does not speak HTTP; it asks again.
             pass
+        except asyncio.CancelledError:
+            # The node stops.
+            pass
         finally:
             writer.close()
 
--- a/src/bilberryturn/platform/rows.py
+++ b/src/bilberryturn/platform/rows.py
@@ -22,6 +22,8 @@
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
 SERVER_TABLE = "servers"
+# A table of the system's own: crashes counted by each node.
+SUSPECT_TABLE = "suspects"
 
 
 class _Row(msgspec.Struct):
--- a/src/bilberryturn/routing/suspects.py
+++ b/src/bilberryturn/routing/suspects.py
@@ -7,10 +7,14 @@
 import collections
 import hashlib
 
-CRASHES_TO_REFUSE = 2
+# Connections that are reset on the way look like crashes, so that two alone
+# do not condemn a request.
+CRASHES_TO_REFUSE = 3
 # Longer than a caller goes on sending the same request again.
 MEMORY_S = 120.0
 MAX_SUSPECTS = 4096
+# Counts that a node tells others; the row of a node stays under 10 KB.
+MAX_TOLD = 200
 
 
 def fingerprint(client_account: str, target: str, body: bytes) -> str:
@@ -23,36 +27,49 @@
 
 
 class Suspects:
-    """Counts crashes by fingerprint."""
+    """Counts crashes by fingerprint, those of other nodes included."""
 
     def __init__(self):
-        self._crashes: collections.OrderedDict[str, tuple[int, float]] = (
+        self._own: collections.OrderedDict[str, tuple[int, float]] = (
             collections.OrderedDict()
         )
+        self._others: collections.OrderedDict[
+            str, dict[str, tuple[int, float]]
+        ] = collections.OrderedDict()
 
     def note_crash(self, print_: str, now_s: float) -> int:
         """Count a crash; returns how many are known."""
-        count, _ = self._crashes.pop(print_, (0, 0.0))
-        self._crashes[print_] = (count + 1, now_s)
-        while len(self._crashes) > MAX_SUSPECTS:
-            self._crashes.popitem(last=False)
-        return count + 1
-
-    def merge(self, print_: str, count: int, now_s: float) -> None:
-        """Take the count of another node."""
-        known, _ = self._crashes.get(print_, (0, 0.0))
-        if count > known:
-            self._crashes[print_] = (count, now_s)
+        count, _ = self._own.pop(print_, (0, 0.0))
+        self._own[print_] = (count + 1, now_s)
+        while len(self._own) > MAX_SUSPECTS:
+            self._own.popitem(last=False)
+        return self.count(print_, now_s)
+
+    def merge(self, print_: str, node: str, count: int, now_s: float) -> None:
+        """Take the count of another node; a known one keeps its age."""
+        counts = self._others.setdefault(print_, {})
+        if counts.get(node, (0, 0.0))[0] != count:
+            counts[node] = (count, now_s)
+        self._others.move_to_end(print_)
+        while len(self._others) > MAX_SUSPECTS:
+            self._others.popitem(last=False)
 
     def clear(self, print_: str) -> None:
-        """Forget a request that has run to a good end."""
-        self._crashes.pop(print_, None)
+        """Forget this node's crashes of a request that ran to a good end."""
+        self._own.pop(print_, None)
+
+    def count(self, print_: str, now_s: float) -> int:
+        """Return the crashes known of a request."""
+        found = [*self._others.get(print_, {}).values()]
+        if print_ in self._own:
+            found.append(self._own[print_])
+        return sum(c for c, at_s in found if now_s - at_s < MEMORY_S)
 
     def is_refused(self, print_: str, now_s: float) -> bool:
         """Return whether a request must not run."""
-        count, seen_s = self._crashes.get(print_, (0, 0.0))
-        return count >= CRASHES_TO_REFUSE and now_s - seen_s < MEMORY_S
+        return self.count(print_, now_s) >= CRASHES_TO_REFUSE
 
-    def is_known(self, print_: str) -> bool:
-        """Return whether a request has crashed a server."""
-        return print_ in self._crashes
+    def own_counts(self, now_s: float) -> dict[str, int]:
+        """Return this node's newest counts, for other nodes."""
+        newest = list(self._own.items())[-MAX_TOLD:]
+        return {p: c for p, (c, at_s) in newest if now_s - at_s < MEMORY_S}
