--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -144,12 +144,13 @@
         return self._lease.epoch == 1 or self._clock() - held_s >= self._lease_s
 
     def _look_interval_s(self, held: bool) -> float:
-        if held:
+        # One that held it goes on after an outage if nobody took it.
+        if held or self._lease.epoch:
             return self._lease.renew_interval_s
         return LOOK_S
 
     def _is_look_due(self, now_s: float) -> bool:
         if now_s >= self._distant_look_s:
             return True
-        may_look = self._reads_store() or self._lease.believes()
+        may_look = self._reads_store() or bool(self._lease.epoch)
         return may_look and now_s >= self._look_s
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -31,8 +31,9 @@
 RELAYS_TRIED = 2
 # A relay serves while it read the store itself within this time. What it only
 # heard from a peer does not count: two nodes would take each other for current
-# while neither reads.
-CURRENT_S = 1.6
+# while neither reads. With the interval of asking (0.6 s at most) it stays
+# under the time in which a leaving server must get nothing new (2.5 s).
+CURRENT_S = 1.4
 # Peers asked while the store does not answer.
 PEERS_ASKED = 2
 
