Hand duties over at the start of a stop; let a successor act at once

A stop releases at once and seals the counts; only a process that acted itself within the lease's time under an earlier epoch waits, which is what the rule against acting in turn needs. Without that wait usage_windows.feature fails.

--- a/features/steps/usage_window_steps.py
+++ b/features/steps/usage_window_steps.py
@@ -1,6 +1,8 @@
 """Steps of usage_windows.feature: holders that die, freeze or are cut."""
 
 import random
+import threading
+import time
 
 import behave
 import expression
@@ -208,6 +210,66 @@
     assert context.calls.sent[1][:2] == (context.first + 1, {"a": 2})
 
 
+@behave.given(
+    "a duty keeper that holds the lease and reads no store for others"
+)
+def given_keeper(context):  # fmt: skip
+    context.clock = fakes.FakeClock()
+    context.rows = fakes.FakeTable()
+    lease = leases.Lease("duties", "h", LEASE, context.rows, context.clock)
+    assert lease.step()
+    usage = beliefs.UsageCounts(WINDOW_S)
+    usage.note("a", START_S)
+    ledger = usage_windows.Ledger(context.rows, WINDOW_S)
+
+    def write():
+        ledger.take("h@1", usage.snapshot(START_S))
+        ledger.write(START_S)
+
+    context.usage = usage
+    context.keeper = duties.DutyKeeper(
+        "h", lease, LEASE.ttl_s, _Nobody(), write, None, None, False,
+        lambda: False, context.clock,
+    )  # fmt: skip
+
+
+class _Nobody:
+    """Knows no other node."""
+
+    def refresh(self):
+        pass
+
+
+@behave.when("its node begins to stop")
+def when_stops(context):
+    context.keeper.hand_over()
+    stopping = threading.Event()
+    context.run = threading.Thread(target=context.keeper.run, args=(stopping,))
+    context.stopping = stopping
+    context.run.start()
+
+
+@behave.then("another node acquires the lease at its next look")
+def then_acquired(context):
+    end_s = time.monotonic() + 5
+    while context.rows.rows["lease/duties"][1]["holder"]:
+        assert time.monotonic() < end_s, "the lease was not released"
+        time.sleep(0.01)
+    other = leases.Lease("duties", "o", LEASE, context.rows, context.clock)
+    assert other.step()
+
+
+@behave.then("when it has stopped its counts are written and sealed")
+def then_sealed(context):
+    context.usage.close()
+    context.stopping.set()
+    context.run.join(5)
+    window = usage_windows.window_key(int(START_S // WINDOW_S))
+    row = context.rows.rows[f"usage/{window}/h@1"][1]
+    assert row.counts == {"a": 1}
+    assert row.is_sealed
+
+
 @behave.when("the store is away for 5 s and back while the holder is alive")
 def when_away(context):
     _run_until(context, 2.0)
--- a/features/usage_windows.feature
+++ b/features/usage_windows.feature
@@ -19,6 +19,12 @@
     When one of them never seals the next window
     Then that window is reported without it before it is due
 
+  Scenario: A node that stops hands its duties over at once
+    Given a duty keeper that holds the lease and reads no store for others
+    When its node begins to stop
+    Then another node acquires the lease at its next look
+    And when it has stopped its counts are written and sealed
+
   Scenario: A holder goes on after an outage that nobody used
     Given 3 nodes that count requests in a window
     When the store is away for 5 s and back while the holder is alive
--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -51,8 +51,7 @@
         Args:
             name: Name of this node.
             lease: Right to act.
-            lease_s: Time in which two holders must not act in turn; a new
-                holder waits as long before its first act.
+            lease_s: Time in which two holders must not act in turn.
             here: The other nodes.
             write: Writes what this node and those that ask it have to keep.
             reporter: Reports usage, if that is a duty here.
@@ -69,17 +68,23 @@
         self._write_s = 0.0
         self._reporter = reporter
         self._orders = servers_orders
-        self._held_since_s: float | None = None
+        self._acted_epoch = 0
+        self._acted_s = -float("inf")
         # A process that starts waits before it asks for the lease: it may
         # have held it in its last lifetime.
         self._clock = clock
         self._look_s = clock()
         if not is_first_start:
-            self._look_s += lease_s
+            self._look_s += lease_s + LEASE_MARGIN_S
         self._distant_look_s = self._look_s
         self._presence_s = 0.0
         self._presence_count = 0
         self._reads_store = reads_store
+        self._is_handing_over = False
+
+    def hand_over(self) -> None:
+        """Give the duties up soon; another node needs time to take them."""
+        self._is_handing_over = True
 
     def run(self, stopping: threading.Event) -> None:
         """Do the duties until the node stops, then hand them over."""
@@ -94,9 +99,6 @@
                     error=f"{type(error).__name__}: {error}",
                 )
             stopping.wait(STEP_S)
-        if not self._reads_store():
-            # The relay has heard all but the last half second.
-            return
         self._write()
         self._lease.release()
 
@@ -112,6 +114,9 @@
         if now_s >= self._write_s and self._reads_store():
             self._write_s = now_s + WRITE_S
             self._write()
+        if self._is_handing_over:
+            self._lease.release()
+            return
         if not self._hold(now_s):
             return
         if self._reporter is not None:
@@ -126,22 +131,27 @@
             self._look_s = now_s + self._look_interval_s(held)
             self._distant_look_s = now_s + DISTANT_LOOK_S
         if not self._lease.believes():
-            self._held_since_s = None
             if self._reporter is not None:
                 self._reporter.lost()
             if self._orders is not None:
                 self._orders.lost()
             return False
-        if self._held_since_s is None:
-            self._held_since_s = now_s
-        return self._may_act()
+        if self._would_alternate():
+            return False
+        self._acted_epoch = self._lease.epoch
+        self._acted_s = self._clock()
+        return True
+
+    def _would_alternate(self) -> bool:
+        """Return whether an act might enclose another holder's.
 
-    def _may_act(self) -> bool:
-        held_s = self._held_since_s
-        if held_s is None or not self._lease.believes():
+        That needs an act of this process under an earlier epoch within the
+        lease's time; a process that has just started has waited it out.
+        """
+        if self._lease.epoch == self._acted_epoch:
             return False
-        # Nobody can have acted before the first holder.
-        return self._lease.epoch == 1 or self._clock() - held_s >= self._lease_s
+        apart_s = self._clock() - self._acted_s
+        return apart_s < self._lease_s + LEASE_MARGIN_S
 
     def _look_interval_s(self, held: bool) -> float:
         # One that held it goes on after an outage if nobody took it.
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -145,10 +145,10 @@
             [config, servers, suspects],
             feeds.on_loop(loop, self._applier.peer),
         )
-        keeper = self._duty_keeper(store, here, relay)
+        self._keeper = self._duty_keeper(store, here, relay)
         return [
             executor.submit(job.run, self._stopping)
-            for job in (config, servers, suspects, relay, keeper)
+            for job in (config, servers, suspects, relay, self._keeper)
         ]
 
     def _duty_keeper(self, store, here, relay) -> duties.DutyKeeper:
@@ -336,6 +336,7 @@
         """Finish what runs, then hand over the duties."""
         began_s = time.monotonic()
         self.shared.is_stopping = True
+        self._keeper.hand_over()
         self._update_ready()
         events.log(events.NODE_STOPPING, running=self._callers.busy_count())
         end_s = began_s + self._settings.stop_grace_s - STOP_RESERVE_S
@@ -347,6 +348,7 @@
             if not self._callers.busy_count():
                 break
             await asyncio.sleep(0.05)
+        self.shared.usage.close()
         self._stopping.set()
         left_s = began_s + self._settings.stop_grace_s - time.monotonic()
         loop = asyncio.get_running_loop()
--- a/src/bilberryturn/gateway/beliefs.py
+++ b/src/bilberryturn/gateway/beliefs.py
@@ -35,6 +35,11 @@
     def __init__(self, window_s: float):
         self.window_s = window_s
         self._counts: dict[int, collections.Counter[str]] = {}
+        self._is_closed = False
+
+    def close(self) -> None:
+        """Note that nothing more will be counted."""
+        self._is_closed = True
 
     def note(self, client_account: str, at_s: float | None = None) -> None:
         """Count a request that began at a time of day, or now."""
@@ -56,7 +61,8 @@
                 self._counts.pop(window, None)
         return {
             window: WindowCounts(
-                dict(self._counts.get(window, {})), window < running
+                dict(self._counts.get(window, {})),
+                window < running or self._is_closed,
             )
             for window in range(first, running + 1)
         }
