--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -1,6 +1,8 @@
 """Steps of users_platform.feature."""
 
 import asyncio
+import contextlib
+import io
 import json
 import os
 import pathlib
@@ -13,6 +15,7 @@
 import behave
 import msgspec
 
+from bilberryturn import log_writer
 from bilberryturn.edge import feeds
 from bilberryturn.edge import relays
 from bilberryturn.gateway import beliefs
@@ -27,6 +30,7 @@
 from bilberryturn.platform import settings_file
 from bilberryturn.platform import tables
 from bilberryturn.platform import wire
+from bilberryturn.tool import main as tool_main
 from support import store_standin
 
 TROUBLES = {
@@ -510,3 +514,106 @@
         read = wire.read_caller_headers(headers)
         assert read.patience_s is None or read.patience_s >= 0
         wire.read_server_answer(200, headers)
+
+
+# logs
+
+
+def _line(second, node, event, **fields):
+    return json.dumps(
+        {
+            "timestamp": f"2026-01-01T00:00:{second:02d}Z",
+            "node": node,
+            "number": 1,
+            "event": event,
+            **fields,
+        }
+    )
+
+
+@behave.given("the logs of two nodes")
+def given_logs(context):
+    folder = tempfile.TemporaryDirectory()
+    context.closers.append(folder.cleanup)
+    context.logs = [pathlib.Path(folder.name) / n for n in ("a.log", "b.log")]
+    context.logs[0].write_text(
+        "\n".join(
+            [
+                "Traceback of something else",
+                _line(9, "a", "server_changed", server="s1", change="gone"),
+                _line(5, "a", "request_ended", request="r7", status=502),
+                _line(4, "a", "attempt_failed", request="r7", server="s1"),
+                _line(3, "a", "config_applied", version=8),
+                _line(3, "a", "request_ended", request="r6", status=200),
+            ]
+        )
+    )
+    context.logs[1].write_text(_line(2, "b", "config_applied", version=8))
+
+
+def _trace(context, request):
+    text = io.StringIO()
+    with contextlib.redirect_stdout(text):
+        status = tool_main.main(
+            ["trace", request, *(str(log) for log in context.logs)]
+        )
+    return status, text.getvalue()
+
+
+@behave.when('the operator traces request "{request}" in them')
+def when_traced(context, request):
+    context.status, context.printed = _trace(context, request)
+
+
+@behave.then("the beliefs before it and its own lines are printed in order")
+def then_traced(context):
+    assert context.status == 0
+    places = [
+        context.printed.index(word)
+        for word in ("config_applied", "attempt_failed", "request_ended")
+    ]
+    assert places == sorted(places), context.printed
+    assert "gone" not in context.printed, "what came later explains nothing"
+    assert "r6" not in context.printed
+
+
+@behave.then("an unknown request is said to be unknown")
+def then_unknown(context):
+    status, text = _trace(context, "r99")
+    assert status == 1
+    assert "r99" in text
+
+
+class _Pipe:
+    """Is a log whose reader does nothing until it is released."""
+
+    def __init__(self):
+        self.text = io.StringIO()
+        self.released = threading.Event()
+
+    def write(self, text):
+        self.released.wait(20)
+        self.text.write(text)
+
+    def flush(self):
+        pass
+
+
+@behave.then(
+    "{count:d} lines are written at once while nobody reads and the lost ones"
+    " are counted"
+)
+def then_bounded(context, count):
+    pipe = _Pipe()
+    writer = log_writer.BoundedWriter(pipe, max_lines=100)
+    for number in range(count):
+        writer.write(f"line {number}\n")
+    assert writer.dropped_count >= count - 102, writer.dropped_count
+    pipe.released.set()
+    end_s = time.monotonic() + 5
+    while "log_lines_dropped" not in pipe.text.getvalue():
+        assert time.monotonic() < end_s
+        time.sleep(0.01)
+    kept = pipe.text.getvalue().count("line ")
+    assert kept + writer.dropped_count == count, (kept, writer.dropped_count)
+    writer.close()
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -92,3 +92,12 @@
 
   Scenario: Any bytes as settings, configuration, entry or header
     Then 600 seeded inputs of each kind give a result or a typed error
+
+  Scenario: A request is followed through the logs of two nodes
+    Given the logs of two nodes
+    When the operator traces request "r7" in them
+    Then the beliefs before it and its own lines are printed in order
+    And an unknown request is said to be unknown
+
+  Scenario: A slow reader of the log blocks nobody
+    Then 20000 lines are written at once while nobody reads and the lost ones are counted
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -108,7 +108,7 @@
         self._ticket: choice.Ticket | None = None
         self._connection: upstream.Connection | None = None
         self._usage_counted = False
-        self._server_id = ""
+        self._chosen: choice.Choice | None = None
         self._first_part_s: float | None = None
         self._last_failure = ""
 
@@ -204,16 +204,13 @@
         repeatability = self._route.repeatability
         if may_have_run and repeatability is types.Repeatability.AT_MOST_ONCE:
             return False
-        if may_have_run and self._run_count() >= self._route.attempts:
+        if may_have_run and self._sent_count >= self._route.attempts:
             return False
         now_s = time.monotonic()
         if self._shared.suspects.is_refused(self._print, now_s):
             return False
         return self._shared.budget(self._service.name).take(now_s)
 
-    def _run_count(self) -> int:
-        return self._sent_count
-
     def _choose(self) -> choice.Choice | None:
         now_s = time.monotonic()
         servers = self._shared.directory.usable(self._service.name)
@@ -256,7 +253,7 @@
         """Send the request to one server and handle its answer."""
         shared = self._shared
         server = chosen.server
-        self._server_id = server.server_id
+        self._chosen = chosen
         self._splitter.drop_partial()
         self._excluded.add(server.server_id)
         self._ticket = shared.chooser.begin(chosen, self._wish, _now())
@@ -454,6 +451,7 @@
     def _log(self, reason: str, status: int) -> None:
         route = getattr(self, "_route", None)
         account = getattr(self, "_account", None)
+        chosen = self._chosen
         now_s = _now()
         duration_s = now_s - self._incoming.arrived_s
         self._shared.note_ended(
@@ -472,7 +470,10 @@
             client_account=account.name if account else None,
             status=status,
             reason=reason,
-            server=self._server_id,
+            server=chosen.server.server_id if chosen else None,
+            expected_s=round(chosen.expected_s, 3) if chosen else None,
+            running=chosen.running if chosen else None,
+            unread_tokens=chosen.uncached_tokens if chosen else None,
             sends=self._sent_count,
             duration_s=round(duration_s, 4),
             config=self._shared.table.version if self._shared.table else None,
--- a/src/bilberryturn/tool/commands/__init__.py
+++ b/src/bilberryturn/tool/commands/__init__.py
@@ -13,6 +13,7 @@
 from bilberryturn.tool.commands import plan
 from bilberryturn.tool.commands import profile
 from bilberryturn.tool.commands import status
+from bilberryturn.tool.commands import trace
 from bilberryturn.tool.commands import vm
 
 ALL = (
@@ -26,5 +27,6 @@
     backend,
     status,
     explain,
+    trace,
     config,
 )
--- /dev/null
+++ b/src/bilberryturn/tool/commands/trace.py
@@ -0,0 +1,125 @@
+"""Follow a request through the log files of nodes."""
+
+import argparse
+import pathlib
+
+import msgspec
+
+from bilberryturn import events
+from bilberryturn.tool import output
+
+# Changes of belief that may explain what a request met.
+_BELIEFS = frozenset(
+    event.name
+    for event in (
+        events.CONFIG_APPLIED,
+        events.SERVER_CHANGED,
+        events.SERVER_CIRCUIT_OPEN,
+        events.PLATFORM_UNREACHABLE,
+        events.PLATFORM_REACHABLE,
+        events.READINESS_CHANGED,
+        events.NODE_STARTED,
+        events.NODE_STOPPING,
+        events.JOB_FAILED,
+    )
+)
+# Lines of the same nodes shown before the request's first line.
+LINES_BEFORE = 12
+_HIDDEN = frozenset({"event", "node", "number", "severity", "timestamp"})
+
+
+def add_parser(subparsers) -> None:
+    """Add the command to the parser."""
+    parser = subparsers.add_parser(
+        "trace",
+        help=__doc__,
+        description="Print a request's lines, and what its nodes came to"
+        " believe shortly before, in the order of time.",
+    )
+    parser.add_argument("request_id", help="identifier of the request")
+    parser.add_argument("files", nargs="+", type=pathlib.Path)
+    parser.add_argument(
+        "--before",
+        type=_count,
+        default=LINES_BEFORE,
+        help=f"lines of beliefs to show (default {LINES_BEFORE})",
+    )
+    parser.set_defaults(run=run)
+
+
+def _count(text: str) -> int:
+    number = int(text)
+    if number < 0:
+        raise argparse.ArgumentTypeError("write 0 or more")
+    return number
+
+
+def run(options, client) -> int:
+    """Print the lines; returns 1 if no line names the request."""
+    lines = [line for file in options.files for line in read_lines(file)]
+    found = select(lines, options.request_id, options.before)
+    if not found:
+        print(
+            f"No line names request {options.request_id}. Name the logs of"
+            " all nodes, and of the time in which it was sent."
+        )
+        return 1
+    output.print_table(
+        [
+            {
+                "timestamp": line.get("timestamp", ""),
+                "node": line.get("node", ""),
+                "event": f"{line.get('number', '')} {line['event']}",
+                "details": ", ".join(
+                    f"{key}={value}"
+                    for key, value in line.items()
+                    if key not in _HIDDEN and value is not None
+                ),
+            }
+            for line in found
+        ],
+        ["timestamp", "node", "event", "details"],
+    )
+    return 0
+
+
+def read_lines(file: pathlib.Path) -> list[dict]:
+    """Return the events of a log; other lines are passed over.
+
+    Raises:
+        OSError: The file cannot be read.
+    """
+    found = []
+    with file.open("rb") as log:
+        for raw in log:
+            start = raw.find(b"{")
+            if start < 0:
+                continue
+            try:
+                line = msgspec.json.decode(raw[start:])
+            except msgspec.DecodeError:
+                continue
+            if isinstance(line, dict) and "event" in line:
+                found.append(line)
+    return found
+
+
+def select(lines: list[dict], request_id: str, before: int) -> list[dict]:
+    """Return a request's lines and the beliefs that came before them."""
+    own = [line for line in lines if line.get("request") == request_id]
+    if not own:
+        return []
+    last = max(line.get("timestamp", "") for line in own)
+    nodes = {line.get("node") for line in own}
+    beliefs = sorted(
+        (
+            line
+            for line in lines
+            if line["event"] in _BELIEFS
+            and line.get("node") in nodes
+            and line.get("timestamp", "") <= last
+        ),
+        key=lambda line: line.get("timestamp", ""),
+    )
+    kept = beliefs[-before:] if before else []
+    return sorted([*kept, *own], key=lambda line: line.get("timestamp", ""))
