--- a/src/bilberryturn/events.py
+++ b/src/bilberryturn/events.py
@@ -26,8 +26,8 @@
 SETTINGS_REFUSED = Event(1005, "settings_refused", logging.ERROR)
 JOB_FAILED = Event(1006, "job_failed", logging.ERROR)
 
+# Written by log_writer itself.
 LOG_LINES_DROPPED = Event(1007, "log_lines_dropped", logging.WARNING)
-SETTINGS_UNUSED = Event(1008, "settings_unused", logging.INFO)
 
 MEMBER_JOINED = Event(1101, "member_joined", logging.INFO)
 MEMBER_LOST = Event(1102, "member_lost", logging.WARNING)
