--- a/features/routing.feature
+++ b/features/routing.feature
@@ -70,6 +70,11 @@
     When one engine fails 6 requests
     Then it gets none of the next 20 and some after it has recovered
 
+  Scenario: What is known of ended lifetimes is dropped
+    Given 3 failure domains of 4 engines and requests of both kinds
+    When 50 lifetimes of servers come and go
+    Then the chooser knows only those that live or still run a request
+
   Scenario Outline: Load pattern: cheap servers that vanish: <event>
     Given a service first given 3 servers in each of 3 failure domains
     When <event>
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -297,6 +297,29 @@
     assert context.failing.server_id in later
 
 
+@behave.when("50 lifetimes of servers come and go")
+def when_lifetimes(context):
+    context.tickets = []
+    for born_ms in range(50):
+        context.engines = [e._replace(born_ms=born_ms) for e in context.engines]
+        _, ticket = _send(context, _long(context), 1.0)
+        if born_ms == 10:
+            context.running = ticket
+            continue
+        context.chooser.end(ticket, True, 1.0)
+
+
+@behave.then("the chooser knows only those that live or still run a request")
+def then_retained(context):
+    live = {e.lifetime for e in context.engines}
+    context.chooser.retain(live)
+    expected = live | {context.running.server.lifetime}
+    assert set(context.chooser._loads) == expected
+    context.chooser.end(context.running, True, 2.0)
+    context.chooser.retain(live)
+    assert set(context.chooser._loads) == live
+
+
 # provisioning
 
 
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -289,15 +289,15 @@
             now_s = time.monotonic()
             if now_s >= sweep_s:
                 sweep_s = now_s + SWEEP_S
-                self._pool.sweep(
-                    {
-                        (s.server_id, s.born_ms)
-                        for s in self.shared.directory.all_servers()
-                        if not s.is_leaving
-                    }
-                )
+                self._sweep()
             await asyncio.sleep(TICK_S)
 
+    def _sweep(self) -> None:
+        """Drop what belongs to servers that are gone."""
+        servers = self.shared.directory.all_servers()
+        self._pool.sweep({s.lifetime for s in servers if not s.is_leaving})
+        self.shared.chooser.retain({s.lifetime for s in servers})
+
     def _update_ready(self) -> None:
         is_ready = (
             self.shared.table is not None
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -108,6 +108,8 @@
         self._ticket: choice.Ticket | None = None
         self._connection: upstream.Connection | None = None
         self._usage_counted = False
+        self._route: types.Route | None = None
+        self._account: types.ClientAccount | None = None
         self._chosen: choice.Choice | None = None
         self._first_part_s: float | None = None
         self._last_failure = ""
@@ -138,7 +140,6 @@
             return self._refuse(outcomes.BAD_KEY)
         self._route = route
         self._account = account
-        self._table = table
         patience_s = route.timeout_s
         if headers.patience_s is not None:
             patience_s = min(patience_s, headers.patience_s)
@@ -449,9 +450,7 @@
         )
 
     def _log(self, reason: str, status: int) -> None:
-        route = getattr(self, "_route", None)
-        account = getattr(self, "_account", None)
-        chosen = self._chosen
+        route, account, chosen = self._route, self._account, self._chosen
         now_s = _now()
         duration_s = now_s - self._incoming.arrived_s
         self._shared.note_ended(
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -137,7 +137,6 @@
     def __init__(self, source_ip: str = ""):
         self._idle: dict[tuple[str, int], collections.deque[Connection]] = {}
         self._source = (source_ip, 0) if source_ip else None
-        self.opened_count = 0
 
     async def open(
         self,
@@ -155,7 +154,7 @@
         Raises:
             UpstreamError: No connection was established; nothing was sent.
         """
-        key = (server.server_id, server.born_ms)
+        key = server.lifetime
         if may_reuse:
             kept = self._take_idle(key)
             if kept is not None:
@@ -178,7 +177,6 @@
                 socket.TCP_USER_TIMEOUT,
                 TCP_USER_TIMEOUT_MS,
             )
-        self.opened_count += 1
         return Connection(key, reader, writer)
 
     def _take_idle(self, key: tuple[str, int]) -> Connection | None:
--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -211,22 +211,14 @@
             return False
         return load.breaker.failed(now_s)
 
-    def forget(self, server: types.BackendServer) -> None:
-        """Drop what is known of a lifetime that has ended."""
-        load = self._loads.get((server.server_id, server.born_ms))
-        if load is not None and load.running == 0:
-            del self._loads[(server.server_id, server.born_ms)]
-
-    def running(self, server: types.BackendServer) -> int:
-        """Return how many requests of this node run on a server."""
-        return self._load(server).running
-
-    def total_running(self, servers: list[types.BackendServer]) -> int:
-        """Return how many requests of this node run on some servers."""
-        return sum(self._load(server).running for server in servers)
+    def retain(self, live: set[tuple[str, int]]) -> None:
+        """Drop what is known of lifetimes that have ended."""
+        for key, load in list(self._loads.items()):
+            if key not in live and load.running == 0:
+                del self._loads[key]
 
     def _load(self, server: types.BackendServer) -> _ServerLoad:
-        key = (server.server_id, server.born_ms)
+        key = server.lifetime
         load = self._loads.get(key)
         if load is None:
             load = self._loads[key] = _ServerLoad()
--- a/src/bilberryturn/routing/directory.py
+++ b/src/bilberryturn/routing/directory.py
@@ -30,7 +30,6 @@
         self._servers: dict[str, types.BackendServer] = {}
         self._left: dict[tuple[str, int], float] = {}
         self._missing: dict[str, float] = {}
-        self.version = 0
 
     def usable(self, service: str) -> list[types.BackendServer]:
         """Return the servers of a service that take new requests."""
--- a/src/bilberryturn/routing/table.py
+++ b/src/bilberryturn/routing/table.py
@@ -2,7 +2,6 @@
 
 import hashlib
 import secrets
-from typing import NamedTuple
 
 from bilberryturn.routing import types
 
@@ -69,13 +68,6 @@
         return self._accounts.get(key_hash(key))
 
 
-class Placement(NamedTuple):
-    """Names where a request may run."""
-
-    route: types.Route
-    service: types.Service | None
-
-
 def choose_service(route: types.Route, request_id: str) -> str:
     """Return one of a route's services, in proportion to their weights."""
     if len(route.targets) == 1:
--- a/src/bilberryturn/routing/types.py
+++ b/src/bilberryturn/routing/types.py
@@ -114,9 +114,9 @@
     sequence: int
 
     @property
-    def address(self) -> str:
-        """Return host and port."""
-        return f"{self.host}:{self.port}"
+    def lifetime(self) -> tuple[str, int]:
+        """Return what tells this lifetime from others of the same name."""
+        return (self.server_id, self.born_ms)
 
 
 class PromptPart(NamedTuple):
