--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -11,6 +11,7 @@
 import tempfile
 import threading
 import time
+import tomllib
 
 import behave
 import msgspec
@@ -617,3 +618,26 @@
     kept = pipe.text.getvalue().count("line ")
     assert kept + writer.dropped_count == count, (kept, writer.dropped_count)
     writer.close()
+
+
+# deployment
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+@behave.then(
+    "requirements.txt pins only what pyproject.toml pins, at the same versions"
+)
+def then_pins(context):
+    declared = tomllib.loads((ROOT / "pyproject.toml").read_text("utf-8"))
+    pins = set(declared["project"]["dependencies"])
+    required = (ROOT / "requirements.txt").read_text("utf-8").split()
+    assert required, "nothing is required"
+    assert set(required) <= pins, set(required) - pins
+
+
+@behave.then("the deploy file runs a program that exists")
+def then_program(context):
+    text = (ROOT / "deploy" / "system.toml").read_text("utf-8")
+    for role in tomllib.loads(text)["roles"].values():
+        assert (ROOT / role["run"].split()[1]).is_file()
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -101,3 +101,7 @@
 
   Scenario: A slow reader of the log blocks nobody
     Then 20000 lines are written at once while nobody reads and the lost ones are counted
+
+  Scenario: The deploy file installs what the project declares
+    Then requirements.txt pins only what pyproject.toml pins, at the same versions
+    And the deploy file runs a program that exists
