--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -47,7 +47,7 @@
         self._stop_asked = asyncio.Event()
         self._is_ready = False
         self._raw = feeds.Raw()
-        self._own_counts: dict[str, int] = {}
+        self._own_suspects: dict[str, int] = {}
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT."""
@@ -136,7 +136,7 @@
             here.domain_peers,
             here.peers,
             self._usage_now,
-            self._own_suspects,
+            lambda: self._own_suspects,
             [config, servers, suspects],
             feeds.on_loop(loop, self._applier.peer),
         )
@@ -238,14 +238,11 @@
             }
         )
 
-    def _own_suspects(self) -> dict[str, int]:
-        return self._own_counts
-
     def _write(self) -> None:
         """Write this node's counts and those of the nodes that ask it."""
         now_s = time.time()
         self._ledger.take(self._lifetime, self._usage_now())
-        self._ledger.take_suspects(self._lifetime, self._own_suspects())
+        self._ledger.take_suspects(self._lifetime, self._own_suspects)
         self._ledger.write(now_s)
 
     def _usage_now(self) -> dict[int, beliefs.WindowCounts]:
@@ -283,7 +280,9 @@
         sweep_s = 0.0
         while True:
             self._applier.tick()
-            self._own_counts = self.shared.suspects.own_counts(time.monotonic())
+            self._own_suspects = self.shared.suspects.own_counts(
+                time.monotonic()
+            )
             self._update_ready()
             self.shared.set_node_count(self._here.count())
             now_s = time.monotonic()
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -45,7 +45,7 @@
         lifetime: Name of the node and of its start.
         revision: Content that it has.
         usage: Its counts of the last windows, by the window's number.
-        suspects: Its new counts of crashes, by fingerprint.
+        suspects: Its counts of crashes, by fingerprint.
     """
 
     lifetime: str
@@ -90,8 +90,7 @@
             domain_peers: Addresses of the nodes of the failure domain.
             all_peers: Addresses of all known nodes.
             usage: Returns this node's counts of the last windows.
-            suspects: Returns this node's counts of crashes that were not
-                told yet.
+            suspects: Returns this node's counts of crashes.
             followers: Readers of the store.
             deliver: Takes a reply.
         """
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -82,7 +82,6 @@
 
     reason: str
     was_sent: bool
-    crashed: bool
 
 
 class _Streamed(NamedTuple):
@@ -202,8 +201,7 @@
 
     def _may_repeat(self, may_have_run: bool) -> bool:
         """Return whether the request may go to one more server."""
-        repeatability = self._route.repeatability
-        if may_have_run and repeatability is types.Repeatability.AT_MOST_ONCE:
+        if may_have_run and not self._route.may_run_again:
             return False
         if may_have_run and self._sent_count >= self._route.attempts:
             return False
@@ -225,10 +223,10 @@
             return True
         if self._stream_started:
             return True
-        repeatable = (
-            self._route.repeatability is not types.Repeatability.AT_MOST_ONCE
+        return not (
+            self._route.may_run_again
+            and self._sent_count < self._route.attempts
         )
-        return not (repeatable and self._sent_count < self._route.attempts)
 
     def _give_up(
         self,
@@ -258,17 +256,16 @@
         self._splitter.drop_partial()
         self._excluded.add(server.server_id)
         self._ticket = shared.chooser.begin(chosen, self._wish, _now())
-        repeatable = (
-            self._route.repeatability is not types.Repeatability.AT_MOST_ONCE
-        )
         try:
             connection = await shared.pool.open(
-                server, min(CONNECT_TIMEOUT_S, left_s), repeatable
+                server,
+                min(CONNECT_TIMEOUT_S, left_s),
+                self._route.may_run_again,
             )
         except upstream.UpstreamError as error:
             self._release(False)
             self._log_attempt(chosen, error.reason)
-            return _Failed(error.reason, False, False)
+            return _Failed(error.reason, False)
         self._connection = connection
         was_reused = connection.is_reused
         left_s = self._deadline_s - _now()
@@ -287,10 +284,10 @@
             self._release(False if crashed else None)
             if crashed and not self._stream_started:
                 self._note_crash()
-            result = _Failed(error.reason, error.was_sent, crashed)
+            result = _Failed(error.reason, error.was_sent)
         except TimeoutError:
             self._release(False)
-            result = _Failed("no answer in time", True, False)
+            result = _Failed("no answer in time", True)
         if isinstance(result, _Failed):
             self._log_attempt(chosen, result.reason)
         elif isinstance(result, _NotRun):
--- a/src/bilberryturn/routing/types.py
+++ b/src/bilberryturn/routing/types.py
@@ -43,6 +43,11 @@
     is_public: bool
     targets: tuple[Target, ...]
 
+    @property
+    def may_run_again(self) -> bool:
+        """Return whether a request that may have run can be sent again."""
+        return self.repeatability is not Repeatability.AT_MOST_ONCE
+
 
 class Engine(NamedTuple):
     """Describes the model engines of a service."""
