Rank relays by the rendezvous hashing that members already use

Found in the last read: relays had a second copy of the ranking, and the three followers of a node were spelled out one by one. The module moves below the libraries that need it, so that the gateway does not import zmq for it. Which node becomes a relay may differ from before; any order serves.

--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from bilberryturn import log_writer
+from bilberryturn import rendezvous
 from bilberryturn.edge import feeds
 from bilberryturn.edge import relays
 from bilberryturn.gateway import beliefs
@@ -345,7 +346,7 @@
 def given_cut_relay(context):
     for _ in range(40):
         given_cut(context)
-        if relays.rank(list(context.peers), "east")[0] == context.cut.address:
+        if rendezvous.rank(context.peers, "east")[0] == context.cut.address:
             return
         context.peers.remove(context.cut.address)
     raise AssertionError("no address ranked first")
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -104,30 +104,36 @@
             str(settings.peers or ""),
             tuple(str(seed) for seed in settings.seeds),
         )
-        config = feeds.Follower(
-            rows.OPERATOR_TABLE,
-            store_address,
-            feeds.CONFIG_WAIT_S,
-            0.0,
-            settings.ip,
-            feeds.on_loop(loop, self._take_config),
-        )
-        servers = feeds.Follower(
-            rows.SERVER_TABLE,
-            store_address,
-            0.0,
-            feeds.SERVER_POLL_S,
-            settings.ip,
-            feeds.on_loop(loop, self._take_servers),
-        )
-        suspects = feeds.Follower(
-            rows.SUSPECT_TABLE,
-            store_address,
-            0.0,
-            feeds.SUSPECT_POLL_S,
-            settings.ip,
-            feeds.on_loop(loop, self._take_suspects),
-        )
+        followers = [
+            feeds.Follower(
+                table,
+                store_address,
+                wait_s,
+                pause_s,
+                settings.ip,
+                feeds.on_loop(loop, take),
+            )
+            for table, wait_s, pause_s, take in (
+                (
+                    rows.OPERATOR_TABLE,
+                    feeds.CONFIG_WAIT_S,
+                    0.0,
+                    self._take_config,
+                ),
+                (
+                    rows.SERVER_TABLE,
+                    0.0,
+                    feeds.SERVER_POLL_S,
+                    self._take_servers,
+                ),
+                (
+                    rows.SUSPECT_TABLE,
+                    0.0,
+                    feeds.SUSPECT_POLL_S,
+                    self._take_suspects,
+                ),
+            )
+        ]
         relay = relays.RelayClient(
             self._lifetime,
             str(settings.peers or ""),
@@ -137,13 +143,13 @@
             here.peers,
             self._usage_now,
             lambda: self._own_suspects,
-            [config, servers, suspects],
+            followers,
             feeds.on_loop(loop, self._applier.peer),
         )
         self._keeper = self._duty_keeper(store, here, relay)
         return [
             executor.submit(job.run, self._stopping)
-            for job in (config, servers, suspects, relay, self._keeper)
+            for job in (*followers, relay, self._keeper)
         ]
 
     def _duty_keeper(self, store, here, relay) -> duties.DutyKeeper:
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from bilberryturn import events
+from bilberryturn import rendezvous
 from bilberryturn.edge import feeds
 from bilberryturn.gateway import beliefs
 from bilberryturn.platform import http
@@ -54,16 +55,6 @@
     suspects: dict[str, int]
 
 
-def rank(addresses: list[str], domain: str) -> list[str]:
-    """Return addresses in the order in which they become relays."""
-    return sorted(
-        addresses,
-        key=lambda address: hashlib.blake2b(
-            f"{domain}/{address}".encode(), digest_size=8
-        ).digest(),
-    )
-
-
 class RelayClient:
     """Asks relays on a thread of its own; wakes the followers if none works."""
 
@@ -140,7 +131,7 @@
             for p in {*peers, self._address}
             if self._silent_until_s.get(p, 0.0) <= now_s
         ]
-        ranked = rank(live, self._domain)
+        ranked = rendezvous.rank(live, self._domain)
         relays = ranked[: 1 + len(ranked) // NODES_A_RELAY]
         if self._address in relays:
             return []
--- a/src/bilberryturn/membership/__init__.py
+++ b/src/bilberryturn/membership/__init__.py
@@ -1,7 +1,7 @@
 """Know which nodes are alive and rank them for roles."""
 
+from bilberryturn import rendezvous
 from bilberryturn.membership import directory
-from bilberryturn.membership import rendezvous
 
 Directory = directory.Directory
 Member = directory.Member
--- a/src/bilberryturn/membership/directory.py
+++ b/src/bilberryturn/membership/directory.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from bilberryturn import messages
-from bilberryturn.membership import rendezvous
+from bilberryturn import rendezvous
 
 RELAYS_PER_DOMAIN = 2
 SUMMARY_TIMEOUT_S = 5.0
