Ask a relay again for content that came too old to be taken

Cause, found in the last read: the asker noted a relay's revision also when it passed the content over as too old; once the relay was current again without a change, the asker took itself for up to date and kept older beliefs. Test: users_platform.feature, "what came too old from a relay is asked for again"; fails without the change.

--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -33,6 +33,7 @@
 from bilberryturn.platform import tables
 from bilberryturn.platform import wire
 from bilberryturn.tool import main as tool_main
+from support import scripted
 from support import store_standin
 
 TROUBLES = {
@@ -364,6 +365,86 @@
         time.sleep(0.05)
 
 
+class _Relay:
+    """Answers as a relay whose own reading has a given age.
+
+    Attributes:
+        age_s: Time since it read the store.
+    """
+
+    def __init__(self):
+        self.raw = feeds.Raw()
+        self.raw.config = json.dumps(_config(9)).encode()
+        self.raw.servers = {"good": json.dumps(_entry()).encode()}
+        self.age_s = 0.0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def close(self):
+        self._listener.close()
+
+    def _serve(self):
+        while True:
+            try:
+                accepted, _ = self._listener.accept()
+            except OSError:
+                return
+            peer = scripted.Peer(accepted)
+            while (request := peer.read_request())[0] is not None:
+                known = json.loads(request[1])["revision"]
+                body = msgspec.json.encode(self._state(known))
+                peer.send(
+                    f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                )
+                peer.send(body)
+
+    def _state(self, known):
+        heard_s = time.monotonic() - self.age_s
+        self.raw.config_heard_s = self.raw.servers_heard_s = heard_s
+        self.raw.config_read_s = self.raw.servers_read_s = heard_s
+        return self.raw.state(known)
+
+
+@behave.given("a node that hears only from a relay")
+def given_relay_only(context):
+    context.told = _Relay()
+    context.closers.append(context.told.close)
+    context.shared = beliefs.Shared(
+        "east",
+        beliefs.RepeatLimits(0.2, 1, 10),
+        5.0,
+        upstream.ConnectionPool(),
+    )
+    applier = feeds.Applier(context.shared, feeds.Raw())
+    context.client = relays.RelayClient(
+        "n1", "127.0.0.1:1", "east", "", list, list, dict, dict, [],
+        applier.peer,
+    )  # fmt: skip
+
+
+@behave.when(
+    "the relay tells version 9 while it has not heard the store for {age_s:d} s"
+)
+def when_told_late(context, age_s):
+    context.told.age_s = age_s
+    assert not context.client._ask(context.told.address)
+    assert context.shared.table is None
+
+
+@behave.when("the relay hears the store again without a change")
+def when_told_again(context):
+    context.told.age_s = 0.0
+    assert context.client._ask(context.told.address)
+
+
+@behave.then("the node has version {version:d} in force")
+def then_in_force(context, version):
+    assert context.shared.table is not None
+    assert context.shared.table.version == version
+    assert context.shared.directory.usable("app")
+
+
 @behave.when("the operator writes version {version:d}")
 def when_version(context, version):
     context.standin.put("op", "config", _config(version))
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -73,6 +73,12 @@
     And a node that would be its relay but is cut from the store
     Then the node's own reading of the store stays under 2 s old for 6 s
 
+  Scenario: What came too old from a relay is asked for again
+    Given a node that hears only from a relay
+    When the relay tells version 9 while it has not heard the store for 4 s
+    And the relay hears the store again without a change
+    Then the node has version 9 in force
+
   Scenario: A duty call that is given up does not arrive later
     Given a stand-in of the users' store that works
     Then the duty client resets its connection when it gives up
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -189,8 +189,10 @@
         except msgspec.DecodeError as error:
             events.log(events.FRAME_REFUSED, member=address, problem=str(error))
             return False
-        self._revisions[address] = state.revision
         is_current = state.read_age_s < CURRENT_S
+        if is_current:
+            # Older content may be passed over and must then be told again.
+            self._revisions[address] = state.revision
         if is_current and address != self._relay:
             self._relay = address
             events.log(
