Bound the silence of a server that makes a whole answer

Cause: an answer that is not streamed had no limit but its deadline, so one whose first bytes were lost on a half-open path waited 60 s and failed. Ruled out: reading every answer as a stream and putting it together, which loses fields that this router does not know. The limit is now the stall timeout plus the time of the most tokens the answer may hold at a quarter of the speed that the profile aims at; then the work goes to another server. Open: a long answer's silence is still noticed late.

--- a/src/bilberryturn/entry/completions.py
+++ b/src/bilberryturn/entry/completions.py
@@ -27,6 +27,9 @@
 USAGE_INCREMENT_TOKENS = 200
 DONE_EVENT = b"data: [DONE]\n\n"
 CONTROL_TIMEOUT_S = 2.0
+# A whole answer shows no progress, so its server counts as stalled only when
+# it is this many times slower than the profile's target for a token.
+WHOLE_ANSWER_SLOWNESS = 4.0
 CLIENT_ERRORS = range(400, 500)
 RETRIED_STATUSES = frozenset({404, 408, 425, 429})
 
@@ -271,15 +274,12 @@
 
     def _next(self, call: backends.Call):
         """Return the next event of a call; other calls' ends are dropped."""
-        stall_s = self._node.settings.timing.stall_timeout_s
-        if not self._body.is_stream:
-            stall_s = None
         while True:
-            event = self._exchange.next_event(stall_s)
+            event = self._exchange.next_event(self._silence_limit_s())
             if event is None:
                 self._cancel_upstream()
                 raise attempts.AttemptFailedError(
-                    "the stream stalled", False, True
+                    "the answer stalled", False, True
                 )
             if isinstance(event, kinds.Preempted | kinds.Moved):
                 if self._is_current(event):
@@ -288,6 +288,14 @@
             if getattr(event, "number", None) == call.number:
                 return event
 
+    def _silence_limit_s(self) -> float:
+        """Return how long the server may send nothing, in seconds."""
+        stall_s = self._node.settings.timing.stall_timeout_s
+        if self._body.is_stream:
+            return stall_s
+        token_s = self._exchange.profile.token_gap_target_s
+        return stall_s + self._max_tokens * token_s * WHOLE_ANSWER_SLOWNESS
+
     def _is_current(self, event: kinds.Preempted | kinds.Moved) -> bool:
         grant = self._holder.grant
         return grant is not None and grant.server == event.server
