Derive how often nodes read and ask from the bounds of the deployment

Cause, found by reading: a relay counted as current until its reading of the configuration was older than its wait and 1.4 s more (3.4 s); a node that asked it could be without a new configuration for over 4 s after the relay had lost the store, though it must be in force in 2.5 s. All intervals were constants for the tightest deployment known, while the bounds stand in the settings. Ruled out: a second question to another relay each time, which doubles the messages. The intervals are now shares of the bounds (edge/intervals.py); the config's wait and a relay's age of it have their own limits. The scenario sums the worst paths for three deployments; with the old constants the first sum is 4.3 s of 2.5.

--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -18,7 +18,9 @@
 
 from bilberryturn import log_writer
 from bilberryturn import rendezvous
+from bilberryturn.edge import duties
 from bilberryturn.edge import feeds
+from bilberryturn.edge import intervals
 from bilberryturn.edge import relays
 from bilberryturn.gateway import beliefs
 from bilberryturn.gateway import small_server
@@ -50,6 +52,10 @@
     "unreadable": exceptions.PlatformFormatError,
 }
 
+TIMES = intervals.from_bounds(2.5, 2.5, 4.0)
+# Own first call to a slow store: 75 times its usual 4 ms.
+SLOW_CALL_S = 0.3
+
 
 def _config(version):
     return {
@@ -207,6 +213,7 @@
             self.address,
             "east",
             "",
+            TIMES,
             lambda: list(domain_peers),
             lambda: list(domain_peers),
             lambda: self.shared.usage.snapshot(time.time()),
@@ -418,7 +425,7 @@
     )
     applier = feeds.Applier(context.shared, feeds.Raw())
     context.client = relays.RelayClient(
-        "n1", "127.0.0.1:1", "east", "", list, list, dict, dict, [],
+        "n1", "127.0.0.1:1", "east", "", TIMES, list, list, dict, dict, [],
         applier.peer,
     )  # fmt: skip
 
@@ -502,6 +509,42 @@
     )
 
 
+@behave.given("bounds of {drain_s:g}, {config_s:g} and {settle_s:g} s")
+def given_bounds(context, drain_s, config_s, settle_s):
+    context.bounds = (drain_s, config_s, settle_s)
+    context.times = intervals.from_bounds(drain_s, config_s, settle_s)
+
+
+@behave.then("a change is heard in time although {what}")
+def then_in_time(context, what):
+    drain_s, config_s, _ = context.bounds
+    times = context.times
+    ask_s = times.longest_ask_s
+    if what == "the relay has just lost the store":
+        config = times.config_current_s + ask_s + SLOW_CALL_S
+        servers = times.servers_current_s + ask_s + SLOW_CALL_S
+    else:
+        ask_s += times.ask_timeout_s
+        config = times.config_wait_s + ask_s + SLOW_CALL_S
+        servers = times.server_poll_s + ask_s + SLOW_CALL_S
+    assert config < config_s, config
+    assert servers < drain_s, servers
+
+
+@behave.then("a relay on a slow store is still current")
+def then_current(context):
+    times = context.times
+    assert times.config_wait_s + SLOW_CALL_S < times.config_current_s
+    assert times.server_poll_s + SLOW_CALL_S < times.servers_current_s
+
+
+@behave.then("a crash is known everywhere in time")
+def then_crash_known(context):
+    times = context.times
+    heard_s = duties.WRITE_S + duties.STEP_S + times.suspect_poll_s
+    assert heard_s + 2 * times.longest_ask_s < context.bounds[2], heard_s
+
+
 # settings
 
 SETTINGS = """node=edge-1
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -79,6 +79,19 @@
     And the relay hears the store again without a change
     Then the node has version 9 in force
 
+  Scenario Outline: The intervals keep the bounds of the deployment
+    Given bounds of <drain_s>, <config_s> and <settle_s> s
+    Then a change is heard in time although the relay has just lost the store
+    And a change is heard in time although the relay is frozen
+    And a relay on a slow store is still current
+    And a crash is known everywhere in time
+
+    Examples:
+      | drain_s | config_s | settle_s |
+      | 2.5     | 2.5      | 4        |
+      | 4       | 4        | 5        |
+      | 2       | 3        | 4        |
+
   Scenario: A duty call that is given up does not arrive later
     Given a stand-in of the users' store that works
     Then the duty client resets its connection when it gives up
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -22,16 +22,6 @@
 
 # Lifetimes whose crashes are remembered.
 MAX_LIFETIMES = 1000
-# How often the crashes that other nodes counted are read. A request that
-# crashes its servers must be known everywhere 4 s later (stableMs).
-SUSPECT_POLL_S = 1.5
-# How long the store holds a call back until the configuration changes. It
-# ends before configurations must be in force (configMs, 2.5 s), so that a
-# silent connection is noticed.
-CONFIG_WAIT_S = 2.0
-# How often the servers' entries are read. A leaving server must get nothing
-# new 2.5 s after it said so (drainMs).
-SERVER_POLL_S = 0.8
 # Added to the wait for the path and a slow store.
 CALL_TIMEOUT_S = 1.0
 RETRY_S = 0.3
@@ -52,7 +42,9 @@
         servers: Entry of each server as written, in Base64, or None.
         config_age_s: Time since the store confirmed the configuration.
         servers_age_s: Time since the store confirmed the entries.
-        read_age_s: Time since the node itself last read both from the store.
+        config_read_age_s: Time since the node itself last read the
+            configuration from the store.
+        servers_read_age_s: The same for the entries.
         suspects: Crashes by fingerprint that each lifetime of a node
             counted, or None.
     """
@@ -62,7 +54,8 @@
     servers: dict[str, str] | None
     config_age_s: float
     servers_age_s: float
-    read_age_s: float
+    config_read_age_s: float
+    servers_read_age_s: float
     suspects: dict[str, dict[str, int]] | None = None
 
 
@@ -106,19 +99,11 @@
             servers,
             now_s - self.config_heard_s,
             now_s - self.servers_heard_s,
-            self._read_age_s(now_s),
+            now_s - self.config_read_s,
+            now_s - self.servers_read_s,
             suspects,
         )
 
-    def _read_age_s(self, now_s: float) -> float:
-        """Return how old the older of the two own readings is.
-
-        The configuration is read with a wait, so that its reading may be
-        older by that much.
-        """
-        config_age_s = now_s - self.config_read_s - CONFIG_WAIT_S
-        return max(0.0, config_age_s, now_s - self.servers_read_s)
-
 
 class Applier:
     """Applies what was heard; runs on the event loop only."""
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -13,6 +13,7 @@
 from bilberryturn import metrics
 from bilberryturn.edge import duties
 from bilberryturn.edge import feeds
+from bilberryturn.edge import intervals
 from bilberryturn.edge import orders
 from bilberryturn.edge import presence
 from bilberryturn.edge import relays
@@ -104,6 +105,9 @@
             str(settings.peers or ""),
             tuple(str(seed) for seed in settings.seeds),
         )
+        times = intervals.from_bounds(
+            settings.drain_s, settings.config_s, settings.settle_s
+        )
         followers = [
             feeds.Follower(
                 table,
@@ -116,20 +120,20 @@
             for table, wait_s, pause_s, take in (
                 (
                     rows.OPERATOR_TABLE,
-                    feeds.CONFIG_WAIT_S,
+                    times.config_wait_s,
                     0.0,
                     self._take_config,
                 ),
                 (
                     rows.SERVER_TABLE,
                     0.0,
-                    feeds.SERVER_POLL_S,
+                    times.server_poll_s,
                     self._take_servers,
                 ),
                 (
                     rows.SUSPECT_TABLE,
                     0.0,
-                    feeds.SUSPECT_POLL_S,
+                    times.suspect_poll_s,
                     self._take_suspects,
                 ),
             )
@@ -139,6 +143,7 @@
             str(settings.peers or ""),
             settings.failure_domain,
             settings.ip,
+            times,
             here.domain_peers,
             here.peers,
             self._usage_now,
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -16,25 +16,16 @@
 from bilberryturn import events
 from bilberryturn import rendezvous
 from bilberryturn.edge import feeds
+from bilberryturn.edge import intervals
 from bilberryturn.gateway import beliefs
 from bilberryturn.platform import http
 
-# A change is heard twice, by the relay and by the asker; both intervals
-# together stay well under the time in which a leaving server must get nothing
-# new (drainMs, 2.5 s).
-ASK_INTERVAL_S = 0.5
-ASK_TIMEOUT_S = 0.5
 # Nodes that one relay serves.
 NODES_A_RELAY = 16
 # A relay that did not answer is passed over for this time.
 SILENT_S = 20.0
 # Relays tried before the store is read directly.
 RELAYS_TRIED = 2
-# A relay serves while it read the store itself within this time. What it only
-# heard from a peer does not count: two nodes would take each other for current
-# while neither reads. With the interval of asking (0.6 s at most) it stays
-# under the time in which a leaving server must get nothing new (2.5 s).
-CURRENT_S = 1.4
 # Peers asked while the store does not answer.
 PEERS_ASKED = 2
 
@@ -64,6 +55,7 @@
         address: str,
         domain: str,
         source_ip: str,
+        times: intervals.Intervals,
         domain_peers: Callable[[], list[str]],
         all_peers: Callable[[], list[str]],
         usage: Callable[[], dict[int, beliefs.WindowCounts]],
@@ -78,6 +70,7 @@
             address: Where peers ask this node.
             domain: Its failure domain.
             source_ip: IP to call from.
+            times: How often to ask and what is too old.
             domain_peers: Addresses of the nodes of the failure domain.
             all_peers: Addresses of all known nodes.
             usage: Returns this node's counts of the last windows.
@@ -89,6 +82,7 @@
         self._address = address
         self._domain = domain
         self._source_ip = source_ip
+        self._times = times
         self._domain_peers = domain_peers
         self._all_peers = all_peers
         self._usage = usage
@@ -114,7 +108,8 @@
                     job="relays",
                     error=f"{type(error).__name__}: {error}",
                 )
-            stopping.wait(ASK_INTERVAL_S * random.uniform(0.8, 1.2))
+            jitter = random.uniform(-1.0, 1.0) * intervals.ASK_JITTER
+            stopping.wait(self._times.ask_s * (1 + jitter))
 
     def _step(self) -> None:
         is_served = any(self._ask(relay) for relay in self._candidates())
@@ -170,7 +165,7 @@
         client = self._clients.get(address)
         if client is None:
             client = self._clients[address] = http.HttpClient(
-                "peer", address, ASK_TIMEOUT_S, self._source_ip
+                "peer", address, self._times.ask_timeout_s, self._source_ip
             )
         question = Question(
             self._lifetime,
@@ -189,7 +184,7 @@
         except msgspec.DecodeError as error:
             events.log(events.FRAME_REFUSED, member=address, problem=str(error))
             return False
-        is_current = state.read_age_s < CURRENT_S
+        is_current = self._is_current(state)
         if is_current:
             # Older content may be passed over and must then be told again.
             self._revisions[address] = state.revision
@@ -204,6 +199,17 @@
         self._deliver(state)
         return is_current
 
+    def _is_current(self, state: feeds.PeerState) -> bool:
+        """Return whether a relay has lately read the store itself.
+
+        What it only heard from a peer does not count: two nodes would take
+        each other for current while neither reads.
+        """
+        return (
+            state.config_read_age_s < self._times.config_current_s
+            and state.servers_read_age_s < self._times.servers_current_s
+        )
+
 
 def hash_index(text: str, size: int) -> int:
     """Return a stable index below a size."""
