Order twice the cheap servers; spread what replaces them

Ruled out: too few steady servers, which cost five times as much; the choice of server, as every engine is busy. Twice the cheap servers a domain, never dearer than the first fleet. What replaces lost ones is now spread: no domain gets more steady servers than it was first given, and a cheap order that cannot be met leaves room under the limit.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -81,14 +81,16 @@
     Then the standing orders are <steady> steady and <cheap> cheap servers
 
     Examples:
-      | event                             | steady | cheap |
-      | nothing cheap runs yet            | 9      | 9     |
-      | all cheap servers run             | 3      | 9     |
-      | one failure domain is reclaimed   | 3      | 9     |
-      | two failure domains are reclaimed | 6      | 9     |
-      | all cheap servers are reclaimed   | 9      | 9     |
-      | the maximum is 2 a domain         | 6      | 0     |
-      | there is no cheap kind            | 9      | 0     |
+      | event                                     | steady | cheap |
+      | nothing cheap runs yet                    | 9      | 15    |
+      | all cheap servers run                     | 3      | 18    |
+      | one failure domain is reclaimed           | 3      | 18    |
+      | two failure domains are reclaimed         | 3      | 18    |
+      | two and a part of the third are reclaimed | 5      | 17    |
+      | all cheap servers are reclaimed           | 9      | 15    |
+      | the maximum is 2 a domain                 | 6      | 0     |
+      | there is no cheap kind                    | 9      | 0     |
+      | cheap servers cost two thirds             | 9      | 12    |
 
   Scenario: No steady server is taken away before its replacement runs
     Given a service first given 3 servers in each of 3 failure domains
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -327,7 +327,7 @@
 def given_service(context):
     context.baseline = dict.fromkeys(DOMAINS, 3)
     context.scaling = types.Scaling(
-        1, 6, 4.0, 0.2, {"east": 1.0, "west": 0.8, "north": 1.25}
+        1, 8, 4.0, 0.2, {"east": 1.0, "west": 0.8, "north": 1.25}
     )
     context.counts = {d: provisioning.Counts(3, 0) for d in DOMAINS}
 
@@ -344,7 +344,7 @@
 
 @behave.when("all cheap servers run")
 def when_all(context):
-    context.counts = {d: provisioning.Counts(1, 3) for d in DOMAINS}
+    context.counts = {d: provisioning.Counts(1, 6) for d in DOMAINS}
 
 
 @behave.when("one failure domain is reclaimed")
@@ -359,6 +359,12 @@
     context.counts["west"] = provisioning.Counts(1, 0)
 
 
+@behave.when("two and a part of the third are reclaimed")
+def when_part(context):
+    when_two(context)
+    context.counts["north"] = provisioning.Counts(1, 4)
+
+
 @behave.when("all cheap servers are reclaimed")
 def when_reclaimed(context):
     context.counts = {d: provisioning.Counts(1, 0) for d in DOMAINS}
@@ -376,6 +382,11 @@
     context.scaling = context.scaling._replace(cheap_price=None)
 
 
+@behave.when("cheap servers cost two thirds")
+def when_two_thirds(context):
+    context.scaling = context.scaling._replace(cheap_price=0.667)
+
+
 @behave.then(
     "the standing orders are {steady:d} steady and {cheap:d} cheap servers"
 )
--- a/src/bilberryturn/routing/provisioning.py
+++ b/src/bilberryturn/routing/provisioning.py
@@ -1,8 +1,10 @@
 """Decide how many backend servers run in each failure domain.
 
-Pattern answered: cheap servers that vanish a failure domain at a time. They
-carry the load, spread over all failure domains; a few others stay everywhere,
-and more are ordered as soon as less is left than the load was first given.
+Pattern answered: bursts of long prompts, and cheap servers that vanish a
+failure domain at a time. Cheap servers carry the load, twice as many as it was
+first given and spread over all failure domains, so that a burst or the loss of
+a domain leaves enough. A few others stay everywhere, and more are ordered as
+soon as less is left than the load was first given.
 """
 
 from collections.abc import Mapping
@@ -13,6 +15,10 @@
 
 # Servers that cannot be reclaimed, kept in each failure domain.
 FEWEST_STEADY = 1
+# Most cheap servers for each that a failure domain was first given: the bursts
+# that the users describe bring up to 2.8 times the usual prompts. They never
+# cost more than what they replace.
+CHEAP_FOR_EACH = 2.0
 # An order is repeated after this time while what runs differs from it.
 REPEAT_ORDER_S = 3.0
 
@@ -81,7 +87,10 @@
     }
     cheap_ready = sum(counts.get(d, Counts(0, 0)).cheap for d in domains)
     missing = wanted - cheap_ready - sum(steady.values())
-    _add_steady(scaling, steady, cheap, missing)
+    _add_steady(scaling, steady, baseline, counts, missing)
+    # The limit holds for both kinds together; what replaces a lost server
+    # goes before a cheap one that may not be had.
+    cheap = {d: min(cheap[d], scaling.maximum - steady[d]) for d in domains}
     if ready < wanted:
         # Nothing is taken away before its replacement runs.
         for domain in domains:
@@ -99,23 +108,29 @@
     scaling: types.Scaling, baseline: int, steady_running: int
 ) -> int:
     """Return how many cheap servers fit beside the others that run."""
-    if scaling.cheap_price is None or scaling.cheap_price >= 1:
+    if scaling.cheap_price is None or not 0 < scaling.cheap_price < 1:
         return 0
     room = scaling.maximum - max(FEWEST_STEADY, steady_running)
-    return max(0, min(baseline, room))
+    for_each = min(CHEAP_FOR_EACH, 1 / scaling.cheap_price)
+    return max(0, min(int(for_each * baseline), room))
 
 
 def _add_steady(
     scaling: types.Scaling,
     steady: dict[str, int],
-    cheap: Mapping[str, int],
+    baseline: Mapping[str, int],
+    counts: Mapping[str, Counts],
     missing: int,
 ) -> None:
-    """Add servers that cannot be reclaimed, the least expensive first."""
+    """Add servers that cannot be reclaimed, the least expensive first.
+
+    No failure domain gets more than it was first given.
+    """
     prices = scaling.domain_prices
     for domain in sorted(steady, key=lambda d: (prices.get(d, math.inf), d)):
-        room = scaling.maximum - cheap[domain] - steady[domain]
-        added = max(0, min(room, missing))
+        cheap_running = counts.get(domain, Counts(0, 0)).cheap
+        most = min(baseline[domain], scaling.maximum - cheap_running)
+        added = max(0, min(most - steady[domain], missing))
         steady[domain] += added
         missing -= added
 
