Order what a node has read and what a relay tells by its age

Cause: a peer's list up to 3 s old replaced what a node had itself just read, so a server whose entry was gone came back and stayed, as the node's own feed had moved past its removal. Ruled out: intervals (3.5 s at worst), tombstones (only servers that said they leave have one). Lists older than what the node holds are passed over; ages count the whole question and the whole call; the revision a relay is asked for is that of the relay whose content the node holds. Scenario failed first. Other users of the intervals: entries are read a little sooner (0.28 of the bound), as their age now counts from the start of the call.

--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -91,6 +91,12 @@
     And the relay hears the store again without a change
     Then the node has version 9 in force
 
+  Scenario: An older list from a relay does not undo what a node has read
+    Given a node that hears only from a relay
+    When the node reads that server "good" has left
+    And the relay tells version 9 while it has not heard the store for 1 s
+    Then the node knows no server
+
   Scenario Outline: The intervals keep the bounds of the deployment
     Given bounds of <drain_s>, <config_s> and <settle_s> s
     Then a change is heard in time although the relay has just lost the store
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -143,6 +143,7 @@
 
     def config_confirmed(self, heard_s: float) -> None:
         """Note that the store knows of no newer configuration."""
+        heard_s = max(heard_s, self._raw.config_heard_s)
         self._shared.config_heard_s = heard_s
         self._raw.config_heard_s = heard_s
 
@@ -227,6 +228,10 @@
                 self.config_confirmed(config_heard_s)
         if state.servers_age_s >= FRESH_S:
             return
+        if servers_heard_s <= self._raw.servers_heard_s:
+            # What this node knows is newer; a server that has left since
+            # would come back.
+            return
         if state.servers is None:
             self._note([], servers_heard_s)
             return
@@ -307,7 +312,7 @@
         wait_s: float,
         pause_s: float,
         source_ip: str,
-        deliver: Callable[[rows.Changes, bool, bool], None],
+        deliver: Callable[[rows.Changes, bool, bool, float], None],
     ):
         """Set what to follow.
 
@@ -317,8 +322,9 @@
             wait_s: How long the store may hold a call back.
             pause_s: Pause between calls.
             source_ip: IP to call from.
-            deliver: Takes the changes, whether they are a snapshot and
-                whether the store was away just before.
+            deliver: Takes the changes, whether they are a snapshot,
+                whether the store was away just before, and the monotonic
+                time of the call.
         """
         client = http.HttpClient(
             "store", store_address, wait_s + CALL_TIMEOUT_S, source_ip
@@ -347,6 +353,7 @@
 
     def _step(self) -> expression.Result:
         is_snapshot = self._since is None
+        called_s = time.monotonic()
         if is_snapshot:
             result = self._store.snapshot(self._table)
         else:
@@ -355,7 +362,9 @@
             self.outage.worked()
             self._retry_s = RETRY_S
             self._since = result.ok.version
-            self._deliver(result.ok, is_snapshot, self.outage.is_recent())
+            self._deliver(
+                result.ok, is_snapshot, self.outage.is_recent(), called_s
+            )
         return result
 
     def _handle(self, error: exceptions.PlatformError) -> float:
--- a/src/bilberryturn/edge/intervals.py
+++ b/src/bilberryturn/edge/intervals.py
@@ -13,8 +13,8 @@
 CONFIG_WAIT_SHARE = 0.4
 CONFIG_CURRENT_SHARE = 0.56
 # The same for the time in which a leaving server must get nothing new.
-SERVER_POLL_SHARE = 0.32
-SERVERS_CURRENT_SHARE = 0.56
+SERVER_POLL_SHARE = 0.28
+SERVERS_CURRENT_SHARE = 0.6
 # Share of the shorter of both bounds.
 ASK_SHARE = 0.2
 # Share of the time in which a request that crashes its servers must be known
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -218,7 +218,11 @@
     # beliefs
 
     def _take_config(
-        self, changes: rows.Changes, is_snapshot: bool, after_outage: bool
+        self,
+        changes: rows.Changes,
+        is_snapshot: bool,
+        after_outage: bool,
+        called_s: float,
     ) -> None:
         now_s = time.monotonic()
         self._raw.config_read_s = now_s
@@ -228,18 +232,26 @@
                 self._applier.config(row.value, now_s, "store")
 
     def _take_servers(
-        self, changes: rows.Changes, is_snapshot: bool, after_outage: bool
+        self,
+        changes: rows.Changes,
+        is_snapshot: bool,
+        after_outage: bool,
+        called_s: float,
     ) -> None:
-        self._raw.servers_read_s = time.monotonic()
+        self._raw.servers_read_s = called_s
         self._applier.servers(
             {row.key: row.value for row in changes.rows},
             is_snapshot,
-            time.monotonic(),
+            called_s,
             after_outage,
         )
 
     def _take_suspects(
-        self, changes: rows.Changes, is_snapshot: bool, after_outage: bool
+        self,
+        changes: rows.Changes,
+        is_snapshot: bool,
+        after_outage: bool,
+        called_s: float,
     ) -> None:
         self._applier.suspect_rows(
             {
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -93,9 +93,11 @@
         self._followers = followers
         self._deliver = deliver
         self._silent_until_s: dict[str, float] = {}
-        self._revisions: dict[str, str] = {}
         self._clients: dict[str, http.HttpClient] = {}
+        # The relay from which this node took what it holds, and which
+        # revision of it; empty while it reads the store itself.
         self._relay = ""
+        self._revision = ""
         self.reads_store = True
 
     def run(self, stopping: threading.Event) -> None:
@@ -138,6 +140,8 @@
 
     def _set_reading(self, reads_store: bool) -> None:
         self.reads_store = reads_store
+        if reads_store:
+            self._relay = self._revision = ""
         for follower in self._followers:
             if reads_store:
                 follower.active.set()
@@ -171,14 +175,14 @@
             )
         question = Question(
             self._lifetime,
-            self._revisions.get(address, ""),
+            self._revision if address == self._relay else "",
             self._usage(),
             self._suspects(),
         )
+        asked_s = time.monotonic()
         result = client.call("PUT", "/state", question, may_repeat=True)
         if result.is_error() or result.ok.status != 200:
             self._silent_until_s[address] = time.monotonic() + SILENT_S
-            self._revisions.pop(address, None)
             events.log(events.MEMBER_LOST, member=address)
             return False
         self._silent_until_s.pop(address, None)
@@ -187,18 +191,19 @@
         except msgspec.DecodeError as error:
             events.log(events.FRAME_REFUSED, member=address, problem=str(error))
             return False
+        state = _aged(state, time.monotonic() - asked_s)
         is_current = self._is_current(state)
-        if is_current:
-            # Older content may be passed over and must then be told again.
-            self._revisions[address] = state.revision
         if is_current and address != self._relay:
-            self._relay = address
             events.log(
                 events.PEER_STATE_TAKEN,
                 member=address,
                 config_age_s=round(state.config_age_s, 3),
                 servers_age_s=round(state.servers_age_s, 3),
             )
+        if is_current:
+            # Older content may be passed over and must then be told again.
+            self._relay = address
+            self._revision = state.revision
         self._deliver(state)
         return is_current
 
@@ -214,6 +219,21 @@
         )
 
 
+def _aged(state: feeds.PeerState, elapsed_s: float) -> feeds.PeerState:
+    """Return a state whose ages include the whole time of its question.
+
+    Content must never look newer than it is; when the relay looked at its
+    clock on the way is not known.
+    """
+    return msgspec.structs.replace(
+        state,
+        config_age_s=state.config_age_s + elapsed_s,
+        servers_age_s=state.servers_age_s + elapsed_s,
+        config_read_age_s=state.config_read_age_s + elapsed_s,
+        servers_read_age_s=state.servers_read_age_s + elapsed_s,
+    )
+
+
 def candidates(own: str, live: set[str], domain: str) -> list[str]:
     """Return whom a node asks, in order; nobody if it is a relay itself.
 
