--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(RUN)/python bench/policies.py
 	$(RUN)/python bench/path.py
 	$(RUN)/python bench/upstream.py
+	$(RUN)/python bench/gateway_paths.py
 	$(RUN)/python bench/recovery.py
 
 capacity: install
--- /dev/null
+++ b/bench/gateway_paths.py
@@ -0,0 +1,323 @@
+"""Compare the gateway's event loop with a thread and curl for each caller.
+
+Usage: python bench/gateway_paths.py [--streams N,N] [--events N] [--rounds N]
+
+The gateway is the whole product path: it parses, decides, logs and counts.
+The threads only pass bytes on, so what they need is the least that such a
+design could need. Each runs in a process of its own and reports its processor
+time, its peak memory and how soon the server saw that a caller had left.
+"""
+
+import argparse
+import asyncio
+import io
+import multiprocessing
+import os
+import resource
+import select
+import socket
+import statistics
+import sys
+import threading
+import time
+
+import h11
+import pycurl
+
+from bilberryturn.gateway import beliefs
+from bilberryturn.gateway import server
+from bilberryturn.gateway import upstream
+from bilberryturn.routing import table
+from bilberryturn.routing import types
+
+EVENT_INTERVAL_S = 0.02
+EVENT = b"id: %d\ndata: token-%d\n\n"
+KEY = "key"
+START_LIMIT_S = 20.0
+# How often a thread looks whether its caller has left.
+CALLER_CHECK_S = 0.1
+
+
+def _used() -> tuple[float, float]:
+    found = resource.getrusage(resource.RUSAGE_SELF)
+    return found.ru_utime + found.ru_stime, found.ru_maxrss / 1024
+
+
+# backend server
+
+
+class _Streams(asyncio.Protocol):
+    """Answers each request with a paced stream; notes early closes."""
+
+    def __init__(self, events: int, closes):
+        self._events = events
+        self._closes = closes
+        self._task: asyncio.Task | None = None
+        self._data = b""
+
+    def connection_made(self, transport):
+        self._transport = transport
+
+    def data_received(self, data):
+        self._data += data
+        if b"\r\n\r\n" not in self._data:
+            return
+        head, _, self._data = self._data.partition(b"\r\n\r\n")
+        request_id = b""
+        for line in head.split(b"\r\n"):
+            if line.lower().startswith(b"x-bilberryturn-attempt-id:"):
+                request_id = line.split(b":", 1)[1].strip()
+        self._task = asyncio.get_running_loop().create_task(
+            self._stream(request_id)
+        )
+
+    async def _stream(self, request_id):
+        write = self._transport.write
+        write(
+            b"HTTP/1.1 200 OK\r\nX-Bilberryturn-Attempt-Id: " + request_id
+            + b"\r\nX-Bilberryturn-Server-Seal: s\r\n"
+            b"Content-Type: text/event-stream\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )  # fmt: skip
+        for number in range(self._events):
+            event = EVENT % (number, number)
+            write(b"%x\r\n%s\r\n" % (len(event), event))
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        write(b"0\r\n\r\n")
+        self._task = None
+
+    def connection_lost(self, error):
+        if self._task is not None:
+            self._task.cancel()
+            self._closes.put(time.monotonic())
+
+
+def run_server(events: int, port_pipe, closes) -> None:
+    """Serve paced streams until the process is ended."""
+
+    async def serve():
+        listener = await asyncio.get_running_loop().create_server(
+            lambda: _Streams(events, closes), "127.0.0.1", 0, backlog=1024
+        )
+        port_pipe.send(listener.sockets[0].getsockname()[1])
+        await asyncio.Event().wait()
+
+    asyncio.run(serve())
+
+
+# both ways
+
+
+def run_loop(backend_port: int, pipe) -> None:
+    """Serve callers with the gateway until told to report."""
+    # Lines of the log cost their time, but do not belong into the result.
+    os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+
+    async def serve():
+        shared = beliefs.Shared(
+            "here",
+            beliefs.RepeatLimits(0.2, 90.0, 10.0),
+            5.0,
+            upstream.ConnectionPool(),
+        )
+        route = types.Route(
+            "s", "h", "/", types.Repeatability.AT_MOST_ONCE, True, 60.0, 1.0,
+            1.0, 0, 1, False, (types.Target("app", 1.0),),
+        )  # fmt: skip
+        shared.table = table.RouteTable(
+            1,
+            [route],
+            [types.Service("app", 1000, None, None)],
+            types.Limits(),
+            {table.key_hash(KEY): types.ClientAccount("a", None)},
+        )
+        shared.directory.report(
+            types.BackendServer(
+                "b", "app", "127.0.0.1", backend_port, "here", 1000, False,
+                False, 1, 1,
+            ),
+            time.monotonic(),
+        )  # fmt: skip
+        callers = server.CallerServer(shared)
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            port = probe.getsockname()[1]
+        await callers.start("127.0.0.1", port)
+        pipe.send(port)
+        loop = asyncio.get_running_loop()
+        while await loop.run_in_executor(None, pipe.recv):
+            pipe.send(_used())
+
+    asyncio.run(serve())
+
+
+def run_threads(backend_port: int, pipe) -> None:
+    """Serve callers with a thread and a curl transfer each."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=1024)
+
+    def accept():
+        while True:
+            connection, _ = listener.accept()
+            threading.Thread(
+                target=_pass_on, args=(connection, backend_port), daemon=True
+            ).start()
+
+    threading.Thread(target=accept, daemon=True).start()
+    pipe.send(listener.getsockname()[1])
+    while pipe.recv():
+        pipe.send(_used())
+
+
+def _pass_on(connection: socket.socket, backend_port: int) -> None:
+    parser = h11.Connection(h11.SERVER)
+    request = None
+    while not isinstance(request, h11.Request):
+        request = parser.next_event()
+        if request is h11.NEED_DATA:
+            parser.receive_data(connection.recv(65536))
+    headers = {name.decode(): value.decode() for name, value in request.headers}
+    poller = select.poll()
+    poller.register(connection, select.POLLRDHUP)
+    looked_s = time.monotonic()
+
+    def is_gone(*_):
+        nonlocal looked_s
+        if time.monotonic() - looked_s < CALLER_CHECK_S:
+            return 0
+        looked_s = time.monotonic()
+        return 1 if poller.poll(0) else 0
+
+    def write(data):
+        try:
+            connection.sendall(parser.send(h11.Data(data)))
+        except OSError:
+            # The caller has left; curl ends a transfer that is not taken.
+            return 0
+        return None
+
+    connection.sendall(
+        parser.send(
+            h11.Response(
+                status_code=200, headers=[("Transfer-Encoding", "chunked")]
+            )
+        )
+    )
+    curl = pycurl.Curl()
+    curl.setopt(pycurl.URL, f"http://127.0.0.1:{backend_port}/x")
+    curl.setopt(pycurl.PROXY, "")
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(
+        pycurl.HTTPHEADER,
+        [f"X-Bilberryturn-Attempt-Id: {headers['x-bilberryturn-attempt-id']}"],
+    )
+    curl.setopt(pycurl.POSTFIELDS, "")
+    curl.setopt(pycurl.WRITEFUNCTION, write)
+    curl.setopt(pycurl.NOPROGRESS, 0)
+    curl.setopt(pycurl.XFERINFOFUNCTION, is_gone)
+    try:
+        curl.perform()
+        connection.sendall(parser.send(h11.EndOfMessage()))
+    except (pycurl.error, OSError):
+        # The caller has left; closing the transfer tells the server.
+        pass
+    finally:
+        curl.close()
+        connection.close()
+
+
+# callers
+
+
+async def _call(port: int, number: int, leave: bool) -> float | None:
+    """Read one stream; returns when the caller left, if it did."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(
+        (
+            "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n"
+            f"X-Bilberryturn-Attempt-Id: {number:016x}\r\n"
+            f"Authorization: Bearer {KEY}\r\nConnection: close\r\n\r\n"
+        ).encode()
+    )
+    body = io.BytesIO()
+    while data := await reader.read(65536):
+        body.write(data)
+        if leave and b"token-1\n" in body.getvalue():
+            writer.transport.abort()
+            return time.monotonic()
+    writer.close()
+    assert body.getvalue().endswith(b"0\r\n\r\n"), body.getvalue()[-80:]
+    return None
+
+
+async def _call_many(port: int, count: int, leave: bool) -> list[float | None]:
+    return await asyncio.gather(
+        *(_call(port, number, leave) for number in range(count))
+    )
+
+
+def measure(way, streams: int, events: int) -> tuple[float, float, float]:
+    """Return CPU ms a stream, peak MB, and the median ms to see a close."""
+    spawn = multiprocessing.get_context("spawn")
+    closes = spawn.Queue()
+    ours, theirs = spawn.Pipe()
+    backend = spawn.Process(
+        target=run_server, args=(events, theirs, closes), daemon=True
+    )
+    backend.start()
+    assert ours.poll(START_LIMIT_S)
+    backend_port = ours.recv()
+    our_pipe, way_pipe = spawn.Pipe()
+    proxy = spawn.Process(
+        target=way, args=(backend_port, way_pipe), daemon=True
+    )
+    proxy.start()
+    try:
+        assert our_pipe.poll(START_LIMIT_S)
+        port = our_pipe.recv()
+        asyncio.run(_call_many(port, 4, False))
+        our_pipe.send(True)
+        before_s, _ = our_pipe.recv()
+        asyncio.run(_call_many(port, streams, False))
+        our_pipe.send(True)
+        after_s, peak_mb = our_pipe.recv()
+        waits = []
+        for _ in range(10):
+            (left_s,) = asyncio.run(_call_many(port, 1, True))
+            waits.append(closes.get(timeout=10) - left_s)
+        return (
+            (after_s - before_s) / streams * 1000,
+            peak_mb,
+            statistics.median(waits) * 1000,
+        )
+    finally:
+        for process in (proxy, backend):
+            process.terminate()
+            process.join(5)
+
+
+def main() -> int:
+    """Print both ways for each number of streams."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--streams", default="32,200")
+    parser.add_argument("--events", type=int, default=50)
+    parser.add_argument("--rounds", type=int, default=3)
+    parsed = parser.parse_args()
+    for streams in map(int, parsed.streams.split(",")):
+        for name, way in (("loop", run_loop), ("threads", run_threads)):
+            found = [
+                measure(way, streams, parsed.events)
+                for _ in range(parsed.rounds)
+            ]
+            cpu_ms, peak_mb, close_ms = map(
+                statistics.median, zip(*found, strict=True)
+            )
+            print(
+                f"{streams:4} streams of {parsed.events} events, {name}:"
+                f" {cpu_ms:.2f} ms processor time a stream,"
+                f" peak {peak_mb:.0f} MB, close seen after {close_ms:.0f} ms",
+                flush=True,
+            )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
