--- /dev/null
+++ b/src/bilberryturn/gateway/attempts.py
@@ -0,0 +1,277 @@
+"""Send one request to one backend server and read its answer."""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+import h11
+
+from bilberryturn import events
+from bilberryturn.gateway import beliefs
+from bilberryturn.gateway import delivery
+from bilberryturn.gateway import upstream
+from bilberryturn.platform import wire
+from bilberryturn.routing import choice
+from bilberryturn.routing import suspects
+from bilberryturn.routing import types
+
+# A connection is established within milliseconds, or the server is gone.
+CONNECT_TIMEOUT_S = 0.35
+# How long past its deadline a server may still answer that it gave up.
+SERVER_GRACE_S = 0.1
+# Share of the remaining time after which a repeatable request tries another
+# server.
+HEDGE_SHARE = 0.45
+# Longest answer that is held back until it is whole.
+MAX_WHOLE_ANSWER_BYTES = 8 * 1024 * 1024
+
+
+class Call(NamedTuple):
+    """Describes a request whose route and account are known.
+
+    Attributes:
+        priority: Rank that the server gets; 0 is the highest.
+        fingerprint: What tells this request from others that crash servers.
+        deadline_s: Monotonic time at which the caller gives up.
+    """
+
+    incoming: delivery.Incoming
+    route: types.Route
+    service: types.Service
+    account: types.ClientAccount | None
+    priority: int
+    wish: choice.Wish
+    fingerprint: str
+    deadline_s: float
+
+
+class Answer(NamedTuple):
+    """Holds a whole answer of a server."""
+
+    head: wire.ServerAnswer
+    body: bytes
+
+
+class NotRun(NamedTuple):
+    """Says that a server states that it did not run the request."""
+
+    retry_after_s: float | None
+
+
+class Failed(NamedTuple):
+    """Says that an attempt failed; was_sent tells whether it may have run."""
+
+    reason: str
+    was_sent: bool
+
+
+class Streamed(NamedTuple):
+    """Says that a stream reached its end."""
+
+
+Result = Answer | NotRun | Failed | Streamed
+
+
+class Attempt:
+    """Holds a claim on a server and a connection to it until it ends.
+
+    Attributes:
+        was_sent: Whether the request was written.
+    """
+
+    def __init__(
+        self,
+        call: Call,
+        chosen: choice.Choice,
+        given: delivery.Delivery,
+        shared: beliefs.Shared,
+    ):
+        self._call = call
+        self._chosen = chosen
+        self._delivery = given
+        self._shared = shared
+        self._ticket: choice.Ticket | None = None
+        self._connection: upstream.Connection | None = None
+        self.was_sent = False
+
+    async def run(self, may_try_another: bool) -> Result:
+        """Send the request; what the attempt holds is freed at its end.
+
+        Args:
+            may_try_another: Whether another server may get the request, so
+                that a slow one need not be waited for.
+        """
+        self._delivery.begin_attempt()
+        self._ticket = self._shared.chooser.begin(
+            self._chosen, self._call.wish, time.monotonic()
+        )
+        try:
+            result = await self._run(may_try_another)
+        finally:
+            self._release(None)
+        if isinstance(result, Failed):
+            self._log(result.reason)
+        elif isinstance(result, NotRun):
+            self._log("not run")
+        return result
+
+    async def _run(self, may_try_another: bool) -> Result:
+        call = self._call
+        try:
+            self._connection = await self._shared.pool.open(
+                self._chosen.server,
+                min(CONNECT_TIMEOUT_S, call.deadline_s - time.monotonic()),
+                call.route.may_run_again,
+            )
+        except upstream.UpstreamError as error:
+            self._release(False)
+            return Failed(error.reason, False)
+        was_reused = self._connection.is_reused
+        left_s = call.deadline_s - time.monotonic()
+        try:
+            self._connection.send(
+                call.incoming.method,
+                call.incoming.target,
+                self._headers(left_s),
+                call.incoming.body,
+            )
+            self.was_sent = True
+            async with asyncio.timeout(self._limit_s(left_s, may_try_another)):
+                return await self._receive()
+        except upstream.UpstreamError as error:
+            crashed = error.was_sent and not was_reused
+            self._release(False if crashed else None)
+            if crashed and not self._delivery.has_started:
+                self._note_crash()
+            return Failed(error.reason, error.was_sent)
+        except TimeoutError:
+            self._release(False)
+            return Failed("no answer in time", True)
+
+    def _limit_s(self, left_s: float, may_try_another: bool) -> float:
+        """Return how long to wait for the whole answer."""
+        route = self._call.route
+        is_idempotent = route.repeatability is types.Repeatability.IDEMPOTENT
+        if is_idempotent and may_try_another:
+            return max(route.target_s, left_s * HEDGE_SHARE)
+        return left_s + SERVER_GRACE_S
+
+    def _headers(self, left_s: float) -> wire.Headers:
+        call = self._call
+        return wire.server_headers(
+            call.incoming.headers,
+            self._chosen.server.server_id,
+            call.account.name if call.account else None,
+            left_s,
+            call.priority if call.service.engine else None,
+            self._delivery.last_event_id,
+            call.incoming.body,
+            call.incoming.method,
+        )
+
+    async def _receive(self) -> Result:
+        """Read one answer; stream it or return it whole."""
+        event = await self._connection.next_event()
+        if not isinstance(event, h11.Response):
+            raise upstream.UpstreamError("no answer", True)
+        head = wire.read_server_answer(event.status_code, list(event.headers))
+        if head.is_not_run:
+            return NotRun(head.retry_after_s)
+        if head.request_id != self._call.incoming.headers.request_id:
+            raise upstream.UpstreamError("answer to another request", True)
+        if head.is_encoded or not head.is_sealed and head.status < 300:
+            raise upstream.UpstreamError("not the server's own answer", True)
+        if head.status < 300 and self._call.route.is_stream:
+            return await self._stream(head)
+        body = await self._read_whole()
+        if self._delivery.has_started:
+            raise upstream.UpstreamError("resumption failed", True)
+        self._delivery.note_begun()
+        self._shared.suspects.clear(self._call.fingerprint)
+        self._release(head.status < 500, head)
+        return Answer(head, body)
+
+    async def _read_whole(self) -> bytes:
+        parts: list[bytes] = []
+        size_bytes = 0
+        while True:
+            event = await self._connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if not isinstance(event, h11.Data):
+                raise upstream.UpstreamError("answer cut short", True)
+            parts.append(bytes(event.data))
+            size_bytes += len(event.data)
+            if size_bytes > MAX_WHOLE_ANSWER_BYTES:
+                raise upstream.UpstreamError("answer too large", True)
+
+    async def _stream(self, head: wire.ServerAnswer) -> Result:
+        """Pass on events as they arrive, whole ones only."""
+        while True:
+            event = await self._connection.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                break
+            if not isinstance(event, h11.Data):
+                raise upstream.UpstreamError("stream cut short", True)
+            await self._pass_on(head, bytes(event.data))
+        if self._delivery.has_partial_event:
+            raise upstream.UpstreamError("stream ended inside an event", True)
+        self._delivery.end_stream(head)
+        self._shared.suspects.clear(self._call.fingerprint)
+        self._release(True, head)
+        return Streamed()
+
+    async def _pass_on(self, head: wire.ServerAnswer, data: bytes) -> None:
+        was_event = await self._delivery.pass_on(head, data)
+        if was_event and self._ticket is not None:
+            self._shared.chooser.first_token(self._ticket)
+
+    def _note_crash(self) -> None:
+        call = self._call
+        count = self._shared.suspects.note_crash(
+            call.fingerprint, time.monotonic()
+        )
+        if count == suspects.CRASHES_TO_REFUSE:
+            events.log(
+                events.REQUEST_QUARANTINED,
+                request=call.incoming.headers.request_id,
+                fingerprint=call.fingerprint,
+                crashes=count,
+            )
+
+    def _release(
+        self, outcome: bool | None, head: wire.ServerAnswer | None = None
+    ) -> None:
+        """Free the connection and the claim on the server.
+
+        Args:
+            outcome: As for Chooser.end.
+            head: Head of an answer that ended cleanly; its connection may be
+                used again.
+        """
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            if head is not None and not head.closes:
+                self._shared.pool.give_back(connection, head.idle_timeout_s)
+            else:
+                connection.close()
+        ticket, self._ticket = self._ticket, None
+        if ticket is None:
+            return
+        opened = self._shared.chooser.end(ticket, outcome, time.monotonic())
+        if opened:
+            events.log(
+                events.SERVER_CIRCUIT_OPEN, server=ticket.server.server_id
+            )
+
+    def _log(self, reason: str) -> None:
+        chosen = self._chosen
+        events.log(
+            events.ATTEMPT_FAILED,
+            request=self._call.incoming.headers.request_id,
+            server=chosen.server.server_id,
+            reason=reason,
+            expected_s=round(chosen.expected_s, 3),
+            running=chosen.running,
+            servers_age_s=self._shared.servers_age_s(),
+        )
--- a/src/bilberryturn/gateway/server.py
+++ b/src/bilberryturn/gateway/server.py
@@ -7,6 +7,7 @@
 
 from bilberryturn import events
 from bilberryturn.gateway import beliefs
+from bilberryturn.gateway import delivery
 from bilberryturn.gateway import exchange
 from bilberryturn.gateway import outcomes
 from bilberryturn.platform import wire
@@ -161,7 +162,7 @@
     def _start_exchange(self) -> None:
         self._clear_timer()
         request = self._request
-        incoming = exchange.Incoming(
+        incoming = delivery.Incoming(
             method=request.method,
             target=request.target,
             headers=wire.read_caller_headers(list(request.headers)),
@@ -205,7 +206,7 @@
         self._set_timer(self._limits.idle_timeout_s, self._idle_timeout)
         self._read()
 
-    # answers: exchange.Caller
+    # answers: delivery.Caller
 
     def send_answer(
         self, status: int, headers: wire.Headers, body: bytes
