Tell askers of entries only what is more than a heartbeat

Cause: each server raises its sequence every 1.2 s, every reading counted as a change, so a relay sent its whole list to every asker at every question (51 servers: 20 KB a question), far over the 17 KB a second a node may use. Ruled out: sending differences, which needs a history at the relay; most answers now hold no list at all. Scenario failed first (list told after a sequence).

--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -430,6 +430,39 @@
     )  # fmt: skip
 
 
+ENTRY_CHANGES = {
+    "says that it leaves": _entry(state="draining", seq=2),
+    "has another address": _entry(addr="10.0.0.9:80", seq=2),
+    "has a later sequence": _entry(seq=2),
+}
+
+
+@behave.when("a server's entry {change}")
+def when_entry(context, change):
+    context.known = context.node.raw.revision
+    read_s = context.node.raw.servers_read_s
+    if change == "is removed":
+        context.standin.remove("servers", "good")
+    else:
+        context.standin.put("servers", "good", ENTRY_CHANGES[change])
+    # Two whole readings have begun after the change.
+    for _ in range(2):
+        _wait_for(
+            lambda: context.node.raw.servers_read_s > read_s,
+            5,
+            lambda: "no reading of the entries",
+        )
+        read_s = context.node.raw.servers_read_s
+
+
+@behave.then("its relay content is {told}")
+def then_told(context, told):
+    state = context.node.raw.state(context.known)
+    assert (state.servers is not None) == (told == "new"), state
+    seqs = [json.loads(v)["seq"] for v in context.node.raw.servers.values()]
+    assert seqs in ([2], []), seqs
+
+
 @behave.when(
     "the relay tells version 9 while it has not heard the store for {age_s:d} s"
 )
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -97,6 +97,18 @@
     And the relay tells version 9 while it has not heard the store for 1 s
     Then the node knows no server
 
+  Scenario Outline: A relay tells the entries again only if <what>
+    Given a node's feeds on a stand-in of the users' store
+    When a server's entry <change>
+    Then its relay content is <told>
+
+    Examples:
+      | what            | change               | told      |
+      | they changed    | says that it leaves  | new       |
+      | they changed    | has another address  | new       |
+      | they changed    | is removed           | new       |
+      | not a heartbeat | has a later sequence | unchanged |
+
   Scenario Outline: The intervals keep the bounds of the deployment
     Given bounds of <drain_s>, <config_s> and <settle_s> s
     Then a change is heard in time although the relay has just lost the store
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -156,7 +156,7 @@
     ) -> None:
         """Take changed entries, or all of them."""
         now_s = time.monotonic()
-        if changed or is_snapshot:
+        if self._are_news(changed, is_snapshot):
             self._raw.changed()
         decoded = []
         for server_id, value in changed.items():
@@ -187,6 +187,18 @@
                 changes.append(directory.remove(server_id, now_s, after_outage))
         self._note(changes, heard_s)
 
+    def _are_news(
+        self, changed: dict[str, bytes | None], is_snapshot: bool
+    ) -> bool:
+        """Return whether those that ask this node must be told."""
+        known = self._raw.servers
+        if is_snapshot and changed.keys() != known.keys():
+            return True
+        return any(
+            _is_news(server_id, known.get(server_id), value)
+            for server_id, value in changed.items()
+        )
+
     def suspects(self, lifetime: str, counts: dict[str, int]) -> None:
         """Take the crashes that another node has counted."""
         if self._raw.suspects.get(lifetime, {}) == counts:
@@ -260,6 +272,19 @@
                 )
 
 
+def _is_news(server_id: str, known: bytes | None, value: bytes | None) -> bool:
+    """Return whether an entry says more than that its server lives."""
+    if known == value:
+        return False
+    if known is None or value is None:
+        return True
+    old = server_entries.decode(server_id, known)
+    new = server_entries.decode(server_id, value)
+    if old.is_error() or new.is_error():
+        return True
+    return old.ok._replace(sequence=0) != new.ok._replace(sequence=0)
+
+
 class Outage:
     """Notes when the store was away, for one kind of call."""
 
