--- a/src/bilberryturn/checks/__init__.py
+++ b/src/bilberryturn/checks/__init__.py
@@ -1,5 +1,6 @@
 """Check INI text against typed sections and report all faults at once."""
 
+from bilberryturn.checks import files
 from bilberryturn.checks import messages
 from bilberryturn.checks import sections
 
@@ -8,6 +9,7 @@
 parse_ini = sections.parse_ini
 read_options = sections.read_options
 read_section = sections.read_section
+read_text = files.read_text
 
 __all__ = [
     "CheckMessage",
@@ -15,4 +17,5 @@
     "parse_ini",
     "read_options",
     "read_section",
+    "read_text",
 ]
--- a/src/bilberryturn/conf/loader.py
+++ b/src/bilberryturn/conf/loader.py
@@ -20,18 +20,12 @@
     Returns:
         The settings, or every fault found.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return expression.Error(
-            [
-                checks.CheckMessage(
-                    "E200", path, "", "", f"the file cannot be read: {error}",
-                    "Name a readable UTF-8 file with --settings",
-                )
-            ]
-        )  # fmt: skip
-    settings, faults = settings_checks.check_text(text, path)
+    text = checks.read_text(
+        path, "E200", "Name a readable UTF-8 file with --settings"
+    )
+    if text.is_error():
+        return expression.Error(text.error)
+    settings, faults = settings_checks.check_text(text.ok, path)
     if settings is None:
         return expression.Error(faults)
     return expression.Ok(settings)
--- a/src/bilberryturn/platform/settings_file.py
+++ b/src/bilberryturn/platform/settings_file.py
@@ -3,7 +3,6 @@
 Lines have the form a.b=value. Unknown names are ignored.
 """
 
-import pathlib
 from typing import NamedTuple
 
 import expression
@@ -141,18 +140,12 @@
     Returns:
         The settings, or every fault found.
     """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        return expression.Error(
-            [
-                checks.CheckMessage(
-                    "E289", path, "", "", f"the file cannot be read: {error}",
-                    "Set BILBERRYTURN_SETTINGS to a readable UTF-8 file",
-                )
-            ]
-        )  # fmt: skip
-    return check_text(text, path)
+    text = checks.read_text(
+        path, "E289", "Set BILBERRYTURN_SETTINGS to a readable UTF-8 file"
+    )
+    if text.is_error():
+        return expression.Error(text.error)
+    return check_text(text.ok, path)
 
 
 def check_text(
--- a/src/bilberryturn/rendezvous.py
+++ b/src/bilberryturn/rendezvous.py
@@ -4,16 +4,15 @@
 import hashlib
 
 
+def weight(name: str, role: str) -> bytes:
+    """Return the weight of a name for a role; the highest holds it."""
+    return hashlib.blake2b(f"{role}|{name}".encode(), digest_size=8).digest()
+
+
 def rank(names: Iterable[str], role: str) -> list[str]:
     """Return the names in the order in which they should hold a role.
 
     Every node computes the same order from the same names, and the loss of a
     node moves only the roles that it held.
     """
-
-    def weight(name: str) -> bytes:
-        return hashlib.blake2b(
-            f"{role}|{name}".encode(), digest_size=8
-        ).digest()
-
-    return sorted(names, key=weight, reverse=True)
+    return sorted(names, key=lambda name: weight(name, role), reverse=True)
--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -9,9 +9,9 @@
 """
 
 import collections
-import hashlib
 from typing import NamedTuple
 
+from bilberryturn import rendezvous
 from bilberryturn.routing import types
 from bilberryturn.scheduling import breakers
 
@@ -93,12 +93,6 @@
         self.is_open = True
 
 
-def home_score(part_id: str, server_id: str) -> int:
-    """Return the rendezvous weight of a server for a prompt part."""
-    data = f"{part_id}/{server_id}".encode()
-    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest(), "big")
-
-
 def shared_part(prompt: types.Prompt) -> str | None:
     """Return the deepest part that other requests share, if there is one."""
     if len(prompt.parts) < 2:
@@ -126,11 +120,17 @@
     quiet: set[str] = set()
     for found in by_domain.values():
         count = round(len(found) * QUIET_SHARE)
-        found.sort(key=lambda s: (s.is_cheap, home_score("quiet", s.server_id)))
+        found.sort(
+            key=lambda s: (s.is_cheap, rendezvous.weight(s.server_id, "quiet"))
+        )
         quiet.update(s.server_id for s in found[:count])
     return quiet
 
 
+def _quiet_order(server: types.BackendServer) -> tuple[bool, bytes]:
+    return server.is_cheap, rendezvous.weight(server.server_id, "quiet")
+
+
 class Chooser:
     """Counts this node's own work and chooses servers by it."""
 
@@ -232,7 +232,7 @@
         part = shared_part(wish.prompt)
         if part is None:
             return None
-        return max(servers, key=lambda s: home_score(part, s.server_id))
+        return max(servers, key=lambda s: rendezvous.weight(s.server_id, part))
 
     def _rate(
         self,
