--- a/src/bilberryturn/daemon/admin.py
+++ b/src/bilberryturn/daemon/admin.py
@@ -14,6 +14,7 @@
 from bilberryturn import events
 from bilberryturn import exceptions
 from bilberryturn import metrics
+from bilberryturn.daemon import admin_messages
 from bilberryturn.daemon import commits
 from bilberryturn.declarations import keys
 from bilberryturn.declarations import models
@@ -22,7 +23,6 @@
 Response = werkzeug.wrappers.Response
 Rule = werkzeug.routing.Rule
 
-DEFAULT_WAIT_S = 10.0
 LONGEST_WAIT_S = 60.0
 MAX_LOG_ROWS = 500
 READ_TIMEOUT_S = 2.0
@@ -45,40 +45,6 @@
 )
 
 
-class ChangeBody(msgspec.Struct):
-    """Holds an operator's change of declared sections."""
-
-    expected_version: int
-    changed: dict[str, dict[str, str]] = {}
-    removed: tuple[str, ...] = ()
-    wait_s: float = DEFAULT_WAIT_S
-
-
-class GrantBody(msgspec.Struct):
-    """Holds the wish for a new key."""
-
-    client_account: str
-    label: str = ""
-    wait_s: float = DEFAULT_WAIT_S
-
-
-class MarkBody(msgspec.Struct):
-    """Holds an operator's mark; an empty one removes it."""
-
-    kind: str
-    name: str
-    mark: str
-    wait_s: float = DEFAULT_WAIT_S
-
-
-class AdminError(exceptions.BilberryturnError):
-    """Reports that an operator's request cannot be carried out."""
-
-    def __init__(self, status: int, problem: str, remedy: str):
-        super().__init__(problem, remedy)
-        self.status = status
-
-
 class AdminApplication:
     """Is the WSGI application that the command-line tool talks to."""
 
@@ -100,32 +66,38 @@
             adapter = ROUTES.bind_to_environ(request.environ)
             endpoint, arguments = adapter.match()
             handler = getattr(self, f"_serve_{endpoint}")
-            return _json(handler(request, author, **arguments))
+            return admin_messages.answer(handler(request, author, **arguments))
         except werkzeug.exceptions.HTTPException as error:
-            return _problem(error.code, error.name, "Use the command-line tool")
-        except AdminError as error:
-            return _problem(error.status, error.problem, error.remedy)
+            return admin_messages.problem(
+                error.code, error.name, "Use the command-line tool"
+            )
+        except admin_messages.AdminError as error:
+            return admin_messages.problem(
+                error.status, error.problem, error.remedy
+            )
         except declarations.Conflict as error:
             events.log(
                 events.CONFIG_CONFLICT,
                 version=error.version,
                 author=error.author,
             )
-            return _problem(409, error.problem, error.remedy)
+            return admin_messages.problem(409, error.problem, error.remedy)
         except commits.InvalidDeclarationsError as error:
-            return _problem(
+            return admin_messages.problem(
                 422, error.problem, error.remedy,
                 [fault._asdict() for fault in error.faults],
             )  # fmt: skip
         except exceptions.BilberryturnError as error:
-            return _problem(503, error.problem, error.remedy)
+            return admin_messages.problem(503, error.problem, error.remedy)
         except Exception as error:
             events.log(
                 events.JOB_FAILED,
                 job="admin",
                 error=f"{type(error).__name__}: {error}",
             )
-            return _problem(500, "The node failed", "Look at its log")
+            return admin_messages.problem(
+                500, "The node failed", "Look at its log"
+            )
 
     def _author(self, request: Request) -> str:
         """Return the operator whose token came with the request."""
@@ -141,7 +113,7 @@
                 )
             ):
                 return name.strip()
-        raise AdminError(
+        raise admin_messages.AdminError(
             401,
             "The operator token is not known",
             "Set BILBERRYTURN_TOKEN to a token of the operator tokens file",
@@ -209,10 +181,10 @@
         return {"version": current.version, "sections": sections}
 
     def _serve_change(self, request: Request, author: str) -> dict[str, Any]:
-        body = _decode(request, ChangeBody)
+        body = admin_messages.decode(request, admin_messages.ChangeBody)
         for name in (*body.changed, *body.removed):
             if models.kind_of(name) == "key":
-                raise AdminError(
+                raise admin_messages.AdminError(
                     422,
                     "Keys are not changed by declarations",
                     "Use `bilberryturn key grant` or `key withdraw`",
@@ -253,7 +225,7 @@
         for change in result.ok:
             if change.version == version:
                 return change.as_row()
-        raise AdminError(
+        raise admin_messages.AdminError(
             404, f"Version {version} does not exist",
             "List the versions with `bilberryturn config log`",
         )  # fmt: skip
@@ -269,10 +241,10 @@
         }
 
     def _serve_grant(self, request: Request, author: str) -> dict[str, Any]:
-        body = _decode(request, GrantBody)
+        body = admin_messages.decode(request, admin_messages.GrantBody)
         declared = self._node.configuration.current
         if body.client_account not in declared.client_accounts:
-            raise AdminError(
+            raise admin_messages.AdminError(
                 422,
                 f"The client account {body.client_account!r} is not declared",
                 f"Declare [client_account {body.client_account}] first",
@@ -297,7 +269,7 @@
             name = self._node.hasher.hash(name)
         found = [h for h in declared.keys if h.startswith(name)]
         if len(found) != 1:
-            raise AdminError(
+            raise admin_messages.AdminError(
                 404,
                 f"{len(found)} keys start with {name[:8]!r}",
                 "Give more of the hash that `bilberryturn key list` shows",
@@ -305,19 +277,21 @@
         change = self._committer.commit_absolute(
             author, {}, (f"key {found[0]}",)
         )
-        wait_s = request.args.get("wait_s", DEFAULT_WAIT_S, float)
+        wait_s = request.args.get(
+            "wait_s", admin_messages.DEFAULT_WAIT_S, float
+        )
         return self._in_force(change.version, wait_s)
 
     def _serve_mark(self, request: Request, author: str) -> dict[str, Any]:
-        body = _decode(request, MarkBody)
+        body = admin_messages.decode(request, admin_messages.MarkBody)
         if body.kind not in ("vm", "backend_server"):
-            raise AdminError(
+            raise admin_messages.AdminError(
                 422, f"{body.kind!r} cannot be marked",
                 "Mark a vm or a backend_server",
             )  # fmt: skip
         known = {vm.name for vm in self._node.plane.vms}
         if body.mark and body.name not in known:
-            raise AdminError(
+            raise admin_messages.AdminError(
                 404, f"The VM {body.name!r} is not in the platform's list",
                 "List the VMs with `bilberryturn vm list`",
             )  # fmt: skip
@@ -366,7 +340,7 @@
     def _serve_explain(self, request: Request, author: str, request_id: str):
         trace = self._node.running.trace(request_id)
         if trace is None:
-            raise AdminError(
+            raise admin_messages.AdminError(
                 404,
                 f"This node does not know the request {request_id[:80]!r}",
                 "Ask the node whose name the identifier starts with; only"
@@ -377,27 +351,3 @@
 
 def _named(summary) -> dict[str, Any]:
     return {name: getattr(summary, name) for name in summary.__struct_fields__}
-
-
-def _decode(request: Request, kind: type) -> Any:
-    try:
-        return msgspec.json.decode(request.get_data(), type=kind)
-    except msgspec.DecodeError as error:
-        raise AdminError(
-            400, f"The body cannot be used: {error}",
-            "Use the command-line tool of the same release",
-        ) from error  # fmt: skip
-
-
-def _json(value: Any, status: int = 200) -> Response:
-    return Response(
-        msgspec.json.encode(value), status, content_type="application/json"
-    )
-
-
-def _problem(
-    status: int, problem: str, remedy: str, faults: list | None = None
-) -> Response:
-    return _json(
-        {"problem": problem, "remedy": remedy, "faults": faults or []}, status
-    )
--- /dev/null
+++ b/src/bilberryturn/daemon/admin_messages.py
@@ -0,0 +1,78 @@
+"""Define what operators send and what they get back."""
+
+from typing import Any
+
+import msgspec
+import werkzeug.wrappers
+
+from bilberryturn import exceptions
+
+Request = werkzeug.wrappers.Request
+Response = werkzeug.wrappers.Response
+
+DEFAULT_WAIT_S = 10.0
+
+
+class ChangeBody(msgspec.Struct):
+    """Holds an operator's change of declared sections."""
+
+    expected_version: int
+    changed: dict[str, dict[str, str]] = {}
+    removed: tuple[str, ...] = ()
+    wait_s: float = DEFAULT_WAIT_S
+
+
+class GrantBody(msgspec.Struct):
+    """Holds the wish for a new key."""
+
+    client_account: str
+    label: str = ""
+    wait_s: float = DEFAULT_WAIT_S
+
+
+class MarkBody(msgspec.Struct):
+    """Holds an operator's mark; an empty one removes it."""
+
+    kind: str
+    name: str
+    mark: str
+    wait_s: float = DEFAULT_WAIT_S
+
+
+class AdminError(exceptions.BilberryturnError):
+    """Reports that an operator's request cannot be carried out."""
+
+    def __init__(self, status: int, problem: str, remedy: str):
+        super().__init__(problem, remedy)
+        self.status = status
+
+
+def decode(request: Request, kind: type) -> Any:
+    """Return the body of a request.
+
+    Raises:
+        AdminError: It is not of this kind.
+    """
+    try:
+        return msgspec.json.decode(request.get_data(), type=kind)
+    except msgspec.DecodeError as error:
+        raise AdminError(
+            400, f"The body cannot be used: {error}",
+            "Use the command-line tool of the same release",
+        ) from error  # fmt: skip
+
+
+def answer(value: Any, status: int = 200) -> Response:
+    """Return an answer with a JSON body."""
+    return Response(
+        msgspec.json.encode(value), status, content_type="application/json"
+    )
+
+
+def problem(
+    status: int, what: str, remedy: str, faults: list | None = None
+) -> Response:
+    """Return the answer to a request that cannot be carried out."""
+    return answer(
+        {"problem": what, "remedy": remedy, "faults": faults or []}, status
+    )
--- a/src/bilberryturn/entry/application.py
+++ b/src/bilberryturn/entry/application.py
@@ -1,6 +1,5 @@
 """Route the requests of callers."""
 
-from collections.abc import Iterator
 from typing import Any
 
 import werkzeug.exceptions
@@ -18,6 +17,7 @@
 from bilberryturn.entry import responses
 from bilberryturn.entry import server
 from bilberryturn.entry import services
+from bilberryturn.entry import streams
 
 PROFILE_HEADER = "X-Bilberryturn-Profile"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -261,7 +261,7 @@
         chunks = run.stream()
         first = next(chunks)
         response = Response(
-            _Stream(self._node, followed, run, first, chunks),
+            streams.Stream(self._node, followed, run, first, chunks),
             content_type="text/event-stream",
             direct_passthrough=True,
         )
@@ -329,49 +329,6 @@
         return response
 
 
-class _Stream:
-    """Is the body of a streamed answer; its end is always noted."""
-
-    def __init__(self, node, followed, run, first: bytes, chunks):
-        self._node = node
-        self._followed = followed
-        self._run = run
-        self._first: bytes | None = first
-        self._chunks: Iterator[bytes] = chunks
-        self._outcome = ""
-
-    def __iter__(self):
-        return self
-
-    def __next__(self) -> bytes:
-        if self._first is not None:
-            first, self._first = self._first, None
-            return first
-        if self._outcome:
-            raise StopIteration
-        try:
-            return next(self._chunks)
-        except StopIteration:
-            self._outcome = "done"
-            raise
-        except exceptions.RequestError as error:
-            self._outcome = error.code
-            metrics.add(metrics.REFUSALS, {"kind": error.code})
-            return responses.error_event(error, self._followed)
-
-    def close(self) -> None:
-        """End the run; called when the answer is sent or the caller left."""
-        self._chunks.close()
-        self._node.running.remove(self._followed)
-        if not self._outcome:
-            events.log(events.CALLER_GONE, request_id=self._followed.request_id)
-        exchange.log_end(
-            self._followed,
-            self._outcome or exceptions.CallerGoneError.code,
-            output_tokens=self._run.output_tokens,
-        )
-
-
 def _discard(request: Request, most_bytes: int) -> None:
     """Read a refused body, so that the caller can read the refusal."""
     stream = request.environ["wsgi.input"]
--- /dev/null
+++ b/src/bilberryturn/entry/streams.py
@@ -0,0 +1,52 @@
+"""Send the body of a streamed answer and note how it ended."""
+
+from collections.abc import Iterator
+
+from bilberryturn import events
+from bilberryturn import metrics
+from bilberryturn.entry import exceptions
+from bilberryturn.entry import exchange
+from bilberryturn.entry import responses
+
+
+class Stream:
+    """Is the body of a streamed answer; its end is always noted."""
+
+    def __init__(self, node, followed, run, first: bytes, chunks):
+        self._node = node
+        self._followed = followed
+        self._run = run
+        self._first: bytes | None = first
+        self._chunks: Iterator[bytes] = chunks
+        self._outcome = ""
+
+    def __iter__(self):
+        return self
+
+    def __next__(self) -> bytes:
+        if self._first is not None:
+            first, self._first = self._first, None
+            return first
+        if self._outcome:
+            raise StopIteration
+        try:
+            return next(self._chunks)
+        except StopIteration:
+            self._outcome = "done"
+            raise
+        except exceptions.RequestError as error:
+            self._outcome = error.code
+            metrics.add(metrics.REFUSALS, {"kind": error.code})
+            return responses.error_event(error, self._followed)
+
+    def close(self) -> None:
+        """End the run; called when the answer is sent or the caller left."""
+        self._chunks.close()
+        self._node.running.remove(self._followed)
+        if not self._outcome:
+            events.log(events.CALLER_GONE, request_id=self._followed.request_id)
+        exchange.log_end(
+            self._followed,
+            self._outcome or exceptions.CallerGoneError.code,
+            output_tokens=self._run.output_tokens,
+        )
