--- /dev/null
+++ b/features/steps/belief_steps.py
@@ -0,0 +1,502 @@
+"""Steps of beliefs.feature."""
+
+import asyncio
+import json
+import socket
+import threading
+import time
+
+import behave
+import msgspec
+
+from bilberryturn import rendezvous
+from bilberryturn.edge import duties
+from bilberryturn.edge import feeds
+from bilberryturn.edge import followers
+from bilberryturn.edge import intervals
+from bilberryturn.edge import relays
+from bilberryturn.gateway import beliefs
+from bilberryturn.gateway import small_server
+from bilberryturn.gateway import upstream
+from bilberryturn.platform import rows
+from support import platform_data
+from support import scripted
+
+TIMES = intervals.from_bounds(2.5, 2.5, 4.0)
+# Own first call to a slow store: 75 times its usual 4 ms.
+SLOW_CALL_S = 0.3
+
+
+class _Node:
+    """Holds the feeds and the relay client of one node."""
+
+    def __init__(self, store_address, domain_peers, name):
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        self.shared = beliefs.Shared(
+            "east",
+            beliefs.RepeatLimits(0.2, 1, 10),
+            5.0,
+            upstream.ConnectionPool(),
+        )
+        self.raw = feeds.Raw()
+        self.applier = feeds.Applier(self.shared, self.raw)
+        self.server = small_server.SmallServer(self._answer)
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            port = probe.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        asyncio.run_coroutine_threadsafe(
+            self.server.start("127.0.0.1", port), self.loop
+        ).result(5)
+        self.followers = [
+            followers.Follower(
+                rows.OPERATOR_TABLE, store_address, 1.0, 0.0, "",
+                followers.on_loop(self.loop, self._take_config),
+            ),
+            followers.Follower(
+                rows.SERVER_TABLE, store_address, 0.0, 0.2, "",
+                followers.on_loop(self.loop, self._take_servers),
+            ),
+        ]  # fmt: skip
+        domain_peers.append(self.address)
+        self.relay = relays.RelayClient(
+            name,
+            self.address,
+            "east",
+            "",
+            TIMES,
+            lambda: list(domain_peers),
+            lambda: list(domain_peers),
+            lambda: self.shared.usage.snapshot(time.time()),
+            lambda: self.shared.suspects.own_counts(time.monotonic()),
+            self.followers,
+            followers.on_loop(self.loop, self.applier.peer),
+        )
+        self.stopping = threading.Event()
+        for job in (*self.followers, self.relay):
+            threading.Thread(
+                target=job.run, args=(self.stopping,), daemon=True
+            ).start()
+
+    def _answer(self, path, body):
+        question = msgspec.json.decode(body, type=relays.Question)
+        self.applier.suspects(question.lifetime, question.suspects)
+        state = msgspec.json.encode(self.raw.state(question.revision))
+        return small_server.Reply(200, state)
+
+    def _take_config(self, changes, is_snapshot, after_outage, called_s):
+        self.raw.config_read_s = time.monotonic()
+        self.applier.config_confirmed(time.monotonic())
+        for row in changes.rows:
+            if row.key == rows.CONFIG_KEY and row.value is not None:
+                self.applier.config(row.value, time.monotonic(), "store")
+
+    def _take_servers(self, changes, is_snapshot, after_outage, called_s):
+        self.raw.servers_read_s = called_s
+        self.applier.servers(
+            {row.key: row.value for row in changes.rows},
+            is_snapshot,
+            called_s,
+            after_outage,
+        )
+
+    @property
+    def version(self):
+        return self.shared.table.version if self.shared.table else None
+
+    def known(self):
+        return sorted(s.server_id for s in self.shared.directory.usable("app"))
+
+    def close(self):
+        self.stopping.set()
+        self.loop.call_soon_threadsafe(self.server.stop)
+
+
+@behave.given("a node's feeds on a stand-in of the users' store")
+def given_feeds(context):
+    platform_data.start_standin(context)
+    context.peers = []
+    context.standin.put("op", "config", platform_data.make_config(7))
+    context.standin.put("servers", "good", platform_data.make_entry())
+    context.node = _Node(context.standin.address, context.peers, "n1")
+    context.closers.append(context.node.close)
+    platform_data.wait_for(
+        lambda: context.node.version == 7 and context.node.known() == ["good"],
+        5,
+        lambda: (context.node.version, context.node.known()),
+    )
+
+
+@behave.when(
+    "the store forgets its history while a server joins and another leaves"
+)
+def when_forgets(context):
+    context.standin.fault = "503"
+    time.sleep(0.5)
+    context.standin.put(
+        "servers", "joined", platform_data.make_entry(addr="10.0.0.2:80")
+    )
+    context.standin.put(
+        "servers", "good", platform_data.make_entry(state="draining", seq=2)
+    )
+    context.standin.forget_history()
+    context.standin.fault = ""
+
+
+@behave.then("the feeds know both within {limit_s:d} s")
+def then_both(context, limit_s):
+    platform_data.wait_for(
+        lambda: context.node.known() == ["joined"], limit_s, context.node.known
+    )
+
+
+BAD_ENTRIES = {
+    "is no JSON": b"\xff{",
+    "lacks its address": {"service": "app", "zone": "e", "state": "ready"},
+    "has a list as service": platform_data.make_entry(service=["app"]),
+    "has an unknown state": platform_data.make_entry(state="odd"),
+    "has a port of 0": platform_data.make_entry(addr="10.0.0.1:0"),
+    "has text as number": platform_data.make_entry(seq="one"),
+}
+
+
+@behave.when("an entry that {fault} is written")
+def when_bad_entry(context, fault):
+    if fault == "is no Base64":
+        context.standin.put_text("servers", "bad", "***")
+    else:
+        context.standin.put("servers", "bad", BAD_ENTRIES[fault])
+    context.standin.put(
+        "servers", "later", platform_data.make_entry(addr="10.0.0.3:80")
+    )
+
+
+@behave.then("the feeds know only the good server")
+def then_only_good(context):
+    platform_data.wait_for(
+        lambda: context.node.known() == ["good", "later"],
+        5,
+        context.node.known,
+    )
+
+
+@behave.when("the operator's row is {what}")
+def when_operator(context, what):
+    if what == "older":
+        context.standin.put("op", "config", platform_data.make_config(6))
+    elif what == "no JSON":
+        context.standin.put("op", "config", b"{")
+    elif what == "without versions":
+        context.standin.put("op", "config", {"routes": []})
+    else:
+        context.standin.remove("op", "config")
+
+
+@behave.then("version {version:d} stays in force")
+def then_stays(context, version):
+    time.sleep(0.6)
+    assert context.node.version == version
+    assert context.node.shared.table.find_route("h", "/p/x") is not None
+
+
+@behave.given("a node whose own way to the store is cut")
+def given_cut(context):
+    with socket.create_server(("127.0.0.1", 0)) as probe:
+        dead = f"127.0.0.1:{probe.getsockname()[1]}"
+    context.cut = _Node(dead, context.peers, "n2")
+    context.closers.append(context.cut.close)
+
+
+@behave.given("a node that would be its relay but is cut from the store")
+def given_cut_relay(context):
+    given_cut(context)
+    domain = next(
+        name
+        for name in (f"east-{number}" for number in range(1000))
+        if rendezvous.rank(context.peers, name)[0] == context.cut.address
+    )
+    nodes = getattr(context, "nodes", [context.node])
+    for node in (*nodes, context.cut):
+        node.relay._domain = domain
+
+
+@behave.then(
+    "the node's own reading of the store stays under {age_s:d} s old for"
+    " {limit_s:d} s"
+)
+def then_reads(context, age_s, limit_s):
+    end_s = time.monotonic() + limit_s
+    while time.monotonic() < end_s:
+        found_s = time.monotonic() - context.node.raw.servers_read_s
+        assert found_s < age_s, found_s
+        time.sleep(0.05)
+
+
+class _Relay:
+    """Answers as a relay whose own reading has a given age.
+
+    Attributes:
+        age_s: Time since it read the store.
+    """
+
+    def __init__(self):
+        self.raw = feeds.Raw()
+        self.raw.config = json.dumps(platform_data.make_config(9)).encode()
+        self.raw.servers = {
+            "good": json.dumps(platform_data.make_entry()).encode()
+        }
+        self.age_s = 0.0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def close(self):
+        self._listener.close()
+
+    def _serve(self):
+        while True:
+            try:
+                accepted, _ = self._listener.accept()
+            except OSError:
+                return
+            peer = scripted.Peer(accepted)
+            while (request := peer.read_request())[0] is not None:
+                known = json.loads(request[1])["revision"]
+                body = msgspec.json.encode(self._state(known))
+                peer.send(
+                    f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+                )
+                peer.send(body)
+
+    def _state(self, known):
+        heard_s = time.monotonic() - self.age_s
+        self.raw.config_heard_s = self.raw.servers_heard_s = heard_s
+        self.raw.config_read_s = self.raw.servers_read_s = heard_s
+        return self.raw.state(known)
+
+
+@behave.given("a node that hears only from a relay")
+def given_relay_only(context):
+    context.told = _Relay()
+    context.closers.append(context.told.close)
+    context.shared = beliefs.Shared(
+        "east",
+        beliefs.RepeatLimits(0.2, 1, 10),
+        5.0,
+        upstream.ConnectionPool(),
+    )
+    applier = context.applier = feeds.Applier(context.shared, feeds.Raw())
+    context.client = relays.RelayClient(
+        "n1", "127.0.0.1:1", "east", "", TIMES, list, list, dict, dict, [],
+        applier.peer,
+    )  # fmt: skip
+
+
+ENTRY_CHANGES = {
+    "says that it leaves": platform_data.make_entry(state="draining", seq=2),
+    "has another address": platform_data.make_entry(addr="10.0.0.9:80", seq=2),
+    "has a later sequence": platform_data.make_entry(seq=2),
+}
+
+
+@behave.when("a server's entry {change}")
+def when_entry(context, change):
+    context.known = context.node.raw.revision
+    read_s = context.node.raw.servers_read_s
+    if change == "is removed":
+        context.standin.remove("servers", "good")
+    else:
+        context.standin.put("servers", "good", ENTRY_CHANGES[change])
+    # Two whole readings have begun after the change.
+    for _ in range(2):
+        platform_data.wait_for(
+            lambda before_s=read_s: context.node.raw.servers_read_s > before_s,
+            5,
+            lambda: "no reading of the entries",
+        )
+        read_s = context.node.raw.servers_read_s
+
+
+@behave.then("its relay content is {told}")
+def then_told(context, told):
+    state = context.node.raw.state(context.known)
+    assert (state.servers is not None) == (told == "new"), state
+    seqs = [json.loads(v)["seq"] for v in context.node.raw.servers.values()]
+    assert seqs in ([2], []), seqs
+
+
+@behave.when(
+    "the relay tells version 9 while it has not heard the store for {age_s:d} s"
+)
+def when_told_late(context, age_s):
+    context.told.age_s = age_s
+    is_current = age_s < TIMES.servers_current_s
+    assert context.client._ask(context.told.address) == is_current
+    assert (context.shared.table is not None) == is_current
+
+
+@behave.when('the node reads that server "good" has left')
+def when_read_left(context):
+    entry = json.dumps(platform_data.make_entry()).encode()
+    now_s = time.monotonic()
+    context.applier.servers({"good": entry}, True, now_s - 2, False)
+    context.applier.servers({"good": None}, False, now_s, False)
+    assert not context.shared.directory.usable("app")
+
+
+@behave.then("the node knows no server")
+def then_no_server(context):
+    assert not context.shared.directory.usable("app")
+
+
+@behave.when("the relay hears the store again without a change")
+def when_told_again(context):
+    context.told.age_s = 0.0
+    assert context.client._ask(context.told.address)
+
+
+@behave.then("the node has version {version:d} in force")
+def then_in_force(context, version):
+    assert context.shared.table is not None
+    assert context.shared.table.version == version
+    assert context.shared.directory.usable("app")
+
+
+@behave.when("the operator writes version {version:d}")
+def when_version(context, version):
+    context.standin.put("op", "config", platform_data.make_config(version))
+
+
+@behave.then(
+    "the cut node has version {version:d} in force within {limit_s:d} s"
+)
+def then_cut(context, version, limit_s):  # fmt: skip
+    platform_data.wait_for(
+        lambda: context.cut.version == version,
+        limit_s,
+        lambda: context.cut.version,
+    )
+
+
+@behave.given(
+    "{count:d} nodes of one failure domain on a stand-in of the users' store"
+)
+def given_several(context, count):
+    given_feeds(context)
+    context.nodes = [context.node]
+    for number in range(count - 1):
+        node = _Node(context.standin.address, context.peers, f"m{number}")
+        context.closers.append(node.close)
+        context.nodes.append(node)
+
+
+def _readers(context):
+    return [n for n in context.nodes if n.relay.reads_store]
+
+
+@behave.then("only 1 of them reads the store after {limit_s:d} s")
+def then_one(context, limit_s):
+    platform_data.wait_for(
+        lambda: len(_readers(context)) == 1,
+        limit_s,
+        lambda: len(_readers(context)),
+    )
+
+
+def _settled_readers(nodes, turned_away):
+    """Return who reads once all have asked a few times."""
+    reads = set(nodes)
+    for _ in range(6):
+        for node in nodes:
+            asked = relays.candidates(node, set(nodes), "east")
+            if any(a in reads and a not in turned_away for a in asked):
+                reads.discard(node)
+            else:
+                reads.add(node)
+    return reads
+
+
+@behave.then(
+    "in domains of 2 to 60 nodes of which up to 2 relays are turned away"
+    " no more others read than there are relays"
+)
+def then_few_read(context):
+    for size in range(2, 61):
+        nodes = [f"10.0.0.{n}:80" for n in range(size)]
+        ranked = rendezvous.rank(nodes, "east")
+        relay_count = 1 + size // relays.NODES_A_RELAY
+        for missing in range(min(size - 1, 3)):
+            turned_away = set(ranked[:missing])
+            readers = _settled_readers(nodes, turned_away) - turned_away
+            assert len(readers) <= max(1, relay_count), (size, missing, readers)
+
+
+@behave.then("a follower calls it at most {count:d} times in {limit_s:d} s")
+def then_calls(context, count, limit_s):
+    follower = followers.Follower(
+        "op", context.standin.address, 0.0, 0.0, "", lambda *_: None
+    )
+    before = len(context.standin.calls)
+    stopping = threading.Event()
+    thread = threading.Thread(target=follower.run, args=(stopping,))
+    thread.start()
+    time.sleep(limit_s)
+    stopping.set()
+    thread.join()
+    found = len(context.standin.calls) - before
+    assert 0 < found <= count, found
+
+
+@behave.when("the node that reads the store is stopped")
+def when_reader_stops(context):
+    reader = _readers(context)[0]
+    reader.close()
+    context.nodes.remove(reader)
+
+
+@behave.then(
+    "the others have version {version:d} in force within {limit_s:d} s"
+)
+def then_others(context, version, limit_s):  # fmt: skip
+    platform_data.wait_for(
+        lambda: all(n.version == version for n in context.nodes),
+        limit_s,
+        lambda: [n.version for n in context.nodes],
+    )
+
+
+@behave.given("bounds of {drain_s:g}, {config_s:g} and {settle_s:g} s")
+def given_bounds(context, drain_s, config_s, settle_s):
+    context.bounds = (drain_s, config_s, settle_s)
+    context.times = intervals.from_bounds(drain_s, config_s, settle_s)
+
+
+@behave.then("a change is heard in time although {what}")
+def then_in_time(context, what):
+    drain_s, config_s, _ = context.bounds
+    times = context.times
+    ask_s = times.longest_ask_s
+    if what == "the relay has just lost the store":
+        config = times.config_current_s + ask_s + SLOW_CALL_S
+        servers = times.servers_current_s + ask_s + SLOW_CALL_S
+    else:
+        ask_s += times.ask_timeout_s
+        config = times.config_wait_s + ask_s + SLOW_CALL_S
+        servers = times.server_poll_s + ask_s + SLOW_CALL_S
+    assert config < config_s, config
+    assert servers < drain_s, servers
+
+
+@behave.then("a relay on a slow store is still current")
+def then_current(context):
+    times = context.times
+    assert times.config_wait_s + SLOW_CALL_S < times.config_current_s
+    # A reading counts from the start of its call.
+    assert times.server_poll_s + 2 * SLOW_CALL_S < times.servers_current_s
+
+
+@behave.then("a crash is known everywhere in time")
+def then_crash_known(context):
+    times = context.times
+    heard_s = duties.WRITE_S + duties.STEP_S + times.suspect_poll_s
+    assert heard_s + 2 * times.longest_ask_s < context.bounds[2], heard_s
--- /dev/null
+++ b/features/support/platform_data.py
@@ -0,0 +1,52 @@
+"""Data and waits that scenarios of the users' platform share."""
+
+import time
+
+from support import store_standin
+
+
+def make_config(version):
+    """Return an operator's configuration as written."""
+    return {
+        "version": version,
+        "routes": [
+            {
+                "name": "r",
+                "host": "h",
+                "prefix": "/p/",
+                "type": "safe",
+                "timeoutMs": 1000,
+                "service": "app",
+            }
+        ],
+        "services": [{"name": "app", "maxConns": 9}],
+        "tenants": [{"name": "w", "apiKeys": ["k"]}],
+    }
+
+
+def make_entry(**changes):
+    """Return a server's entry as written."""
+    entry = {
+        "service": "app",
+        "addr": "10.0.0.1:80",
+        "zone": "east",
+        "state": "ready",
+        "seq": 1,
+        "slots": 4,
+    }
+    entry.update(changes)
+    return entry
+
+
+def start_standin(context):
+    """Start a stand-in of the store for a scenario."""
+    context.standin = store_standin.StoreStandin()
+    context.closers.append(context.standin.close)
+
+
+def wait_for(check, limit_s, what):
+    """Wait until a check holds; what() is shown if it does not."""
+    end_s = time.monotonic() + limit_s
+    while not check():
+        assert time.monotonic() < end_s, what()
+        time.sleep(0.02)
