Take new seeds and grace at a reload, and name what needs a restart

Cause: SIGHUP only checked the settings file and logged that settings were reloaded, while nothing had changed. Ruled out: new addresses and bounds at run time, which sockets and intervals are built from; the event names them instead. Scenarios failed first (three of four).

--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -11,10 +11,14 @@
 import threading
 import time
 import tomllib
+from unittest import mock
 
 import behave
 
+from bilberryturn import events
 from bilberryturn import log_writer
+from bilberryturn.edge import node
+from bilberryturn.edge import presence
 from bilberryturn.platform import duty_calls
 from bilberryturn.platform import exceptions
 from bilberryturn.platform import http
@@ -160,6 +164,49 @@
     assert all(fault.remedy for fault in result.error)
 
 
+RELOADS = {
+    "names other seeds": ("seeds=10.1.0.1:82,", "seeds=10.9.9.9:82,"),
+    "has a longer grace": ("graceS=8", "graceS=11"),
+    "names another store": ("addr=10.2.0.1:80", "addr=10.2.0.9:80"),
+    "cannot be used": ("graceS=8", "graceS=x"),
+}
+
+
+@behave.given("a node of the gateway that has started")
+def given_node(context):
+    context.path = pathlib.Path(tempfile.mkdtemp()) / "settings.conf"
+    context.path.write_text(SETTINGS, "utf-8")
+    settings = settings_file.load(str(context.path)).ok
+    context.node = node.EdgeNode(settings, str(context.path))
+    context.node._here = presence.Presence(
+        None, "n", "east", "", tuple(str(s) for s in settings.seeds)
+    )
+
+
+@behave.when("its settings file {change} and it is told to reload")
+def when_reloaded(context, change):
+    old, new = RELOADS[change]
+    context.path.write_text(SETTINGS.replace(old, new), "utf-8")
+    with mock.patch.object(events, "log") as log:
+        context.node._reload()
+    context.logged = log.call_args
+
+
+@behave.then("the reload {effect}")
+def then_reload(context, effect):
+    kept = context.node._settings
+    peers = context.node._here.peers()
+    if effect == "keeps what was":
+        assert context.logged.args == (events.SETTINGS_REFUSED,)
+        assert kept.stop_grace_s == 8 and "10.1.0.1:82" in peers
+        return
+    assert context.logged.args == (events.SETTINGS_RELOADED,)
+    waiting = context.logged.kwargs["need_restart"]
+    assert waiting == (["store"] if "store" in effect else []), waiting
+    assert ("10.9.9.9:82" in peers) == ("seeds" in effect), peers
+    assert kept.stop_grace_s == (11 if "grace" in effect else 8)
+
+
 # any bytes
 
 
--- a/features/users_platform.feature
+++ b/features/users_platform.feature
@@ -40,6 +40,18 @@
       | has text as bound      | a fault named graceS    |
       | cannot be read         | a fault of the file     |
 
+  Scenario Outline: A reload <effect>
+    Given a node of the gateway that has started
+    When its settings file <change> and it is told to reload
+    Then the reload <effect>
+
+    Examples:
+      | change               | effect                         |
+      | names other seeds    | takes the new seeds            |
+      | has a longer grace   | takes the new grace            |
+      | names another store  | says that store needs a start  |
+      | cannot be used       | keeps what was                 |
+
   Scenario: Any bytes as settings, configuration, entry or header
     Then 600 seeded inputs of each kind give a result or a typed error
 
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -35,6 +35,10 @@
 # After SIGTERM callers are still taken for this long: the balancer asks once
 # a second and needs two misses.
 LISTEN_AFTER_STOP_S = 3.0
+# Settings that a running node takes over; all others need a restart.
+RELOADABLE = ("seeds", "stop_grace_s")
+# Only the start itself asks for these.
+START_ONLY = ("is_first_start",)
 # What is left of the time to stop for the last writes to the store.
 STOP_RESERVE_S = 1.2
 
@@ -346,7 +350,19 @@
                 faults=[str(fault) for fault in result.error],
             )
             return
-        events.log(events.SETTINGS_RELOADED)
+        fresh = result.ok
+        kept = {name: getattr(fresh, name) for name in RELOADABLE}
+        self._settings = self._settings._replace(**kept)
+        self._here.set_seeds(tuple(str(seed) for seed in fresh.seeds))
+        events.log(
+            events.SETTINGS_RELOADED,
+            need_restart=[
+                name
+                for name in fresh._fields
+                if name not in START_ONLY
+                and getattr(fresh, name) != getattr(self._settings, name)
+            ],
+        )
 
     def _ask_stop(self) -> None:
         self._stop_asked.set()
--- a/src/bilberryturn/edge/presence.py
+++ b/src/bilberryturn/edge/presence.py
@@ -36,6 +36,10 @@
         self._lock = threading.Lock()
         self._is_written = False
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Replace the peers known from the settings."""
+        self._seeds = seeds
+
     def refresh(self) -> None:
         """Write the own row once and read the others."""
         if not self._is_written:
