Ask for a relay's list again until it is newer than an own reading

Cause, found in the last read: a relay's list that was passed over as older still counted as known, so that a server which the node's own reading had missed for a moment stayed unknown while the relay's list did not change; since heartbeats are not told any more nothing healed that. Ruled out: telling the whole list always, which is what left the bytes too high.

--- a/features/beliefs.feature
+++ b/features/beliefs.feature
@@ -73,6 +73,8 @@
     When the node reads that server "good" has left
     And the relay tells version 9 while it has not heard the store for 1 s
     Then the node knows no server
+    When the relay hears the store again without a change
+    Then the node has version 9 in force
 
   Scenario Outline: A relay tells the entries again only if <what>
     Given a node's feeds on a stand-in of the users' store
--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -339,6 +339,7 @@
 def when_read_left(context):
     entry = json.dumps(platform_data.make_entry()).encode()
     now_s = time.monotonic()
+    context.client._set_reading(True)
     context.applier.servers({"good": entry}, True, now_s - 2, False)
     context.applier.servers({"good": None}, False, now_s, False)
     assert not context.shared.directory.usable("app")
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -101,6 +101,8 @@
         # revision of it; empty while it reads the store itself.
         self._relay = ""
         self._revision = ""
+        # Until then a reading of this node's own may still come in.
+        self._read_until_s = 0.0
         self.reads_store = True
 
     def run(self, stopping: threading.Event) -> None:
@@ -145,6 +147,9 @@
         self.reads_store = reads_store
         if reads_store:
             self._relay = self._revision = ""
+            self._read_until_s = (
+                time.monotonic() + store_followers.CALL_TIMEOUT_S
+            )
         for follower in self._followers:
             if reads_store:
                 follower.active.set()
@@ -204,12 +209,20 @@
                 servers_age_s=round(state.servers_age_s, 3),
             )
         if is_current:
-            # Older content may be passed over and must then be told again.
             self._relay = address
-            self._revision = state.revision
+            self._revision = self._revision_to_name(state)
         self._deliver(state)
         return is_current
 
+    def _revision_to_name(self, state: feeds.PeerState) -> str:
+        """Return the revision to ask for next, "" to be told all again.
+
+        Content that is older than what this node may have read itself is
+        passed over; it is right again once the relay has read later.
+        """
+        heard_s = time.monotonic() - state.servers_age_s
+        return state.revision if heard_s > self._read_until_s else ""
+
     def _is_current(self, state: feeds.PeerState) -> bool:
         """Return whether a relay has lately read the store itself.
 
