Decode each entry once

To find out whether an entry is more than a heartbeat, feeds decoded the old and the new one and then the new one again, on every reading of a relay. What was told is kept decoded now and compared; which answers hold a list is the same.

--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -14,6 +14,7 @@
 from bilberryturn.platform import operator_config
 from bilberryturn.platform import rows
 from bilberryturn.platform import server_entries
+from bilberryturn.routing import types
 
 # Lifetimes whose crashes are remembered.
 MAX_LIFETIMES = 1000
@@ -106,6 +107,9 @@
         self._shared = shared
         self._raw = raw
         self._lifetime = lifetime
+        # What the entries say besides that their servers live, by server; an
+        # entry that cannot be read stands as it was written.
+        self._told: dict[str, types.BackendServer | bytes] = {}
 
     def read_config(self, reading: followers.Reading) -> None:
         """Take a reading of the operator's table."""
@@ -182,11 +186,11 @@
     ) -> None:
         """Take changed entries, or all of them."""
         now_s = time.monotonic()
-        if self._are_news(changed, is_snapshot):
-            self._raw.changed()
         decoded = []
+        told = {} if is_snapshot else dict(self._told)
         for server_id, value in changed.items():
             if value is None:
+                told.pop(server_id, None)
                 continue
             result = server_entries.decode(server_id, value)
             if result.is_error():
@@ -195,8 +199,13 @@
                     server=server_id,
                     error=str(result.error),
                 )
+                told[server_id] = value
                 continue
             decoded.append(result.ok)
+            told[server_id] = result.ok._replace(sequence=0)
+        if told != self._told:
+            self._told = told
+            self._raw.changed()
         directory = self._shared.directory
         if is_snapshot:
             changes = directory.replace_all(decoded, now_s, after_outage)
@@ -213,18 +222,6 @@
                 changes.append(directory.remove(server_id, now_s, after_outage))
         self._note(changes, heard_s)
 
-    def _are_news(
-        self, changed: dict[str, bytes | None], is_snapshot: bool
-    ) -> bool:
-        """Return whether those that ask this node must be told."""
-        known = self._raw.servers
-        if is_snapshot and changed.keys() != known.keys():
-            return True
-        return any(
-            _is_news(server_id, known.get(server_id), value)
-            for server_id, value in changed.items()
-        )
-
     def suspects(self, lifetime: str, counts: dict[str, int]) -> None:
         """Take the crashes that another node has counted."""
         if self._raw.suspects.get(lifetime, {}) == counts:
@@ -280,16 +277,3 @@
                     server=change.server_id,
                     change=change.what,
                 )
-
-
-def _is_news(server_id: str, known: bytes | None, value: bytes | None) -> bool:
-    """Return whether an entry says more than that its server lives."""
-    if known == value:
-        return False
-    if known is None or value is None:
-        return True
-    old = server_entries.decode(server_id, known)
-    new = server_entries.decode(server_id, value)
-    if old.is_error() or new.is_error():
-        return True
-    return old.ok._replace(sequence=0) != new.ok._replace(sequence=0)
