Remove what nothing reads

A refusal for overload that is never given, a flag for event streams, the services an entry may name, a count of events, the list of routes beside its index, the name of a duty keeper; and a counter that only told the first look at other nodes from the rest.

--- a/features/steps/usage_window_steps.py
+++ b/features/steps/usage_window_steps.py
@@ -228,7 +228,7 @@
 
     context.usage = usage
     context.keeper = duties.DutyKeeper(
-        "h", lease, LEASE.ttl_s, _Nobody(), write, None, None, False,
+        lease, LEASE.ttl_s, _Nobody(), write, None, None, False,
         lambda: False, context.clock,
     )  # fmt: skip
 
@@ -372,6 +372,6 @@
 def _keeper(name, table, clock):
     lease = leases.Lease("duties", name, LEASE, table, clock)
     return duties.DutyKeeper(
-        name, lease, LEASE.ttl_s, None, None, None, None, False,
+        lease, LEASE.ttl_s, None, None, None, None, False,
         lambda: True, clock,
     )  # fmt: skip
--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -35,7 +35,6 @@
 
     def __init__(
         self,
-        name: str,
         lease: leases.Lease,
         lease_s: float,
         here: presence.Presence,
@@ -49,7 +48,6 @@
         """Set the duties.
 
         Args:
-            name: Name of this node.
             lease: Right to act.
             lease_s: Time in which two holders must not act in turn.
             here: The other nodes.
@@ -60,7 +58,6 @@
             reads_store: Returns whether this node reads the store itself.
             clock: Seconds that go on while the VM is suspended.
         """
-        self._name = name
         self._lease = lease
         self._lease_s = lease_s
         self._here = here
@@ -78,7 +75,7 @@
             self._look_s += lease_s + LEASE_MARGIN_S
         self._distant_look_s = self._look_s
         self._presence_s = 0.0
-        self._presence_count = 0
+        self._presence_pause_s = SECOND_LOOK_S
         self._reads_store = reads_store
         self._is_handing_over = False
 
@@ -105,11 +102,8 @@
     def _step(self) -> None:
         now_s = self._clock()
         if now_s >= self._presence_s:
-            self._presence_count += 1
-            is_early = self._presence_count == 1
-            self._presence_s = now_s + (
-                SECOND_LOOK_S if is_early else PRESENCE_S
-            )
+            self._presence_s = now_s + self._presence_pause_s
+            self._presence_pause_s = PRESENCE_S
             self._here.refresh()
         if now_s >= self._write_s and self._reads_store():
             self._write_s = now_s + WRITE_S
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -184,7 +184,6 @@
             if duty_calls.SERVERS in settings.duty_names:
                 server_orders = orders.Orders(store, lease, calls, self.shared)
         return duties.DutyKeeper(
-            settings.name,
             lease,
             settings.lease_s,
             here,
--- a/src/bilberryturn/gateway/events_stream.py
+++ b/src/bilberryturn/gateway/events_stream.py
@@ -8,13 +8,11 @@
 
     Attributes:
         last_event_id: Identifier of the last whole event.
-        count: Whole events so far.
     """
 
     def __init__(self):
         self._buffer = b""
         self.last_event_id: str | None = None
-        self.count = 0
 
     def feed(self, data: bytes) -> bytes:
         """Take bytes and return the whole events among them."""
@@ -49,4 +47,3 @@
         for line in whole.splitlines():
             if line.startswith(b"id:"):
                 self.last_event_id = line[3:].strip().decode("latin-1")
-                self.count += 1
--- a/src/bilberryturn/gateway/outcomes.py
+++ b/src/bilberryturn/gateway/outcomes.py
@@ -71,16 +71,6 @@
     )
 
 
-def overloaded(retry_after_s: float) -> Refusal:
-    """Refuse a request that would miss its target."""
-    return Refusal(
-        503,
-        "overloaded",
-        "All backend servers are busy; the request has not run",
-        retry_after_s,
-    )
-
-
 def may_have_run(reason: str) -> Refusal:
     """End a request that was sent and got no valid answer."""
     return Refusal(
--- a/src/bilberryturn/platform/server_entries.py
+++ b/src/bilberryturn/platform/server_entries.py
@@ -24,14 +24,13 @@
 
 
 def decode(
-    server_id: str, value: bytes, services: set[str] | None = None
+    server_id: str, value: bytes
 ) -> expression.Result[types.BackendServer, exceptions.PlatformError]:
     """Return the server of an entry.
 
     Args:
         server_id: Key of the entry.
         value: The entry as written; it may come from another writer.
-        services: Names of the known services, or None to take any.
 
     Returns:
         The server, or PlatformFormatError for an entry to pass over.
@@ -42,8 +41,6 @@
         return _malformed(str(error))
     if entry.state not in (_READY, _LEAVING):
         return _malformed(f"state {entry.state!r} is unknown")
-    if services is not None and entry.service not in services:
-        return _malformed(f"service {entry.service!r} is unknown")
     host, _, port = entry.addr.rpartition(":")
     if not host or not port.isdigit() or not 0 < int(port) < 65536:
         return _malformed(f"address {entry.addr!r} is not HOST:PORT")
--- a/src/bilberryturn/platform/wire.py
+++ b/src/bilberryturn/platform/wire.py
@@ -164,7 +164,6 @@
     is_sealed: bool
     is_not_run: bool
     is_encoded: bool
-    is_event_stream: bool
     closes: bool
     idle_timeout_s: float | None
     retry_after_s: float | None
@@ -176,14 +175,12 @@
     found = dict(headers)
     connection = found.get(b"connection", b"").lower()
     encoding = found.get(b"content-encoding", b"").strip().lower()
-    kind = found.get(b"content-type", b"").lower()
     return ServerAnswer(
         status=status,
         request_id=_text(found.get(REQUEST_ID, b"")),
         is_sealed=SEAL in found,
         is_not_run=NOT_RUN in found or status == 421,
         is_encoded=encoding not in (b"", b"identity"),
-        is_event_stream=kind.startswith(b"text/event-stream"),
         closes=b"close" in connection,
         idle_timeout_s=_keep_alive_s(found.get(b"keep-alive")),
         retry_after_s=_float(found.get(b"retry-after")),
--- a/src/bilberryturn/routing/table.py
+++ b/src/bilberryturn/routing/table.py
@@ -42,7 +42,6 @@
         self.version = version
         self.limits = limits
         self.services = {service.name: service for service in services}
-        self.routes = routes
         self._accounts = accounts
         self._by_host: dict[str, list[types.Route]] = {}
         for route in sorted(routes, key=lambda r: -len(r.prefix)):
