--- a/src/bilberryturn/leases/lease.py
+++ b/src/bilberryturn/leases/lease.py
@@ -96,7 +96,7 @@
                 return
             self._renew(row, sent_s)
             return
-        if self.epoch and self._is_own(value):
+        if self.epoch and self._is_own(value, self.epoch):
             self._resume(row)
             return
         if self._may_acquire(row, value):
@@ -132,11 +132,10 @@
     def _belief(self, sent_s: float) -> float:
         return sent_s + self._options.ttl_s - self._options.margin_s
 
-    def _is_own(self, value: dict) -> bool:
-        """Return whether nobody took the lease since this process held it."""
+    def _is_own(self, value: dict, epoch: int) -> bool:
+        """Return whether a row names this holder under an epoch."""
         return (
-            value.get("holder") == self._holder
-            and value.get("epoch") == self.epoch
+            value.get("holder") == self._holder and value.get("epoch") == epoch
         )
 
     def _resume(self, row: tables.Row) -> None:
@@ -191,10 +190,7 @@
         Until the row names this process the lease counts as not acquired.
         """
         result = self._table.read(self._epoch_key)
-        if result.is_error() or result.ok.value is None:
-            return None
-        value = result.ok.value
-        if value["holder"] != self._holder or value["epoch"] != epoch:
+        if result.is_error() or not self._is_own(result.ok.value or {}, epoch):
             return None
         return result.ok.version
 
--- a/src/bilberryturn/log_writer.py
+++ b/src/bilberryturn/log_writer.py
@@ -4,6 +4,8 @@
 import threading
 from typing import TextIO
 
+from bilberryturn import events
+
 # Lines that wait for a slow reader of the log; later ones are dropped and
 # counted.
 MAX_WAITING_LINES = 5000
@@ -62,7 +64,8 @@
     def _report(self) -> None:
         dropped = self.dropped_count - self._reported
         self._reported = self.dropped_count
+        event = events.LOG_LINES_DROPPED
         self._file.write(
-            f'{{"event": "log_lines_dropped", "number": 1007,'
+            f'{{"event": "{event.name}", "number": {event.number},'
             f' "dropped": {dropped}}}\n'
         )
