Rank quiet engines only when the servers change

Which engines are quiet follows from the servers alone, but was hashed and sorted anew for every request. The choices are the same.

--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -136,6 +136,9 @@
 
     def __init__(self):
         self._loads: dict[tuple[str, int], _ServerLoad] = {}
+        # The servers of the last choice and which of them are quiet.
+        self._ranked: list[types.BackendServer] = []
+        self._quiet_ids: set[str] = set()
 
     def choose(
         self,
@@ -148,7 +151,7 @@
         candidates = [s for s in servers if s.server_id not in excluded]
         allowed = [s for s in candidates if self._load(s).breaker.allows(now_s)]
         allowed = allowed or candidates
-        quiet = quiet_servers(servers) if wish.prompt is not None else set()
+        quiet = self._quiet(servers) if wish.prompt is not None else set()
         mixing = {
             s.server_id
             for s in allowed
@@ -217,6 +220,13 @@
             if key not in live and load.running == 0:
                 del self._loads[key]
 
+    def _quiet(self, servers: list[types.BackendServer]) -> set[str]:
+        """Return the quiet servers, ranked again only when these change."""
+        if servers != self._ranked:
+            self._ranked = list(servers)
+            self._quiet_ids = quiet_servers(servers)
+        return self._quiet_ids
+
     def _load(self, server: types.BackendServer) -> _ServerLoad:
         key = server.lifetime
         load = self._loads.get(key)
