--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -230,27 +230,17 @@
             "good": json.dumps(platform_data.make_entry()).encode()
         }
         self.age_s = 0.0
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
-        threading.Thread(target=self._serve, daemon=True).start()
+        self._server = scripted.ScriptedServer(self._answer)
+        self.address = f"127.0.0.1:{self._server.port}"
 
     def close(self):
-        self._listener.close()
-
-    def _serve(self):
-        while True:
-            try:
-                accepted, _ = self._listener.accept()
-            except OSError:
-                return
-            peer = scripted.Peer(accepted)
-            while (request := peer.read_request())[0] is not None:
-                known = json.loads(request[1])["revision"]
-                body = msgspec.json.encode(self._state(known))
-                peer.send(
-                    f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-                )
-                peer.send(body)
+        self._server.close()
+
+    def _answer(self, peer, head, body, number):
+        state = self._state(json.loads(body)["revision"])
+        answer = msgspec.json.encode(state)
+        peer.send(f"HTTP/1.1 200 OK\r\nContent-Length: {len(answer)}\r\n\r\n")
+        peer.send(answer)
 
     def _state(self, known):
         heard_s = time.monotonic() - self.age_s
