Count usage by a time of day shared through the store

Cause: a node counted a request in the window of its VM's own time of day, and the holder closed windows by it.

Ruled out: following only the drift of the VM's clock and ignoring jumps. A process that starts while its clock is wrong would carry the error on.

Change: the store states its steady clock in each answer. The lease holder keeps one row with the offset from it to the time of day, the median of the VMs' clocks, adjusted by 0.3 ms a second at most. Nodes that read the store read the row; the others get both from their relay. The name of a lifetime no longer holds a time of day. A holder that did not start with the deployment also reports windows from before its start.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -378,6 +378,30 @@
         "tiers",
         "No tier starves",
     ),
+    Mutant(
+        "usage is counted by the clock of the VM",
+        (
+            (
+                "edge/shared_clock.py",
+                "return store_s + utc_offset_s",
+                "return self._time_of_day()",
+            ),
+        ),
+        "clocks",
+        "all clocks jump 30 s ahead for 8 s",
+    ),
+    Mutant(
+        "a slow answer of the store moves the clock",
+        (
+            (
+                "edge/shared_clock.py",
+                "if error_s > aged_error_s:",
+                "if False:",
+            ),
+        ),
+        "clocks",
+        "A slow answer",
+    ),
     Mutant(
         "accounts are ordered by name instead of usage",
         (
--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -15,6 +15,7 @@
 from bilberryturn.edge import followers
 from bilberryturn.edge import intervals
 from bilberryturn.edge import relays
+from bilberryturn.edge import shared_clock
 from bilberryturn.gateway import internal_server
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
@@ -69,6 +70,7 @@
             lambda: list(domain_peers),
             lambda: self.shared.usage.snapshot(time.time()),
             lambda: self.shared.suspects.own_counts(time.monotonic()),
+            shared_clock.SharedClock(),
             self.followers,
             followers.on_loop(self.loop, self.applier.apply_peer_state),
         )
@@ -268,7 +270,8 @@
         context.shared, feeds.RawState(), "n1"
     )
     context.client = relays.RelayClient(
-        "n1", "127.0.0.1:1", "east", "", TIMES, list, list, dict, dict, [],
+        "n1", "127.0.0.1:1", "east", "", TIMES, list, list, dict, dict,
+        shared_clock.SharedClock(), [],
         applier.apply_peer_state,
     )  # fmt: skip
 
--- a/features/steps/usage_window_steps.py
+++ b/features/steps/usage_window_steps.py
@@ -9,6 +9,7 @@
 
 from bilberryturn import leases
 from bilberryturn.edge import duties
+from bilberryturn.edge import shared_clock
 from bilberryturn.edge import usage_windows
 from bilberryturn.gateway import shared_state
 from bilberryturn.platform import exceptions
@@ -81,9 +82,9 @@
     def __init__(self, name, table, calls, clock):
         self.lease = leases.Lease("duties", name, LEASE, table, clock)
         self.reporter = usage_windows.Reporter(
-            table, self.lease, calls, WINDOW_S, DUE_S
-        )
-        self.reporter._first_window = int(START_S // WINDOW_S)
+            table, self.lease, calls, WINDOW_S, DUE_S,
+            lambda: clock() - 1000.0,
+        )  # fmt: skip
 
     def step(self, clock):
         self.lease.renew_or_acquire()
@@ -243,7 +244,7 @@
     context.usage = usage
     context.duty_runner = duties.DutyRunner(
         lease, LEASE.ttl_s, _NoPeers(), write, None, None, False,
-        lambda: False, context.clock,
+        lambda: False, shared_clock.SharedClock(), None, context.clock,
     )  # fmt: skip
 
 
@@ -394,5 +395,5 @@
     lease = leases.Lease("duties", name, LEASE, table, clock)
     return duties.DutyRunner(
         lease, LEASE.ttl_s, None, None, None, None, False,
-        lambda: True, clock,
+        lambda: True, shared_clock.SharedClock(), None, clock,
     )  # fmt: skip
--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable
 import threading
-import time
 
 from bilberryturn import events
 from bilberryturn import leases
 from bilberryturn.edge import orders
 from bilberryturn.edge import presence
+from bilberryturn.edge import shared_clock
 from bilberryturn.edge import usage_windows
 
 # The holder stops using the lease this long before a successor may acquire it,
@@ -28,6 +28,10 @@
 # Nodes that join or leave are discovered within this interval; crashed nodes
 # are detected sooner, when a request to them fails.
 PRESENCE_REFRESH_INTERVAL_S = 30.0
+# Interval at which a node that reads the store reads the shared time offset,
+# until it knows it and afterwards.
+OFFSET_READ_INTERVAL_S = 1.0
+OFFSET_REFRESH_INTERVAL_S = 30.0
 # Nodes that start together have all written their rows after this time.
 SECOND_REFRESH_DELAY_S = 3.0
 
@@ -45,6 +49,8 @@
         server_orders: orders.OrderSender | None,
         is_first_start: bool,
         reads_store: Callable[[], bool],
+        time_of_day: shared_clock.SharedClock,
+        offset_keeper: shared_clock.OffsetKeeper | None,
         clock: Callable[[], float] = leases.boottime_s,
     ):
         """Initialize the runner.
@@ -59,6 +65,9 @@
             server_orders: Orders servers; None if that is not a duty here.
             is_first_start: Whether no node has run before.
             reads_store: Returns whether this node reads the store itself.
+            time_of_day: Time of day by which usage is reported.
+            offset_keeper: Keeps time_of_day in step with the other nodes;
+                None if it needs no offset.
             clock: Returns seconds, including the time the VM is suspended.
         """
         self._lease = lease
@@ -80,6 +89,9 @@
         self._next_presence_refresh_s = 0.0
         self._presence_refresh_interval_s = SECOND_REFRESH_DELAY_S
         self._reads_store = reads_store
+        self._time_of_day = time_of_day
+        self._offset_keeper = offset_keeper
+        self._next_offset_read_s = 0.0
         self._is_handing_over = False
 
     def hand_over(self) -> None:
@@ -119,13 +131,29 @@
         if self._is_handing_over:
             self._lease.release()
             return
+        self._read_offset(now_s)
         if not self._update_lease(now_s):
             return
-        if self._reporter is not None:
-            self._reporter.step(time.time())
+        if self._offset_keeper is not None:
+            self._offset_keeper.step(now_s)
+        if self._reporter is not None and self._time_of_day.is_synchronized:
+            self._reporter.step(self._time_of_day.now_s())
         if self._orders is not None:
             self._orders.step(now_s)
 
+    def _read_offset(self, now_s: float) -> None:
+        """Read the shared offset if due; relays deliver it to other nodes."""
+        if self._offset_keeper is None or not self._reads_store():
+            return
+        if now_s < self._next_offset_read_s:
+            return
+        self._offset_keeper.refresh()
+        self._next_offset_read_s = now_s + (
+            OFFSET_REFRESH_INTERVAL_S
+            if self._time_of_day.is_synchronized
+            else OFFSET_READ_INTERVAL_S
+        )
+
     def _update_lease(self, now_s: float) -> bool:
         """Check or renew the lease if due; returns whether to act."""
         if self._is_lease_check_due(now_s):
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -38,6 +38,10 @@
             entries from the store.
         suspects: Crash counts by fingerprint for each lifetime of a node;
             None if the peer already has this revision.
+        store_s: The store's steady clock when the node responded; None if
+            unknown.
+        utc_offset_s: The shared time of day minus the store's clock; None if
+            unknown.
     """
 
     revision: str
@@ -48,6 +52,8 @@
     config_read_age_s: float
     servers_read_age_s: float
     suspects: dict[str, dict[str, int]] | None = None
+    store_s: float | None = None
+    utc_offset_s: float | None = None
 
 
 class RawState:
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import concurrent.futures
+import secrets
 import signal
 import threading
 import time
@@ -18,6 +19,7 @@
 from bilberryturn.edge import orders
 from bilberryturn.edge import presence
 from bilberryturn.edge import relays
+from bilberryturn.edge import shared_clock
 from bilberryturn.edge import usage_windows
 from bilberryturn.gateway import internal_server
 from bilberryturn.gateway import server as caller_server
@@ -54,7 +56,10 @@
         self._is_ready = False
         self._raw = feeds.RawState()
         self._own_suspects: dict[str, int] = {}
-        self._lifetime = f"{settings.name}@{int(time.time() * 1000)}"
+        self._lifetime = f"{settings.name}@{secrets.token_hex(6)}"
+        self._clock = shared_clock.SharedClock()
+        self._clock_samples = shared_clock.OffsetSamples()
+        self._started_s = leases.boottime_s()
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT."""
@@ -70,6 +75,7 @@
             ),
             settings.usage_window_s,
             self._pool,
+            self._clock.now_s,
         )
         self._applier = feeds.Applier(self.shared, self._raw, self._lifetime)
         self._callers = caller_server.CallerServer(self.shared)
@@ -100,7 +106,8 @@
         store = rows.RowStore(
             http.HttpClient(
                 "store", store_address, STORE_CALL_TIMEOUT_S, settings.ip
-            )
+            ),
+            self._clock.record_store_time,
         )
         self._count_writer = usage_windows.CountWriter(
             store, settings.usage_window_s
@@ -155,6 +162,7 @@
             node_presence.peers,
             self._usage_snapshot,
             lambda: self._own_suspects,
+            self._clock,
             followers,
             store_followers.on_loop(loop, self._applier.apply_peer_state),
         )
@@ -186,6 +194,7 @@
                     calls,
                     settings.usage_window_s,
                     settings.usage_due_s,
+                    self._uptime_s if settings.is_first_start else None,
                 )
             if duty_calls.SERVERS in settings.duty_names:
                 server_orders = orders.OrderSender(
@@ -200,8 +209,15 @@
             server_orders,
             settings.is_first_start,
             lambda: relay.reads_store,
+            self._clock,
+            shared_clock.OffsetKeeper(
+                store, lease, self._clock, self._clock_samples
+            ),
         )
 
+    def _uptime_s(self) -> float:
+        return leases.boottime_s() - self._started_s
+
     def _duty_client(self) -> http.HttpClient:
         return http.HttpClient(
             "duties",
@@ -237,13 +253,12 @@
 
     def _write_counts(self) -> None:
         """Write the counts of this node and of the nodes that poll it."""
-        now_s = time.time()
         self._count_writer.update_usage(self._lifetime, self._usage_snapshot())
         self._count_writer.update_suspects(self._lifetime, self._own_suspects)
-        self._count_writer.write(now_s)
+        self._count_writer.write(self._clock.now_s())
 
     def _usage_snapshot(self) -> dict[int, shared_state.WindowCounts]:
-        return self.shared.usage.snapshot(time.time())
+        return self.shared.usage.snapshot(self._clock.now_s())
 
     # Request handlers.
 
@@ -269,10 +284,14 @@
         self._count_writer.update_usage(request.lifetime, request.usage)
         self._count_writer.update_suspects(request.lifetime, request.suspects)
         self._applier.merge_suspects(request.lifetime, request.suspects)
+        self._clock_samples.record(request.lifetime, request.clock_offset_s)
+        state = msgspec.structs.replace(
+            self._raw.state(request.revision),
+            store_s=self._clock.store_s(),
+            utc_offset_s=self._clock.utc_offset_s,
+        )
         return internal_server.Reply(
-            200,
-            msgspec.json.encode(self._raw.state(request.revision)),
-            "application/json",
+            200, msgspec.json.encode(state), "application/json"
         )
 
     # Periodic work.
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -15,10 +15,12 @@
 import msgspec
 
 from bilberryturn import events
+from bilberryturn import leases
 from bilberryturn import rendezvous
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers as store_followers
 from bilberryturn.edge import intervals
+from bilberryturn.edge import shared_clock
 from bilberryturn.gateway import shared_state
 from bilberryturn.platform import http
 
@@ -46,12 +48,15 @@
             none.
         usage: The node's usage counts of the last windows, by window number.
         suspects: The node's crash counts, by fingerprint.
+        clock_offset_s: The VM's time of day minus the store's clock; None if
+            unknown.
     """
 
     lifetime: str
     revision: str
     usage: dict[int, shared_state.WindowCounts]
     suspects: dict[str, int]
+    clock_offset_s: float | None = None
 
 
 class RelayClient:
@@ -74,6 +79,7 @@
         all_peers: Callable[[], list[str]],
         usage: Callable[[], dict[int, shared_state.WindowCounts]],
         suspects: Callable[[], dict[str, int]],
+        clock: shared_clock.SharedClock,
         followers: list[store_followers.Follower],
         deliver: Callable[[feeds.PeerState], None],
     ):
@@ -90,6 +96,7 @@
             all_peers: Returns the addresses of all known nodes.
             usage: Returns this node's usage counts of the last windows.
             suspects: Returns this node's crash counts.
+            clock: Clock that takes the time from each reply.
             followers: Followers of the store's tables.
             deliver: Receives the state from each reply.
         """
@@ -102,6 +109,7 @@
         self._all_peers = all_peers
         self._usage = usage
         self._suspects = suspects
+        self._clock = clock
         self._followers = followers
         self._deliver = deliver
         self._unreachable_until_s: dict[str, float] = {}
@@ -200,8 +208,10 @@
             self._revision if address == self._relay else "",
             self._usage(),
             self._suspects(),
+            self._clock.local_offset_s(),
         )
         sent_s = time.monotonic()
+        sent_boottime_s = leases.boottime_s()
         result = client.call("PUT", "/state", request, is_idempotent=True)
         if result.is_error() or result.ok.status != 200:
             self._unreachable_until_s[address] = (
@@ -215,6 +225,7 @@
         except msgspec.DecodeError as error:
             events.log(events.FRAME_REFUSED, member=address, problem=str(error))
             return False
+        self._record_time(state, sent_boottime_s)
         state = _with_elapsed(state, time.monotonic() - sent_s)
         is_current = self._is_current(state)
         if is_current and address != self._relay:
@@ -230,6 +241,14 @@
         self._deliver(state)
         return is_current
 
+    def _record_time(self, state: feeds.PeerState, sent_s: float) -> None:
+        if state.store_s is not None:
+            self._clock.record_store_time(
+                state.store_s, sent_s, leases.boottime_s()
+            )
+        if state.utc_offset_s is not None:
+            self._clock.set_utc_offset(state.utc_offset_s)
+
     def _next_revision(self, state: feeds.PeerState) -> str:
         """Return the revision for the next request; "" requests all content.
 
--- a/src/bilberryturn/edge/usage_windows.py
+++ b/src/bilberryturn/edge/usage_windows.py
@@ -6,8 +6,8 @@
 only then sends it. A retry always sends the frozen sum.
 """
 
+from collections.abc import Callable
 import threading
-import time
 from typing import NamedTuple
 
 import msgspec
@@ -136,6 +136,7 @@
         calls: duty_calls.DutyCalls,
         window_s: float,
         due_s: float,
+        uptime_s: Callable[[], float] | None,
     ):
         """Initialize the reporter.
 
@@ -146,6 +147,8 @@
             calls: Client that sends the reports.
             window_s: Length of a window in seconds.
             due_s: Seconds from the end of a window until its report is due.
+            uptime_s: Returns how long this process has run, if no node ran
+                before it; no earlier window is reported. Otherwise None.
         """
         self._store = store
         self._lease = lease
@@ -154,7 +157,7 @@
         self._due_s = due_s
         self._next_window: int | None = None
         self._previous_sealed: frozenset[str] = frozenset()
-        self._first_window = int(time.time() // window_s)
+        self._uptime_s = uptime_s
 
     def on_lease_lost(self) -> None:
         """Reset the progress; called while the lease is not held."""
@@ -174,8 +177,11 @@
             self._next_window += 1
 
     def _initial_window(self, now_s: float) -> int:
-        window = int(now_s // self._window_s)
-        return max(window - LOOKBACK_WINDOWS, self._first_window)
+        window = int(now_s // self._window_s) - LOOKBACK_WINDOWS
+        if self._uptime_s is None:
+            return window
+        started_s = now_s - self._uptime_s()
+        return max(window, int(started_s // self._window_s))
 
     def _window_end_s(self, window: int) -> float:
         return (window + 1) * self._window_s
--- a/src/bilberryturn/events.py
+++ b/src/bilberryturn/events.py
@@ -51,6 +51,7 @@
 CONFIG_REFUSED = Event(1209, "config_refused", logging.ERROR)
 READINESS_CHANGED = Event(1210, "readiness_changed", logging.INFO)
 PEER_STATE_TAKEN = Event(1211, "peer_state_taken", logging.INFO)
+CLOCK_OFFSET_SET = Event(1212, "clock_offset_set", logging.INFO)
 
 REQUEST_REFUSED = Event(1301, "request_refused", logging.INFO)
 REQUEST_ENDED = Event(1302, "request_ended", logging.INFO)
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -1,6 +1,7 @@
 """Hold the state that all requests of a node share."""
 
 import collections
+from collections.abc import Callable
 import time
 from typing import NamedTuple
 
@@ -34,8 +35,17 @@
 class UsageCounts:
     """Counts the requests that began to run, by window and account."""
 
-    def __init__(self, window_s: float):
+    def __init__(
+        self, window_s: float, time_of_day: Callable[[], float] = time.time
+    ):
+        """Initialize empty counts.
+
+        Args:
+            window_s: Length of a window in seconds.
+            time_of_day: Returns the time of day in Unix seconds.
+        """
         self.window_s = window_s
+        self._time_of_day = time_of_day
         self._counts: dict[int, collections.Counter[str]] = {}
         self._is_closed = False
 
@@ -48,9 +58,10 @@
 
         Args:
             client_account: The account to count it for.
-            at_s: Wall-clock time at which it began, or None for now.
+            at_s: Time of day at which it began, or None for now.
         """
-        window = int((time.time() if at_s is None else at_s) // self.window_s)
+        at_s = self._time_of_day() if at_s is None else at_s
+        window = int(at_s // self.window_s)
         counts = self._counts.setdefault(window, collections.Counter())
         counts[client_account] += 1
 
@@ -58,7 +69,7 @@
         """Return the counts of the last windows and the current one.
 
         Args:
-            now_s: Present wall-clock time.
+            now_s: Present time of day.
         """
         current = int(now_s // self.window_s)
         first = current - KEPT_WINDOWS
@@ -120,13 +131,14 @@
         retry_limits: RetryLimits,
         usage_window_s: float,
         pool: upstream.ConnectionPool,
+        time_of_day: Callable[[], float] = time.time,
     ):
         self.failure_domain = failure_domain
         self.table: route_tables.RouteTable | None = None
         self.directory = directory.Directory()
         self.load_balancer = choice.LoadBalancer()
         self.suspects = suspects.CrashCounter()
-        self.usage = UsageCounts(usage_window_s)
+        self.usage = UsageCounts(usage_window_s, time_of_day)
         self.pool = pool
         self.is_stopping = False
         self.config_confirmed_s: float | None = None
--- a/src/bilberryturn/platform/rows.py
+++ b/src/bilberryturn/platform/rows.py
@@ -6,6 +6,8 @@
 
 import base64
 import binascii
+from collections.abc import Callable
+import time
 from typing import Any
 from typing import NamedTuple
 import urllib.parse
@@ -40,6 +42,17 @@
     rows: list[_Row]
     ver: int
     has_more: bool = False
+    # The store's steady clock in milliseconds.
+    now_ms: int | None = None
+
+
+class _Committed(msgspec.Struct, rename="camel"):
+    ver: int
+    now_ms: int | None = None
+
+
+def _steady_s() -> float:
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class Change(NamedTuple):
@@ -60,8 +73,21 @@
 class RowStore:
     """Client of the row interface; thread-safe."""
 
-    def __init__(self, client: http.HttpClient):
+    def __init__(
+        self,
+        client: http.HttpClient,
+        record_time: Callable[[float, float, float], None] | None = None,
+    ):
+        """Initialize the client.
+
+        Args:
+            client: HTTP client of the store.
+            record_time: Receives the store's steady clock, and the times on
+                this VM's CLOCK_BOOTTIME at which the call was sent and its
+                response received, all in seconds.
+        """
         self._client = client
+        self._record_time = record_time
 
     def snapshot(
         self, table: str, start: str = "", end: str = ""
@@ -76,10 +102,12 @@
                 query["from"] = after
             if end:
                 query["to"] = end
+            sent_s = _steady_s()
             result = self._get("/rows-get", query, table, 0)
             if result.is_error():
                 return expression.Error(result.error)
             page = result.ok
+            self._report_time(page.now_ms, sent_s)
             changes.extend(_decode_change(row) for row in page.rows)
             # The caller requests further changes from the version of the first
             # page, so changes made while the pages were read are not lost.
@@ -200,6 +228,7 @@
             ],
             "remove": [_row_reference(key) for key in removes],
         }
+        sent_s = _steady_s()
         result = self._client.call("POST", "/rows-tx", body)
         if result.is_error():
             return expression.Error(result.error)
@@ -211,12 +240,19 @@
                 exceptions.PlatformRefusedError("store", response.status)
             )
         try:
-            version = response.json()["ver"]
-        except (msgspec.DecodeError, KeyError, TypeError):
+            committed = msgspec.json.decode(response.body, type=_Committed)
+        except msgspec.DecodeError as error:
             return expression.Error(
-                exceptions.PlatformFormatError("answer", "no version")
+                exceptions.PlatformFormatError("answer", str(error))
             )
-        return expression.Ok(tables.Committed({k: version for k in writes}))
+        self._report_time(committed.now_ms, sent_s)
+        return expression.Ok(
+            tables.Committed({k: committed.ver for k in writes})
+        )
+
+    def _report_time(self, now_ms: int | None, sent_s: float) -> None:
+        if self._record_time is not None and now_ms is not None:
+            self._record_time(now_ms / 1000, sent_s, _steady_s())
 
     def insert(
         self, key: str, value: Any
