Let one relay serve 48 nodes and pass on changes only

Found on the way: nodes behind a relay dropped servers at once whose entries lapsed in an outage of the store, though the relay itself waited for them; and a reply that waited for the event loop looked newer than it was, so that the next one was taken as older.

Change: a relay answers with what changed since the revision that the node has applied, and passes on the known nodes; nodes wait for the first list of nodes and up to 1 s for a relay that starts with them; only nodes that read the store read the rows of the nodes again.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -402,6 +402,42 @@
         "clocks",
         "A slow answer",
     ),
+    Mutant(
+        "a node behind a relay drops the entries that lapsed in an outage",
+        (
+            (
+                "edge/feeds.py",
+                "            state.after_outage,",
+                "            False,",
+            ),
+        ),
+        "relays",
+        "Entries that lapsed",
+    ),
+    Mutant(
+        "the age of a reply counts from when it is applied",
+        (
+            (
+                "edge/feeds.py",
+                "confirmed_s = received_s - state.servers_age_s",
+                "confirmed_s = time.monotonic() - state.servers_age_s",
+            ),
+        ),
+        "relays",
+        "A reply that waits",
+    ),
+    Mutant(
+        "a node keeps the relay's revision after a reading of its own",
+        (
+            (
+                "edge/feeds.py",
+                'self.peer_revision = ""\n        self._raw.servers_read_s',
+                "self._raw.servers_read_s",
+            ),
+        ),
+        "relays",
+        "A node has what its relay has",
+    ),
     Mutant(
         "accounts are ordered by name instead of usage",
         (
--- /dev/null
+++ b/features/relays.feature
@@ -0,0 +1,43 @@
+Feature: Relays pass on changes of the store's content to many nodes
+
+  Scenario: A node has what its relay has after any series of changes and polls
+    Then over 200 seeded series of changes, lost replies, restarts of the relay and own readings the node has the relay's content
+
+  Scenario: A heartbeat of 600 servers costs a poll nothing, a change one entry
+    Given a relay that has read 600 servers
+    When all servers report a heartbeat
+    Then a poll for the changes is under 500 bytes
+    When one server reports that it drains
+    Then a poll for the changes is under 1500 bytes
+
+  Scenario Outline: A peer that <knows> gets the whole content
+    Given a relay that has read 600 servers
+    When one server reports that it drains
+    Then a peer that <knows> gets the whole content
+
+    Examples:
+      | knows                                 |
+      | knows no revision                     |
+      | knows the revision of another process |
+      | knows a revision that is not retained |
+      | does not accept changes               |
+
+  Scenario: Entries that lapsed in an outage stay in use behind a relay too
+    Given a relay that has read 600 servers
+    And a node that has the relay's content
+    When the store is back from an outage without the entries of the servers
+    And the node polls the relay
+    Then the node still uses 600 servers
+    And it uses none after the time to restore them
+
+  Scenario: A reply that waits for the event loop does not look newer than it is
+    Given a relay that has read 600 servers
+    And a node that has the relay's content
+    When a reply waits 3 s for the node's event loop while a server leaves
+    And the node polls the relay
+    Then the node uses 599 servers
+
+  Scenario: Nodes that start together find their relay before they read the store
+    Given a stand-in of the users' store
+    When 12 nodes of one failure domain start together
+    Then one of them reads the servers from the store
--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -60,6 +60,8 @@
             ),
         ]  # fmt: skip
         domain_peers.append(self.address)
+        peers_known = threading.Event()
+        peers_known.set()
         self.relay = relays.RelayClient(
             name,
             self.address,
@@ -72,7 +74,9 @@
             lambda: self.shared.suspects.own_counts(time.monotonic()),
             shared_clock.SharedClock(),
             self.followers,
+            lambda: self.applier.peer_revision,
             followers.on_loop(self.loop, self.applier.apply_peer_state),
+            peers_known,
         )
         self.stopping = threading.Event()
         for job in (*self.followers, self.relay):
@@ -83,7 +87,9 @@
     def _answer(self, path, body):
         request = msgspec.json.decode(body, type=relays.StateRequest)
         self.applier.merge_suspects(request.lifetime, request.suspects)
-        state = msgspec.json.encode(self.raw.state(request.revision))
+        state = msgspec.json.encode(
+            self.raw.state(request.revision, request.accepts_changes)
+        )
         return internal_server.Reply(200, state)
 
     @property
@@ -271,8 +277,8 @@
     )
     context.client = relays.RelayClient(
         "n1", "127.0.0.1:1", "east", "", TIMES, list, list, dict, dict,
-        shared_clock.SharedClock(), [],
-        applier.apply_peer_state,
+        shared_clock.SharedClock(), [], lambda: applier.peer_revision,
+        applier.apply_peer_state, threading.Event(),
     )  # fmt: skip
 
 
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,336 @@
+"""Steps of relays.feature: a relay and a node that polls it."""
+
+import asyncio
+import json
+import random
+import socket
+import threading
+import time
+
+import behave
+import msgspec
+
+from bilberryturn import leases
+from bilberryturn.edge import duties
+from bilberryturn.edge import feeds
+from bilberryturn.edge import followers
+from bilberryturn.edge import intervals
+from bilberryturn.edge import presence
+from bilberryturn.edge import relays
+from bilberryturn.edge import shared_clock
+from bilberryturn.gateway import internal_server
+from bilberryturn.gateway import shared_state
+from bilberryturn.gateway import upstream
+from bilberryturn.platform import http
+from bilberryturn.platform import rows
+from bilberryturn.routing import directory
+from support import platform_data
+
+SERVERS = 600
+TIMES = intervals.from_bounds(5.0, 5.0, 5.0)
+LEASE = leases.LeaseOptions(3.0, 0.5)
+
+
+class _Peer:
+    """The content of one node, without its threads."""
+
+    def __init__(self, name):
+        self.shared = shared_state.SharedState(
+            "east",
+            shared_state.RetryLimits(0.2, 1, 10),
+            5.0,
+            upstream.ConnectionPool(),
+        )
+        self.raw = feeds.RawState()
+        self.applier = feeds.Applier(self.shared, self.raw, name)
+
+    def read_servers(self, changed, is_snapshot, after_outage=False, age_s=0.0):
+        """Apply a reading of the store, values as objects."""
+        changes = [
+            rows.Change(key, 1, value and json.dumps(value).encode())
+            for key, value in changed.items()
+        ]
+        self.applier.on_servers_read(
+            followers.Reading(
+                changes, is_snapshot, after_outage, time.monotonic() - age_s
+            )
+        )
+
+    def read_config(self, version):
+        value = json.dumps(platform_data.make_config(version)).encode()
+        change = rows.Change(rows.CONFIG_KEY, version, value)
+        self.applier.on_config_read(
+            followers.Reading([change], True, False, time.monotonic())
+        )
+
+    def reply_to(self, peer):
+        """Return the reply to a poll of a peer, as it is on the wire."""
+        state = self.raw.state(peer.applier.peer_revision, True)
+        return msgspec.json.decode(
+            msgspec.json.encode(state), type=feeds.PeerState
+        )
+
+    def content(self):
+        """Return what requests see: configuration, servers, crash counts."""
+        servers = {
+            s.server_id: s._replace(sequence=0)
+            for s in self.shared.directory.usable("app")
+        }
+        table = self.shared.table
+        return table and table.version, servers, self.raw.suspects
+
+
+@behave.then(
+    "over {count:d} seeded series of changes, lost replies, restarts of the"
+    " relay and own readings the node has the relay's content"
+)
+def then_series(context, count):
+    for seed in range(count):
+        _run_series(random.Random(seed), seed)
+
+
+def _run_series(rng, seed):
+    store = {f"s{n}": platform_data.make_entry() for n in range(5)}
+    version = 1
+    relay, node = _Peer("relay"), _Peer("node")
+    relay.read_config(version)
+    relay.read_servers(store, True)
+    for step in range(40):
+        kind = rng.choice(
+            ("change", "change", "config", "suspect", "poll", "poll", "lost",
+             "restart", "own")
+        )  # fmt: skip
+        if kind == "change":
+            relay.read_servers(_change_servers(rng, store, step), False)
+        elif kind == "config":
+            version += 1
+            relay.read_config(version)
+        elif kind == "suspect":
+            relay.applier.merge_suspects(
+                f"n{rng.randrange(3)}", {"f": rng.randrange(1, 4)}
+            )
+        elif kind == "poll":
+            reply = relay.reply_to(node)
+            node.applier.apply_peer_state(reply, time.monotonic())
+        elif kind == "lost":
+            relay.reply_to(node)
+        elif kind == "restart":
+            suspects = relay.raw.suspects
+            relay = _Peer("relay")
+            relay.read_config(version)
+            relay.read_servers(store, True)
+            for lifetime, counts in suspects.items():
+                relay.applier.merge_suspects(lifetime, counts)
+        else:
+            node.read_config(version)
+            node.read_servers(store, True)
+    # The relay reads the store again after the node's own reading.
+    relay.read_servers({}, False)
+    node.applier.apply_peer_state(relay.reply_to(node), time.monotonic())
+    assert node.content() == relay.content(), seed
+
+
+def _change_servers(rng, store, step):
+    """Change one entry of the store; returns the change."""
+    server_id = f"s{rng.randrange(8)}"
+    if server_id in store and rng.random() < 0.4:
+        del store[server_id]
+        return {server_id: None}
+    address = f"10.0.0.{rng.randrange(1, 200)}:80"
+    store[server_id] = platform_data.make_entry(
+        addr=address, seq=step, born=step
+    )
+    return {server_id: store[server_id]}
+
+
+@behave.given("a relay that has read 600 servers")
+def given_relay(context):
+    context.relay = _Peer("relay")
+    context.relay.read_config(3)
+    context.entries = {
+        f"server-{n}": platform_data.make_entry() for n in range(SERVERS)
+    }
+    context.relay.read_servers(context.entries, True)
+    context.known_revision = context.relay.raw.revision
+
+
+@behave.given("a node that has the relay's content")
+def given_node(context):
+    context.peer = _Peer("node")
+    context.peer.applier.apply_peer_state(
+        context.relay.reply_to(context.peer), time.monotonic() - 10.0
+    )
+    assert len(context.peer.shared.directory.usable("app")) == SERVERS
+
+
+@behave.when("the node polls the relay")
+def when_polls(context):
+    context.peer.applier.apply_peer_state(
+        context.relay.reply_to(context.peer), time.monotonic()
+    )
+
+
+@behave.when("all servers report a heartbeat")
+def when_heartbeats(context):
+    context.relay.read_servers(
+        {key: {**entry, "seq": 9} for key, entry in context.entries.items()},
+        False,
+    )
+
+
+@behave.when("one server reports that it drains")
+def when_drains(context):
+    entry = {**context.entries["server-7"], "state": "draining", "seq": 10}
+    context.relay.read_servers({"server-7": entry}, False)
+
+
+@behave.then("a poll for the changes is under {limit:d} bytes")
+def then_small(context, limit):
+    state = context.relay.raw.state(context.known_revision, True)
+    size_bytes = len(msgspec.json.encode(state))
+    assert size_bytes < limit, size_bytes
+
+
+@behave.then("a peer that {knows} gets the whole content")
+def then_whole(context, knows):
+    raw = context.relay.raw
+    revision, accepts_changes = {
+        "knows no revision": ("", True),
+        "knows the revision of another process": ("0a0b0c0d.1", True),
+        "knows a revision that is not retained": (
+            f"{raw.revision.partition('.')[0]}.99999",
+            True,
+        ),
+        "does not accept changes": (context.known_revision, False),
+    }[knows]
+    state = raw.state(revision, accepts_changes)
+    assert state.is_complete
+    assert len(state.servers) == SERVERS and state.config
+
+
+@behave.when(
+    "the store is back from an outage without the entries of the servers"
+)
+def when_lapsed(context):
+    context.relay.read_servers(
+        dict.fromkeys(context.entries), False, after_outage=True
+    )
+
+
+@behave.then("the node still uses 600 servers")
+def then_still(context):
+    usable = context.peer.shared.directory.usable("app")
+    assert len(usable) == SERVERS, len(usable)
+
+
+@behave.then("it uses none after the time to restore them")
+def then_none(context):
+    node_directory = context.peer.shared.directory
+    node_directory.expire(time.monotonic() + directory.RESTORE_GRACE_S + 0.1)
+    assert not node_directory.usable("app")
+
+
+@behave.when(
+    "a reply waits 3 s for the node's event loop while a server leaves"
+)
+def when_waits(context):
+    reply = context.relay.reply_to(context.peer)
+    # Received 3 s ago, applied now; the relay saw the departure in between.
+    context.peer.applier.apply_peer_state(reply, time.monotonic() - 3.0)
+    context.relay.read_servers({"server-7": None}, False, age_s=2.0)
+
+
+@behave.then("the node uses {count:d} servers")
+def then_uses(context, count):
+    usable = context.peer.shared.directory.usable("app")
+    assert len(usable) == count, len(usable)
+
+
+class _StartingNode:
+    """The parts of a node that read the store, with their threads."""
+
+    def __init__(self, store_address, number):
+        self.loop = asyncio.new_event_loop()
+        threading.Thread(target=self.loop.run_forever, daemon=True).start()
+        self.peer = _Peer(f"n{number}")
+        self.server = internal_server.InternalServer(self._answer)
+        with socket.create_server(("127.0.0.1", 0)) as probe:
+            address = f"127.0.0.1:{probe.getsockname()[1]}"
+        asyncio.run_coroutine_threadsafe(
+            self.server.start("127.0.0.1", int(address.rpartition(":")[2])),
+            self.loop,
+        ).result(5)
+        store = rows.RowStore(http.HttpClient("store", store_address, 1.5))
+        applier = self.peer.applier
+        node_presence = presence.Presence(
+            store, f"n{number}", "east", address, (),
+            followers.on_loop(self.loop, applier.set_nodes),
+        )  # fmt: skip
+        self.follower = followers.Follower(
+            rows.SERVER_TABLE, store_address, 0.0, 0.2, "",
+            followers.on_loop(self.loop, applier.on_servers_read),
+        )  # fmt: skip
+        config_follower = followers.Follower(
+            rows.OPERATOR_TABLE, store_address, 0.5, 0.0, "",
+            followers.on_loop(self.loop, applier.on_config_read),
+        )  # fmt: skip
+        clock = shared_clock.SharedClock()
+        relay = relays.RelayClient(
+            f"n{number}", address, "east", "", TIMES,
+            node_presence.domain_peers, node_presence.peers, dict, dict, clock,
+            [self.follower, config_follower], lambda: applier.peer_revision,
+            followers.on_loop(self.loop, applier.apply_peer_state),
+            node_presence.first_read,
+        )  # fmt: skip
+        lease = leases.Lease("duties", f"n{number}", LEASE, store)
+        duty_runner = duties.DutyRunner(
+            lease, LEASE.ttl_s, node_presence, lambda: None, None, None, True,
+            lambda: relay.reads_store, clock, None,
+        )  # fmt: skip
+        self.stopping = threading.Event()
+        for job in (self.follower, config_follower, relay, duty_runner):
+            threading.Thread(
+                target=job.run, args=(self.stopping,), daemon=True
+            ).start()
+
+    def _answer(self, path, body):
+        request = msgspec.json.decode(body, type=relays.StateRequest)
+        state = self.peer.raw.state(request.revision, request.accepts_changes)
+        return internal_server.Reply(200, msgspec.json.encode(state))
+
+    def has_read_store(self):
+        return self.peer.raw.servers_read_s > 0
+
+    def close(self):
+        self.stopping.set()
+        self.loop.call_soon_threadsafe(self.server.stop)
+
+
+@behave.given("a stand-in of the users' store")
+def given_store(context):
+    platform_data.start_standin(context)
+    context.standin.put("op", "config", platform_data.make_config(7))
+    context.standin.put("servers", "good", platform_data.make_entry())
+
+
+@behave.when("{count:d} nodes of one failure domain start together")
+def when_start(context, count):
+    context.starting = [
+        _StartingNode(context.standin.address, n) for n in range(count)
+    ]
+    for node in context.starting:
+        context.closers.append(node.close)
+    platform_data.wait_for(
+        lambda: all(
+            node.peer.shared.directory.usable("app")
+            for node in context.starting
+        ),
+        10,
+        lambda: [node.peer.content() for node in context.starting],
+    )
+
+
+@behave.then("one of them reads the servers from the store")
+def then_one_reads(context):
+    reading = [n for n in context.starting if n.has_read_store()]
+    assert len(reading) == 1, len(reading)
--- a/features/steps/usage_window_steps.py
+++ b/features/steps/usage_window_steps.py
@@ -251,9 +251,15 @@
 class _NoPeers:
     """A view of the cluster without other nodes."""
 
-    def refresh(self):
+    def __init__(self):
+        self.first_read = threading.Event()
+
+    def register(self):
         pass
 
+    def read(self):
+        self.first_read.set()
+
 
 @behave.when("its node begins to stop")
 def when_stops(context):
--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -32,7 +32,9 @@
 # until it knows it and afterwards.
 OFFSET_READ_INTERVAL_S = 1.0
 OFFSET_REFRESH_INTERVAL_S = 30.0
-# Nodes that start together have all written their rows after this time.
+# Nodes that start together have all written their rows after this time; most
+# of them after the first one.
+FIRST_READ_DELAY_S = 1.0
 SECOND_REFRESH_DELAY_S = 3.0
 
 
@@ -85,9 +87,14 @@
         self._next_lease_check_s = clock()
         if not is_first_start:
             self._next_lease_check_s += lease_s + LEASE_MARGIN_S
-        self._forced_lease_check_s = self._next_lease_check_s
-        self._next_presence_refresh_s = 0.0
-        self._presence_refresh_interval_s = SECOND_REFRESH_DELAY_S
+        self._forced_lease_check_s = (
+            self._next_lease_check_s + MAX_LEASE_CHECK_INTERVAL_S
+        )
+        self._next_registration_s = 0.0
+        self._next_presence_read_s = clock() + (
+            FIRST_READ_DELAY_S if is_first_start else 0.0
+        )
+        self._presence_read_interval_s = SECOND_REFRESH_DELAY_S
         self._reads_store = reads_store
         self._time_of_day = time_of_day
         self._offset_keeper = offset_keeper
@@ -119,12 +126,7 @@
 
     def _step(self) -> None:
         now_s = self._clock()
-        if now_s >= self._next_presence_refresh_s:
-            self._next_presence_refresh_s = (
-                now_s + self._presence_refresh_interval_s
-            )
-            self._presence_refresh_interval_s = PRESENCE_REFRESH_INTERVAL_S
-            self._node_presence.refresh()
+        self._update_presence(now_s)
         if now_s >= self._next_write_s and self._reads_store():
             self._next_write_s = now_s + WRITE_INTERVAL_S
             self._write()
@@ -141,6 +143,20 @@
         if self._orders is not None:
             self._orders.step(now_s)
 
+    def _update_presence(self, now_s: float) -> None:
+        """Register this node; read the others unless a relay delivers them."""
+        if now_s >= self._next_registration_s:
+            self._next_registration_s = now_s + SECOND_REFRESH_DELAY_S
+            self._node_presence.register()
+        if now_s < self._next_presence_read_s:
+            return
+        is_first = not self._node_presence.first_read.is_set()
+        if not is_first and not self._reads_store():
+            return
+        self._next_presence_read_s = now_s + self._presence_read_interval_s
+        self._presence_read_interval_s = PRESENCE_REFRESH_INTERVAL_S
+        self._node_presence.read()
+
     def _read_offset(self, now_s: float) -> None:
         """Read the shared offset if due; relays deliver it to other nodes."""
         if self._offset_keeper is None or not self._reads_store():
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -1,8 +1,12 @@
 """Cache the state received from the store and from peers; apply changes."""
 
 import base64
+import collections
+from collections.abc import Callable
+import enum
 import secrets
 import time
+from typing import NamedTuple
 
 import msgspec
 
@@ -18,18 +22,22 @@
 
 # Node lifetimes whose crash counts are retained.
 MAX_LIFETIMES = 1000
+# Changes retained for peers that know an earlier revision. More than the
+# restart of all servers of the largest deployment causes between two polls.
+MAX_CHANGES = 2000
 
 
 class PeerState(msgspec.Struct):
     """Platform state that a node returns to a peer.
 
     Attributes:
-        revision: Changes with the configuration, the content of the entries
-            and the crash counts; not with mere heartbeats of servers.
+        revision: Changes with the configuration, the content of the entries,
+            the known nodes and the crash counts; not with mere heartbeats of
+            servers.
         config: The operator's configuration as stored, in Base64; None if
-            the peer already has this revision.
-        servers: Entry of each server as stored, in Base64; None if the peer
-            already has this revision.
+            the peer already has it.
+        servers: Entry of each server as stored, in Base64; None for a removed
+            one. None as a whole if the peer already has all entries.
         config_age_s: Seconds since the store confirmed the configuration.
         servers_age_s: Seconds since the store confirmed the entries.
         config_read_age_s: Seconds since the node itself last read the
@@ -37,7 +45,13 @@
         servers_read_age_s: Seconds since the node itself last read the
             entries from the store.
         suspects: Crash counts by fingerprint for each lifetime of a node;
-            None if the peer already has this revision.
+            None if the peer already has them.
+        is_complete: Whether servers and suspects hold everything, and not
+            only what changed since the peer's revision.
+        after_outage: Whether the store was unreachable until shortly before
+            the node read the entries; servers may then restore theirs.
+        nodes: Address of each known node by key; None if the peer already has
+            them.
         store_s: The store's steady clock when the node responded; None if
             unknown.
         utc_offset_s: The shared time of day minus the store's clock; None if
@@ -46,22 +60,44 @@
 
     revision: str
     config: str | None
-    servers: dict[str, str] | None
+    servers: dict[str, str | None] | None
     config_age_s: float
     servers_age_s: float
     config_read_age_s: float
     servers_read_age_s: float
     suspects: dict[str, dict[str, int]] | None = None
+    is_complete: bool = True
+    after_outage: bool = False
+    nodes: dict[str, str] | None = None
     store_s: float | None = None
     utc_offset_s: float | None = None
 
 
+class Content(enum.Enum):
+    """Kinds of content that a node passes on to its peers."""
+
+    CONFIG = enum.auto()
+    SERVER = enum.auto()
+    SUSPECTS = enum.auto()
+    NODES = enum.auto()
+
+
+class _Change(NamedTuple):
+    """One change of the content; the key names a server or a lifetime."""
+
+    number: int
+    content: Content
+    key: str
+
+
 class RawState:
     """Caches the state as stored, to serve it to peers."""
 
     def __init__(self):
         self.config = b""
         self.servers: dict[str, bytes] = {}
+        self.nodes: dict[str, str] = {}
+        self.after_outage = False
         self.config_confirmed_s = -1e9
         self.servers_confirmed_s = -1e9
         self.config_read_s = -1e9
@@ -69,48 +105,107 @@
         self.suspects: dict[str, dict[str, int]] = {}
         self._lifetime = secrets.token_hex(4)
         self._change_count = 0
+        self._changes: collections.deque[_Change] = collections.deque(
+            maxlen=MAX_CHANGES
+        )
 
     @property
     def revision(self) -> str:
         """Return the revision of the present content."""
         return f"{self._lifetime}.{self._change_count}"
 
-    def mark_changed(self) -> None:
+    def mark_changed(self, content: Content, key: str = "") -> None:
         """Start a new revision after a change of the content."""
         self._change_count += 1
+        self._changes.append(_Change(self._change_count, content, key))
 
-    def state(self, known_revision: str) -> PeerState:
+    def state(
+        self, known_revision: str, accepts_changes: bool = False
+    ) -> PeerState:
         """Return the state, without content that a peer already has.
 
         Args:
             known_revision: Revision that the peer has; "" if none.
+            accepts_changes: Whether the peer accepts the changes since that
+                revision in place of the whole content.
         """
         now_s = time.monotonic()
-        config = servers = suspects = None
-        if known_revision != self.revision:
-            config = base64.b64encode(self.config).decode()
-            servers = {
-                key: base64.b64encode(value).decode()
-                for key, value in self.servers.items()
-            }
-            suspects = dict(self.suspects)
-        return PeerState(
+        state = PeerState(
             self.revision,
-            config,
-            servers,
+            None,
+            None,
             now_s - self.config_confirmed_s,
             now_s - self.servers_confirmed_s,
             now_s - self.config_read_s,
             now_s - self.servers_read_s,
-            suspects,
+            after_outage=self.after_outage,
         )
+        if known_revision == self.revision:
+            return state
+        changes = self._changes_since(known_revision)
+        if changes is None or not accepts_changes:
+            return self._with_everything(state)
+        return self._with_changes(state, changes)
+
+    def _changes_since(self, revision: str) -> list[_Change] | None:
+        """Return the changes since a revision; None if it is not known."""
+        lifetime, _, number = revision.partition(".")
+        if lifetime != self._lifetime or not number.isdigit():
+            return None
+        first = self._change_count - len(self._changes)
+        if not first <= int(number) <= self._change_count:
+            return None
+        return [c for c in self._changes if c.number > int(number)]
+
+    def _with_everything(self, state: PeerState) -> PeerState:
+        return msgspec.structs.replace(
+            state,
+            config=base64.b64encode(self.config).decode(),
+            servers={key: self._entry(key) for key in self.servers},
+            suspects=dict(self.suspects),
+            nodes=dict(self.nodes),
+        )
+
+    def _with_changes(
+        self, state: PeerState, changes: list[_Change]
+    ) -> PeerState:
+        keys: dict[Content, set[str]] = {kind: set() for kind in Content}
+        for change in changes:
+            keys[change.content].add(change.key)
+        return msgspec.structs.replace(
+            state,
+            is_complete=False,
+            config=(
+                base64.b64encode(self.config).decode()
+                if keys[Content.CONFIG]
+                else None
+            ),
+            servers=(
+                {key: self._entry(key) for key in keys[Content.SERVER]}
+                if keys[Content.SERVER]
+                else None
+            ),
+            suspects={
+                lifetime: self.suspects.get(lifetime, {})
+                for lifetime in keys[Content.SUSPECTS]
+            },
+            nodes=dict(self.nodes) if keys[Content.NODES] else None,
+        )
+
+    def _entry(self, server_id: str) -> str | None:
+        value = self.servers.get(server_id)
+        return None if value is None else base64.b64encode(value).decode()
 
 
 class Applier:
     """Applies received state to this node; runs on the event loop only."""
 
     def __init__(
-        self, shared: shared_state.SharedState, raw: RawState, lifetime: str
+        self,
+        shared: shared_state.SharedState,
+        raw: RawState,
+        lifetime: str,
+        deliver_nodes: Callable[[dict[str, str]], None] | None = None,
     ):
         """Initialize the applier.
 
@@ -118,7 +213,12 @@
             shared: State that the requests of this node use.
             raw: State that this node serves to its peers.
             lifetime: Identifies this node and its start.
+            deliver_nodes: Receives the known nodes from a peer.
         """
+        self._deliver_nodes = deliver_nodes
+        # Revision of the peer whose content this node has; "" if it has read
+        # the store since, which requests the whole content next time.
+        self.peer_revision = ""
         self._shared = shared
         self._raw = raw
         self._lifetime = lifetime
@@ -132,6 +232,7 @@
         # The store may have held the call (long poll), so that the reading is
         # as recent as its answer.
         now_s = time.monotonic()
+        self.peer_revision = ""
         self._raw.config_read_s = now_s
         self.confirm_config(now_s)
         value = reading.values().get(rows.CONFIG_KEY)
@@ -140,6 +241,7 @@
 
     def on_servers_read(self, reading: followers.Reading) -> None:
         """Apply a reading of the servers' entries."""
+        self.peer_revision = ""
         self._raw.servers_read_s = reading.called_s
         self.apply_servers(
             reading.values(),
@@ -150,6 +252,7 @@
 
     def on_suspects_read(self, reading: followers.Reading) -> None:
         """Apply a reading of the nodes' crash counts."""
+        self.peer_revision = ""
         for lifetime, value in reading.values().items():
             if lifetime == self._lifetime:
                 continue
@@ -178,7 +281,7 @@
         if previous is not None and table.version < previous:
             return
         self._raw.config = value
-        self._raw.mark_changed()
+        self._raw.mark_changed(Content.CONFIG)
         shared.table = table
         metrics.set_gauge(metrics.CONFIG_VERSION, {}, float(table.version))
         events.log(
@@ -227,9 +330,8 @@
                 continue
             decoded.append(result.ok)
             content[server_id] = result.ok._replace(sequence=0)
-        if content != self._entry_content:
-            self._entry_content = content
-            self._raw.mark_changed()
+        self._raw.after_outage = after_outage
+        self._mark_changed_entries(content)
         directory = self._shared.directory
         if is_snapshot:
             changes = directory.replace_all(decoded, now_s, after_outage)
@@ -246,6 +348,20 @@
                 changes.append(directory.remove(server_id, now_s, after_outage))
         self._record_changes(changes, confirmed_s)
 
+    def _mark_changed_entries(
+        self, content: dict[str, types.BackendServer | bytes]
+    ) -> None:
+        known, self._entry_content = self._entry_content, content
+        for server_id in known.keys() | content.keys():
+            if known.get(server_id) != content.get(server_id):
+                self._raw.mark_changed(Content.SERVER, server_id)
+
+    def set_nodes(self, nodes: dict[str, str]) -> None:
+        """Record the known nodes, to serve them to peers."""
+        if nodes != self._raw.nodes:
+            self._raw.nodes = nodes
+            self._raw.mark_changed(Content.NODES)
+
     def merge_suspects(self, lifetime: str, counts: dict[str, int]) -> None:
         """Merge the crash counts of one lifetime of another node."""
         if self._raw.suspects.get(lifetime, {}) == counts:
@@ -253,37 +369,65 @@
         self._raw.suspects[lifetime] = counts
         while len(self._raw.suspects) > MAX_LIFETIMES:
             self._raw.suspects.pop(next(iter(self._raw.suspects)))
-        self._raw.mark_changed()
+        self._raw.mark_changed(Content.SUSPECTS, lifetime)
         now_s = time.monotonic()
         for fingerprint, count in counts.items():
             self._shared.suspects.merge(fingerprint, lifetime, count, now_s)
 
-    def apply_peer_state(self, state: PeerState) -> None:
-        """Apply the state of a peer that the store has confirmed recently."""
+    def apply_peer_state(self, state: PeerState, received_s: float) -> None:
+        """Apply the state of a peer that the store has confirmed recently.
+
+        Args:
+            state: The state; its ages include the duration of the request.
+            received_s: Monotonic time at which it was received.
+        """
         for lifetime, counts in (state.suspects or {}).items():
             self.merge_suspects(lifetime, counts)
-        now_s = time.monotonic()
-        servers_confirmed_s = now_s - state.servers_age_s
+        if state.nodes is not None:
+            self.set_nodes(state.nodes)
+            if self._deliver_nodes is not None:
+                self._deliver_nodes(state.nodes)
+        has_config = self._apply_peer_config(state, received_s)
+        has_servers = self._apply_peer_servers(state, received_s)
+        # Content that was not applied has to be requested again.
+        self.peer_revision = (
+            state.revision if has_config and has_servers else ""
+        )
+
+    def _apply_peer_config(self, state: PeerState, received_s: float) -> bool:
+        """Apply a peer's configuration; returns whether this node has it."""
         # A peer that has no configuration yet returns an empty one.
-        if state.config_age_s < intervals.FRESH_S and state.config != "":
-            self.confirm_config(now_s - state.config_age_s)
-            if state.config is not None:
-                self.apply_config(base64.b64decode(state.config), "peer")
+        if state.config_age_s >= intervals.FRESH_S or state.config == "":
+            return state.config is None
+        self.confirm_config(received_s - state.config_age_s)
+        if state.config is not None:
+            self.apply_config(base64.b64decode(state.config), "peer")
+        return True
+
+    def _apply_peer_servers(self, state: PeerState, received_s: float) -> bool:
+        """Apply a peer's server entries; returns whether this node has them."""
+        confirmed_s = received_s - state.servers_age_s
         if state.servers_age_s >= intervals.FRESH_S:
-            return
-        if servers_confirmed_s <= self._raw.servers_confirmed_s:
+            return state.servers is None
+        if state.servers is None:
+            self._record_changes(
+                [], max(confirmed_s, self._raw.servers_confirmed_s)
+            )
+            return True
+        if confirmed_s <= self._raw.servers_confirmed_s:
             # This node's entries are newer; the older ones would add servers
             # back that have left since.
-            return
-        if state.servers is None:
-            self._record_changes([], servers_confirmed_s)
-            return
+            return False
         self.apply_servers(
-            {k: base64.b64decode(v) for k, v in state.servers.items()},
-            True,
-            servers_confirmed_s,
-            False,
+            {
+                key: None if value is None else base64.b64decode(value)
+                for key, value in state.servers.items()
+            },
+            state.is_complete,
+            confirmed_s,
+            state.after_outage,
         )
+        return True
 
     def expire(self) -> None:
         """Drop expired entries."""
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -77,7 +77,12 @@
             self._pool,
             self._clock.now_s,
         )
-        self._applier = feeds.Applier(self.shared, self._raw, self._lifetime)
+        self._applier = feeds.Applier(
+            self.shared,
+            self._raw,
+            self._lifetime,
+            lambda nodes: self._node_presence.set_nodes(nodes),
+        )
         self._callers = caller_server.CallerServer(self.shared)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._request_stop)
@@ -118,6 +123,7 @@
             settings.failure_domain,
             str(settings.peers or ""),
             tuple(str(seed) for seed in settings.seeds),
+            store_followers.on_loop(loop, self._applier.set_nodes),
         )
         poll_intervals = intervals.from_bounds(
             settings.drain_s, settings.config_s, settings.settle_s
@@ -164,7 +170,9 @@
             lambda: self._own_suspects,
             self._clock,
             followers,
+            lambda: self._applier.peer_revision,
             store_followers.on_loop(loop, self._applier.apply_peer_state),
+            node_presence.first_read,
         )
         self._duty_runner = self._create_duty_runner(
             store, node_presence, relay
@@ -286,7 +294,7 @@
         self._applier.merge_suspects(request.lifetime, request.suspects)
         self._clock_samples.record(request.lifetime, request.clock_offset_s)
         state = msgspec.structs.replace(
-            self._raw.state(request.revision),
+            self._raw.state(request.revision, request.accepts_changes),
             store_s=self._clock.store_s(),
             utc_offset_s=self._clock.utc_offset_s,
         )
--- a/src/bilberryturn/edge/presence.py
+++ b/src/bilberryturn/edge/presence.py
@@ -1,5 +1,6 @@
 """Discover the nodes through rows in the platform's store."""
 
+from collections.abc import Callable
 import threading
 
 from bilberryturn.platform import rows
@@ -18,6 +19,7 @@
         failure_domain: str,
         address: str,
         seeds: tuple[str, ...],
+        deliver: Callable[[dict[str, str]], None] | None = None,
     ):
         """Initialize the presence of this node.
 
@@ -27,6 +29,7 @@
             failure_domain: Failure domain of this node.
             address: HOST:PORT at which peers reach this node.
             seeds: Peers from the settings; they may no longer exist.
+            deliver: Receives the addresses of the nodes as read, by key.
         """
         self._store = store
         self._key = f"{NODE_PREFIX}{failure_domain}.{name}"
@@ -35,25 +38,38 @@
         self._nodes: dict[str, str] = {}
         self._lock = threading.Lock()
         self._is_written = False
+        self._deliver = deliver
+        # Set after the first attempt to read the nodes.
+        self.first_read = threading.Event()
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the peers from the settings."""
         self._seeds = seeds
 
-    def refresh(self) -> None:
-        """Write this node's row unless it is written; read all rows."""
+    def register(self) -> None:
+        """Write this node's row unless it is written."""
         if not self._is_written:
             result = self._store.transact({}, {self._key: self.own_address})
             self._is_written = result.is_ok()
+
+    def read(self) -> None:
+        """Read the rows of all nodes."""
         result = self._store.scan(NODE_PREFIX)
-        if result.is_error():
-            return
-        with self._lock:
-            self._nodes = {
+        if result.is_ok():
+            nodes = {
                 row.key: row.value
                 for row in result.ok
                 if isinstance(row.value, str)
             }
+            self.set_nodes(nodes)
+            if self._deliver is not None:
+                self._deliver(nodes)
+        self.first_read.set()
+
+    def set_nodes(self, nodes: dict[str, str]) -> None:
+        """Replace the known nodes, as read by this node or a peer."""
+        with self._lock:
+            self._nodes = nodes
 
     def domain_peers(self) -> list[str]:
         """Return the addresses of the nodes of this failure domain."""
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -25,7 +25,14 @@
 from bilberryturn.platform import http
 
 # Nodes that one relay serves.
-NODES_PER_RELAY = 16
+NODES_PER_RELAY = 48
+# A starting node that does not know its peers yet reads the store itself after
+# this time.
+MAX_PEER_WAIT_S = 2.0
+# After that, a relay that has started at the same time is given this time to
+# read the store, and is polled at this interval.
+RELAY_START_WAIT_S = 1.0
+START_POLL_INTERVAL_S = 0.2
 # A node that did not answer is skipped for this time. A killed node restarts in
 # about the same time, after which all nodes agree on the relay again.
 UNREACHABLE_BACKOFF_S = 5.0
@@ -50,6 +57,8 @@
         suspects: The node's crash counts, by fingerprint.
         clock_offset_s: The VM's time of day minus the store's clock; None if
             unknown.
+        accepts_changes: Whether the node accepts the changes since its
+            revision in place of the whole content.
     """
 
     lifetime: str
@@ -57,6 +66,7 @@
     usage: dict[int, shared_state.WindowCounts]
     suspects: dict[str, int]
     clock_offset_s: float | None = None
+    accepts_changes: bool = False
 
 
 class RelayClient:
@@ -81,7 +91,9 @@
         suspects: Callable[[], dict[str, int]],
         clock: shared_clock.SharedClock,
         followers: list[store_followers.Follower],
-        deliver: Callable[[feeds.PeerState], None],
+        revision: Callable[[], str],
+        deliver: Callable[[feeds.PeerState, float], None],
+        peers_known: threading.Event,
     ):
         """Initialize the client.
 
@@ -98,7 +110,12 @@
             suspects: Returns this node's crash counts.
             clock: Clock that takes the time from each reply.
             followers: Followers of the store's tables.
-            deliver: Receives the state from each reply.
+            revision: Returns the revision of a peer whose content this node
+                has; "" if none.
+            deliver: Receives the state from each reply and the monotonic time
+                at which it was received.
+            peers_known: Set once the addresses of other nodes have been read
+                or cannot be read.
         """
         self._lifetime = lifetime
         self._address = address
@@ -111,20 +128,23 @@
         self._suspects = suspects
         self._clock = clock
         self._followers = followers
+        self._known_revision = revision
         self._deliver = deliver
+        self._peers_known = peers_known
         self._unreachable_until_s: dict[str, float] = {}
         self._clients: dict[str, http.HttpClient] = {}
-        # Address of the relay that last served this node, and the revision that
-        # it returned; empty while this node reads the store itself.
+        # Address of the relay that last served this node; empty while this
+        # node reads the store itself.
         self._relay = ""
-        self._revision = ""
-        # Until this time a call of this node's own followers may still return
-        # a reading.
-        self._own_readings_until_s = 0.0
-        self.reads_store = True
+        self.reads_store = False
+        self._start_wait_until_s = 0.0
+        for follower in followers:
+            follower.active.clear()
 
     def run(self, stopping: threading.Event) -> None:
         """Poll until the node stops."""
+        self._peers_known.wait(MAX_PEER_WAIT_S)
+        self._start_wait_until_s = time.monotonic() + RELAY_START_WAIT_S
         while not stopping.is_set():
             try:
                 self._step()
@@ -136,12 +156,22 @@
                     job="relays",
                     error=f"{type(error).__name__}: {error}",
                 )
-            jitter = random.uniform(-1.0, 1.0) * intervals.RELAY_POLL_JITTER
-            stopping.wait(self._intervals.relay_poll_s * (1 + jitter))
+            stopping.wait(self._pause_s())
+
+    def _pause_s(self) -> float:
+        if not self._relay and self._waits_for_relay():
+            return START_POLL_INTERVAL_S
+        jitter = random.uniform(-1.0, 1.0) * intervals.RELAY_POLL_JITTER
+        return self._intervals.relay_poll_s * (1 + jitter)
+
+    def _waits_for_relay(self) -> bool:
+        """Return whether a relay may not have read the store yet."""
+        return time.monotonic() < self._start_wait_until_s
 
     def _step(self) -> None:
         has_relay = False
-        for address in self._candidates():
+        addresses = self._candidates()
+        for address in addresses:
             has_relay = self._query(address)
             if has_relay:
                 break
@@ -149,6 +179,13 @@
                 # The request may have timed out, and the next one may as well;
                 # read the store in the meantime.
                 self._set_reads_store(True)
+        if (
+            addresses
+            and not has_relay
+            and not self.reads_store
+            and self._waits_for_relay()
+        ):
+            return
         self._set_reads_store(not has_relay)
         if not has_relay and self._is_store_unreachable():
             self._query_any_peers()
@@ -165,10 +202,7 @@
     def _set_reads_store(self, reads_store: bool) -> None:
         self.reads_store = reads_store
         if reads_store:
-            self._relay = self._revision = ""
-            self._own_readings_until_s = (
-                time.monotonic() + store_followers.CALL_TIMEOUT_S
-            )
+            self._relay = ""
         for follower in self._followers:
             if reads_store:
                 follower.active.set()
@@ -205,10 +239,11 @@
             )
         request = StateRequest(
             self._lifetime,
-            self._revision if address == self._relay else "",
+            self._known_revision(),
             self._usage(),
             self._suspects(),
             self._clock.local_offset_s(),
+            accepts_changes=True,
         )
         sent_s = time.monotonic()
         sent_boottime_s = leases.boottime_s()
@@ -226,7 +261,8 @@
             events.log(events.FRAME_REFUSED, member=address, problem=str(error))
             return False
         self._record_time(state, sent_boottime_s)
-        state = _with_elapsed(state, time.monotonic() - sent_s)
+        received_s = time.monotonic()
+        state = _with_elapsed(state, received_s - sent_s)
         is_current = self._is_current(state)
         if is_current and address != self._relay:
             events.log(
@@ -237,8 +273,7 @@
             )
         if is_current:
             self._relay = address
-            self._revision = self._next_revision(state)
-        self._deliver(state)
+        self._deliver(state, received_s)
         return is_current
 
     def _record_time(self, state: feeds.PeerState, sent_s: float) -> None:
@@ -249,18 +284,6 @@
         if state.utc_offset_s is not None:
             self._clock.set_utc_offset(state.utc_offset_s)
 
-    def _next_revision(self, state: feeds.PeerState) -> str:
-        """Return the revision for the next request; "" requests all content.
-
-        Content that may be older than this node's own readings is not applied.
-        It must be requested again until the relay has read the store later
-        than this node.
-        """
-        confirmed_s = time.monotonic() - state.servers_age_s
-        return (
-            state.revision if confirmed_s > self._own_readings_until_s else ""
-        )
-
     def _is_current(self, state: feeds.PeerState) -> bool:
         """Return whether a relay has recently read the store itself.
 
