Make fewer calls to the store from each relay

Cause: after one relay serves a failure domain, its own rate decides: 3.5 calls a second, and the lease holder reads the lease before each renewal.

Change: crash counts are followed by a long poll; usage of the current window is written each 2 s at most (1 s on small deployments), ended windows at once; only the relays of two failure domains look at the lease each 1.5 s; a renewal checks the row that the holder wrote last instead of reading it.

--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -493,6 +493,6 @@
 def then_crash_known(context):
     times = context.times
     known_s = (
-        duties.WRITE_INTERVAL_S + duties.STEP_INTERVAL_S + times.suspect_poll_s
+        duties.WRITE_INTERVAL_S + duties.STEP_INTERVAL_S + times.suspect_wait_s
     )
     assert known_s + 2 * times.max_relay_poll_s < context.bounds[2], known_s
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -284,7 +284,7 @@
         )  # fmt: skip
         lease = leases.Lease("duties", f"n{number}", LEASE, store)
         duty_runner = duties.DutyRunner(
-            lease, LEASE.ttl_s, node_presence, lambda: None, None, None, True,
+            lease, LEASE.ttl_s, node_presence, lambda _: None, None, None, True,
             lambda: relay.reads_store, clock, None,
         )  # fmt: skip
         self.stopping = threading.Event()
--- a/features/steps/usage_window_steps.py
+++ b/features/steps/usage_window_steps.py
@@ -237,7 +237,7 @@
     usage.count("a", START_S)
     count_writer = usage_windows.CountWriter(context.rows, WINDOW_S)
 
-    def write():
+    def write(is_last):
         count_writer.update_usage("h@1", usage.snapshot(START_S))
         count_writer.write(START_S)
 
@@ -260,6 +260,12 @@
     def read(self):
         self.first_read.set()
 
+    def count(self):
+        return 1
+
+    def domain_rank(self, purpose):
+        return 0
+
 
 @behave.when("its node begins to stop")
 def when_stops(context):
@@ -400,6 +406,6 @@
 def _make_duty_runner(name, table, clock):
     lease = leases.Lease("duties", name, LEASE, table, clock)
     return duties.DutyRunner(
-        lease, LEASE.ttl_s, None, None, None, None, False,
+        lease, LEASE.ttl_s, _NoPeers(), None, None, None, False,
         lambda: True, shared_clock.SharedClock(), None, clock,
     )  # fmt: skip
--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -16,14 +16,15 @@
 # A duty's call must end before the holder's lease expires.
 DUTY_CALL_TIMEOUT_S = 0.9
 # Interval at which a node that reads the store for others checks who holds the
-# lease.
+# lease, in the failure domains that rank first for it and in the others.
 LEASE_CHECK_INTERVAL_S = 1.5
+LATE_LEASE_CHECK_INTERVAL_S = 4.5
+FIRST_LEASE_DOMAINS = 2
 # The other nodes check rarely, so that the number of calls does not grow with
 # the fleet; a node that loses its relay reads the store and checks.
 MAX_LEASE_CHECK_INTERVAL_S = 30.0
 STEP_INTERVAL_S = 0.5
-# Interval at which counts are written; a node that crashes loses the counts
-# made since its last write.
+# Interval at which counts are written, if there are any to write.
 WRITE_INTERVAL_S = 1.0
 # Nodes that join or leave are discovered within this interval; crashed nodes
 # are detected sooner, when a request to them fails.
@@ -46,7 +47,7 @@
         lease: leases.Lease,
         lease_s: float,
         node_presence: presence.Presence,
-        write: Callable[[], None],
+        write: Callable[[bool], None],
         reporter: usage_windows.Reporter | None,
         server_orders: orders.OrderSender | None,
         is_first_start: bool,
@@ -62,7 +63,8 @@
             lease_s: Duration of the lease in seconds, within which the actions
                 of two holders must not interleave.
             node_presence: Registers this node and discovers the others.
-            write: Writes the counts of this node and of those that poll it.
+            write: Writes the counts of this node and of those that poll it;
+                its argument tells whether this is the last time.
             reporter: Reports usage; None if that is not a duty here.
             server_orders: Orders servers; None if that is not a duty here.
             is_first_start: Whether no node has run before.
@@ -121,7 +123,7 @@
                     error=f"{type(error).__name__}: {error}",
                 )
             stopping.wait(STEP_INTERVAL_S)
-        self._write()
+        self._write(True)
         self._lease.release()
 
     def _step(self) -> None:
@@ -129,7 +131,7 @@
         self._update_presence(now_s)
         if now_s >= self._next_write_s and self._reads_store():
             self._next_write_s = now_s + WRITE_INTERVAL_S
-            self._write()
+            self._write(False)
         if self._is_handing_over:
             self._lease.release()
             return
@@ -207,7 +209,10 @@
         # node has acquired the lease.
         if is_held or self._lease.epoch:
             return self._lease.renew_interval_s
-        return LEASE_CHECK_INTERVAL_S
+        rank = self._node_presence.domain_rank(self._lease.name)
+        if rank < FIRST_LEASE_DOMAINS:
+            return LEASE_CHECK_INTERVAL_S
+        return LATE_LEASE_CHECK_INTERVAL_S
 
     def _is_lease_check_due(self, now_s: float) -> bool:
         if now_s >= self._forced_lease_check_s:
--- a/src/bilberryturn/edge/intervals.py
+++ b/src/bilberryturn/edge/intervals.py
@@ -20,8 +20,9 @@
 # Share of the shorter of both bounds.
 RELAY_POLL_SHARE = 0.2
 # Share of the time within which all nodes must know a request that crashes its
-# servers. The rest is left for two polls of a relay and one write of the count.
-SUSPECT_POLL_SHARE = 0.3
+# servers: the longest wait of a long poll for the crash counts. The rest is
+# left for two polls of a relay and one write of the count.
+SUSPECT_WAIT_SHARE = 0.3
 # The interval between polls varies by this share in both directions, so that
 # nodes that start together do not poll together.
 RELAY_POLL_JITTER = 0.2
@@ -43,7 +44,8 @@
         server_poll_s: Pause between readings of the servers' entries.
         servers_max_age_s: Age of a relay's reading of the entries from which
             the relay is skipped as stale.
-        suspect_poll_s: Pause between readings of the crash counts.
+        suspect_wait_s: Longest time for which the store holds a call until
+            a crash count changes (long poll).
         relay_poll_s: Mean pause between polls of a relay.
         relay_timeout_s: Timeout of a request to a relay.
     """
@@ -52,7 +54,7 @@
     config_max_age_s: float
     server_poll_s: float
     servers_max_age_s: float
-    suspect_poll_s: float
+    suspect_wait_s: float
     relay_poll_s: float
     relay_timeout_s: float
 
@@ -78,7 +80,7 @@
         CONFIG_MAX_AGE_SHARE * config_s,
         SERVER_POLL_SHARE * drain_s,
         SERVERS_MAX_AGE_SHARE * drain_s,
-        SUSPECT_POLL_SHARE * settle_s,
+        SUSPECT_WAIT_SHARE * settle_s,
         relay_poll_s,
         min(relay_poll_s, MAX_RELAY_TIMEOUT_S),
     )
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -152,8 +152,8 @@
                 ),
                 (
                     rows.SUSPECT_TABLE,
+                    poll_intervals.suspect_wait_s,
                     0.0,
-                    poll_intervals.suspect_poll_s,
                     self._applier.on_suspects_read,
                 ),
             )
@@ -259,11 +259,16 @@
 
     # Counts.
 
-    def _write_counts(self) -> None:
+    def _write_counts(self, is_last: bool) -> None:
         """Write the counts of this node and of the nodes that poll it."""
         self._count_writer.update_usage(self._lifetime, self._usage_snapshot())
         self._count_writer.update_suspects(self._lifetime, self._own_suspects)
-        self._count_writer.write(self._clock.now_s())
+        usage_interval_s = 0.0
+        if not is_last:
+            usage_interval_s = usage_windows.write_interval_s(
+                self._node_presence.count()
+            )
+        self._count_writer.write(self._clock.now_s(), usage_interval_s)
 
     def _usage_snapshot(self) -> dict[int, shared_state.WindowCounts]:
         return self.shared.usage.snapshot(self._clock.now_s())
--- a/src/bilberryturn/edge/presence.py
+++ b/src/bilberryturn/edge/presence.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import threading
 
+from bilberryturn import rendezvous
 from bilberryturn.platform import rows
 
 # Key prefix of the nodes' rows in the system's own tables.
@@ -73,12 +74,12 @@
 
     def domain_peers(self) -> list[str]:
         """Return the addresses of the nodes of this failure domain."""
-        prefix = self._key.rpartition(".")[0] + "."
+        own = _domain_of(self._key)
         with self._lock:
             return [
                 peer_address
                 for key, peer_address in self._nodes.items()
-                if key.startswith(prefix)
+                if _domain_of(key) == own
             ]
 
     def peers(self) -> list[str]:
@@ -87,7 +88,22 @@
             found = set(self._nodes.values())
         return sorted((found | set(self._seeds)) - {self.own_address})
 
+    def domain_rank(self, purpose: str) -> int:
+        """Return the rank of this failure domain for a purpose; 0 is first.
+
+        All nodes that know each other compute the same ranks.
+        """
+        own = _domain_of(self._key)
+        with self._lock:
+            domains = {_domain_of(key) for key in self._nodes} | {own}
+        return rendezvous.rank(domains, purpose).index(own)
+
     def count(self) -> int:
         """Return how many nodes are known, this one included."""
         with self._lock:
             return max(1, len(self._nodes))
+
+
+def _domain_of(key: str) -> str:
+    """Return the failure domain of a node's row."""
+    return key.removeprefix(NODE_PREFIX).rpartition(".")[0]
--- a/src/bilberryturn/edge/usage_windows.py
+++ b/src/bilberryturn/edge/usage_windows.py
@@ -32,6 +32,12 @@
 # Without faults all nodes have sent their counts to their relay (0.5 s) and the
 # relay has written them (1 s) by then.
 SUM_DELAY_S = 2.5
+# Longest interval at which usage is written, and the interval per known node.
+# A relay that crashes loses its own counts since its last write: one node's
+# counts of that time are at most a fortieth of those of a window, half of the
+# tolerance of a report.
+MAX_WRITE_INTERVAL_S = 2.0
+WRITE_INTERVAL_PER_NODE_S = 0.125
 # Past windows that a new holder checks.
 LOOKBACK_WINDOWS = 3
 
@@ -50,6 +56,11 @@
     counts: dict[str, int]
 
 
+def write_interval_s(node_count: int) -> float:
+    """Return the interval at which a relay of a deployment writes usage."""
+    return min(MAX_WRITE_INTERVAL_S, WRITE_INTERVAL_PER_NODE_S * node_count)
+
+
 def window_key(window: int) -> str:
     """Return the number of a window as a key that sorts by time."""
     return f"{window:012d}"
@@ -78,6 +89,7 @@
         self._lock = threading.Lock()
         self._counts: dict[str, shared_state.WindowCounts | dict[str, int]] = {}
         self._dirty: set[str] = set()
+        self._usage_written_s = -float("inf")
 
     def update_usage(self, lifetime: str, counts: CountsByWindow) -> None:
         """Update the usage totals of one lifetime of a node."""
@@ -96,14 +108,27 @@
                 self._counts[key] = counts
                 self._dirty.add(key)
 
-    def write(self, now_s: float) -> None:
-        """Write the rows that changed; failed writes are retried next time."""
+    def write(self, now_s: float, usage_interval_s: float = 0.0) -> None:
+        """Write the rows that changed; failed writes are retried next time.
+
+        Args:
+            now_s: Present time of day.
+            usage_interval_s: Usage of the current window is not written again
+                within this time; ended windows and crash counts always are.
+        """
+        includes_all = abs(now_s - self._usage_written_s) >= usage_interval_s
         with self._lock:
             self._evict_old_windows(now_s)
-            keys = sorted(self._dirty)[:MAX_ROWS_PER_WRITE]
+            keys = [
+                key
+                for key in sorted(self._dirty)
+                if includes_all or _is_final(self._counts[key])
+            ][:MAX_ROWS_PER_WRITE]
             writes = {key: self._counts[key] for key in keys}
         if not writes:
             return
+        if includes_all:
+            self._usage_written_s = now_s
         result = self._store.transact({}, writes)
         if result.is_error():
             events.log(
@@ -126,6 +151,13 @@
                 self._dirty.discard(key)
 
 
+def _is_final(counts: shared_state.WindowCounts | dict[str, int]) -> bool:
+    """Return whether counts are written without delay."""
+    if isinstance(counts, shared_state.WindowCounts):
+        return counts.is_sealed
+    return True
+
+
 class Reporter:
     """Closes windows and reports them while the lease is held."""
 
--- a/src/bilberryturn/leases/lease.py
+++ b/src/bilberryturn/leases/lease.py
@@ -64,6 +64,8 @@
         self._held = False
         self._observed_version = -1
         self._observed_s = 0.0
+        # The row as this holder last wrote it; None if that is not certain.
+        self._own_row: tables.Row | None = None
         self._lock = threading.Lock()
 
     @property
@@ -85,15 +87,22 @@
             sent_s = self._clock()
             if self._held and sent_s >= self._valid_until_s:
                 self._lose("not renewed in time")
-            result = self._table.read(self._key)
-            if result.is_ok():
-                self._handle_row(result.ok, sent_s)
+            if self._held and self._own_row is not None:
+                self._renew(self._own_row, sent_s)
+            else:
+                self._check_row(sent_s)
             held = self.is_held()
             metrics.set_gauge(
                 metrics.LEASE_HELD, {"lease": self.name}, float(held)
             )
             return held
 
+    def _check_row(self, sent_s: float) -> None:
+        """Read the row and renew, resume or acquire the lease accordingly."""
+        result = self._table.read(self._key)
+        if result.is_ok():
+            self._handle_row(result.ok, sent_s)
+
     def _handle_row(self, row: tables.Row, sent_s: float) -> None:
         value = row.value or {}
         if self._held:
@@ -122,8 +131,10 @@
         """Write the next renewal.
 
         A lost answer need not be resolved here: the validity is not extended
-        until the next renewal is confirmed.
+        until the next renewal is confirmed. After a failure the next renewal
+        begins by reading the row.
         """
+        self._own_row = None
         value = {
             "holder": self._holder,
             "epoch": self.epoch,
@@ -134,6 +145,9 @@
         )
         if result.is_ok() and isinstance(result.ok, tables.Committed):
             self._valid_until_s = self._validity_end_s(sent_s)
+            self._own_row = tables.Row(
+                self._key, result.ok.versions[self._key], value
+            )
 
     def _validity_end_s(self, sent_s: float) -> float:
         return sent_s + self._options.ttl_s - self._options.margin_s
@@ -205,6 +219,7 @@
 
     def _lose(self, reason: str) -> None:
         self._held = False
+        self._own_row = None
         self._valid_until_s = 0.0
         self._observed_version = -1
         events.log(
