Bound what servers and callers may send; mend how answers end

Cause, each shown by a scenario of operators.feature that failed first: an event without end was kept and searched whole on each read (16 MB took seconds in the loop that serves all callers); any number of informational responses was read; a caller could send without end during its request; a late copy of an answer cost the next request its attempt, and a late copy that said "not run" counted as the answer; a stop closed a connection with half a head and did not wait for it; an answer that broke off looked complete to an HTTP/1.0 caller, as its channel was closed without a reset; an error while a reading was applied ended its thread; a store that states an older version than before was not read again.

Ruled out by scenarios that passed: heads, chunk extensions and trailers without end (h11 bounds them), bytes after an answer, slow and stalled streams, answers cut in each framing for HTTP/1.1.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -438,6 +438,78 @@
         "relays",
         "A node has what its relay has",
     ),
+    Mutant(
+        "an event may have any size",
+        (
+            (
+                "gateway/response_limits.py",
+                "MAX_EVENT_BYTES = 1024 * 1024",
+                "MAX_EVENT_BYTES = 1 << 40",
+            ),
+        ),
+        "operators",
+        "A server sends an event without end",
+    ),
+    Mutant(
+        "any number of informational responses is read",
+        (
+            (
+                "gateway/response_limits.py",
+                "MAX_INFORMATIONAL_RESPONSES = 8",
+                "MAX_INFORMATIONAL_RESPONSES = 1 << 40",
+            ),
+        ),
+        "operators",
+        "A server sends informational responses",
+    ),
+    Mutant(
+        "a broken answer to an HTTP/1.0 caller ends like a complete one",
+        (
+            (
+                "gateway/server.py",
+                'if self._parser.their_http_version == b"1.0":',
+                "if False:",
+            ),
+        ),
+        "operators",
+        "cut after the last event is no complete success for an HTTP/1.0",
+    ),
+    Mutant(
+        "a stop closes a connection with half a head",
+        (
+            (
+                "gateway/server.py",
+                "            or self._has_partial_head\n",
+                "",
+            ),
+        ),
+        "operators",
+        "A stop finds a request in a head half received",
+    ),
+    Mutant(
+        "an error in a follower ends its thread",
+        (
+            (
+                "edge/followers.py",
+                "except Exception as error:",
+                "except KeyError as error:",
+            ),
+        ),
+        "operators",
+        "An error while a reading",
+    ),
+    Mutant(
+        "a late copy of an answer ends the next attempt",
+        (
+            (
+                "gateway/attempts.py",
+                "if self._connection.is_reused and is_late_copy:",
+                "if False:",
+            ),
+        ),
+        "operators",
+        "A second copy of an answer comes with",
+    ),
     Mutant(
         "accounts are ordered by name instead of usage",
         (
--- a/features/support/gateway_rig.py
+++ b/features/support/gateway_rig.py
@@ -163,6 +163,8 @@
             buffer += data
         head, _, rest = buffer.partition(b"\r\n\r\n")
         text = head.decode("latin-1")
+        if text.startswith("HTTP/1.1 100"):
+            raise AssertionError("an informational response was forwarded")
         if (scripted.header(text, "transfer-encoding") or "") == "chunked":
             return _read_chunks(connection, text, rest)
         length = int(scripted.header(text, "content-length") or 0)
--- a/src/bilberryturn/edge/followers.py
+++ b/src/bilberryturn/edge/followers.py
@@ -129,11 +129,25 @@
         while not stopping.is_set():
             if not self.active.wait(ACTIVE_CHECK_INTERVAL_S):
                 continue
+            stopping.wait(self._run_step())
+
+    def _run_step(self) -> float:
+        """Make one call; returns the pause until the next one in seconds."""
+        try:
             result = self._step()
-            pause_s = self._pause_s
-            if result.is_error():
-                pause_s = self._handle_failure(result.error)
-            stopping.wait(pause_s)
+        except Exception as error:
+            # A response that cannot be processed must not end the thread. The
+            # next call reads all rows.
+            events.log(
+                events.JOB_FAILED,
+                job=f"store/{self._table}",
+                error=f"{type(error).__name__}: {error}",
+            )
+            self._since = None
+            return MAX_BACKOFF_S
+        if result.is_error():
+            return self._handle_failure(result.error)
+        return self._pause_s
 
     def _step(self) -> expression.Result:
         is_snapshot = self._since is None
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -312,18 +312,27 @@
     async def _tick(self) -> None:
         next_sweep_s = 0.0
         while True:
-            self._applier.expire()
-            self._own_suspects = self.shared.suspects.own_counts(
-                time.monotonic()
-            )
-            self._update_readiness()
-            self.shared.set_node_count(self._node_presence.count())
             now_s = time.monotonic()
-            if now_s >= next_sweep_s:
-                next_sweep_s = now_s + SWEEP_INTERVAL_S
-                self._sweep()
+            try:
+                self._update_state(now_s)
+                if now_s >= next_sweep_s:
+                    next_sweep_s = now_s + SWEEP_INTERVAL_S
+                    self._sweep()
+            except Exception as error:
+                # Readiness must stay up to date whatever one update meets.
+                events.log(
+                    events.JOB_FAILED,
+                    job="tick",
+                    error=f"{type(error).__name__}: {error}",
+                )
             await asyncio.sleep(TICK_INTERVAL_S)
 
+    def _update_state(self, now_s: float) -> None:
+        self._applier.expire()
+        self._own_suspects = self.shared.suspects.own_counts(now_s)
+        self._update_readiness()
+        self.shared.set_node_count(self._node_presence.count())
+
     def _sweep(self) -> None:
         """Drop idle connections and load data of servers not used any more."""
         servers = self.shared.directory.all_servers()
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -11,6 +11,7 @@
 import random
 import threading
 import time
+from typing import Annotated
 
 import msgspec
 
@@ -46,6 +47,10 @@
 MAX_FALLBACK_PEERS = 2
 
 
+# A lifetime is part of a row's key, which the store limits to 200 bytes.
+_Lifetime = Annotated[str, msgspec.Meta(max_length=100)]
+
+
 class StateRequest(msgspec.Struct):
     """Request of a node for the state of a relay; carries the node's counts.
 
@@ -61,7 +66,7 @@
             revision in place of the whole content.
     """
 
-    lifetime: str
+    lifetime: _Lifetime
     revision: str
     usage: dict[int, shared_state.WindowCounts]
     suspects: dict[str, int]
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -8,6 +8,8 @@
 
 from bilberryturn import events
 from bilberryturn.gateway import delivery
+from bilberryturn.gateway import events_stream
+from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
 from bilberryturn.platform import wire
@@ -22,8 +24,6 @@
 # Share of the remaining time after which an attempt of an idempotent request
 # times out, so that the request can be retried on another server.
 ATTEMPT_TIMEOUT_SHARE = 0.45
-# Longest body of a response that is buffered until it is complete.
-MAX_BUFFERED_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
 class RoutedRequest(NamedTuple):
@@ -179,13 +179,15 @@
 
     async def _receive(self) -> AttemptResult:
         """Read a response and return it, or forward it as a stream."""
-        event = await self._connection.next_event()
-        if not isinstance(event, h11.Response):
-            raise upstream.UpstreamError("no answer", True)
-        head = wire.read_server_response(event.status_code, list(event.headers))
+        head = await self._read_head()
+        is_late_copy = bool(head.request_id) and not self._is_own(head)
+        if self._connection.is_reused and is_late_copy:
+            # It belongs to an earlier request on this connection.
+            await self._connection.skip_response()
+            head = await self._read_head()
         if head.is_not_run:
             return NotRun(head.retry_after_s)
-        if head.request_id != self._request.incoming.headers.request_id:
+        if not self._is_own(head):
             raise upstream.UpstreamError("answer to another request", True)
         if head.is_encoded or not head.is_sealed and head.status < 300:
             raise upstream.UpstreamError("not the server's own answer", True)
@@ -199,6 +201,16 @@
         self._end_attempt(head.status < 500, head)
         return Response(head, body)
 
+    async def _read_head(self) -> wire.ServerResponse:
+        event = await self._connection.next_event()
+        if not isinstance(event, h11.Response):
+            raise upstream.UpstreamError("no answer", True)
+        return wire.read_server_response(event.status_code, list(event.headers))
+
+    def _is_own(self, head: wire.ServerResponse) -> bool:
+        """Return whether a response belongs to the request that was sent."""
+        return head.request_id == self._request.incoming.headers.request_id
+
     async def _read_body(self) -> bytes:
         chunks: list[bytes] = []
         size_bytes = 0
@@ -210,7 +222,7 @@
                 raise upstream.UpstreamError("answer cut short", True)
             chunks.append(bytes(event.data))
             size_bytes += len(event.data)
-            if size_bytes > MAX_BUFFERED_RESPONSE_BYTES:
+            if size_bytes > response_limits.MAX_BUFFERED_BODY_BYTES:
                 raise upstream.UpstreamError("answer too large", True)
 
     async def _stream(self, head: wire.ServerResponse) -> AttemptResult:
@@ -230,7 +242,10 @@
         return StreamCompleted()
 
     async def _forward(self, head: wire.ServerResponse, data: bytes) -> None:
-        has_sent_event = await self._delivery.forward(head, data)
+        try:
+            has_sent_event = await self._delivery.forward(head, data)
+        except events_stream.EventTooLargeError as error:
+            raise upstream.UpstreamError(str(error), True) from error
         if has_sent_event and self._in_flight is not None:
             self._shared.load_balancer.record_first_token(self._in_flight)
 
--- /dev/null
+++ b/src/bilberryturn/gateway/response_limits.py
@@ -0,0 +1,15 @@
+"""Bounds on what a backend server may send in response to one request.
+
+A faulty server may send bytes without end. At each bound the connection is
+closed and the attempt counts as a failure of the server.
+"""
+
+# Status line and headers, and likewise each chunk header and the trailers.
+MAX_HEAD_BYTES = 64 * 1024
+# Informational responses (1xx) before the final one.
+MAX_INFORMATIONAL_RESPONSES = 8
+# One event of a stream.
+MAX_EVENT_BYTES = 1024 * 1024
+# Body of a response that is buffered until it is complete. Eight such responses
+# fit into the memory of a small node.
+MAX_BUFFERED_BODY_BYTES = 4 * 1024 * 1024
--- a/src/bilberryturn/gateway/server.py
+++ b/src/bilberryturn/gateway/server.py
@@ -1,6 +1,8 @@
 """Serve callers' connections over HTTP/1.1 on one event loop."""
 
 import asyncio
+import socket
+import struct
 import time
 
 import h11
@@ -16,6 +18,9 @@
 BACKLOG = 512
 # Data buffered for a caller that reads slowly, before its stream is paused.
 WRITE_BUFFER_BYTES = 65536
+# Data accepted from a caller while its request is processed, such as further
+# requests. Beyond that the connection is not read until the request has ended.
+MAX_EARLY_BYTES = 65536
 
 
 class CallerServer:
@@ -76,11 +81,17 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._arrived_s = 0.0
+        self._early_bytes = 0
+        self._has_partial_head = False
 
     @property
     def is_busy(self) -> bool:
         """Return whether a request is being read or processed."""
-        return self._task is not None or self._request is not None
+        return (
+            self._task is not None
+            or self._request is not None
+            or self._has_partial_head
+        )
 
     # Callbacks of asyncio.Protocol.
 
@@ -114,9 +125,17 @@
     def data_received(self, data: bytes) -> None:
         """Parse received data."""
         if self._task is None and self._request is None:
-            self._arrived_s = time.monotonic()
-            self._set_timer(self._limits.header_timeout_s, self._refuse_slow)
+            if not self._has_partial_head:
+                self._arrived_s = time.monotonic()
+                self._set_timer(
+                    self._limits.header_timeout_s, self._refuse_slow
+                )
+            self._has_partial_head = True
         self._parser.receive_data(data)
+        if self._task is not None:
+            self._early_bytes += len(data)
+            if self._early_bytes > MAX_EARLY_BYTES:
+                self._transport.pause_reading()
         self._read_requests()
 
     # Parsing of requests.
@@ -142,6 +161,7 @@
 
     def _begin_request(self, request: h11.Request) -> None:
         self._request = request
+        self._has_partial_head = False
         self._body = []
         self._body_bytes = 0
         self._set_timer(self._limits.idle_timeout_s, self._refuse_slow)
@@ -196,6 +216,9 @@
     def _finish_request(self) -> None:
         self._task = None
         self._request = None
+        if self._early_bytes > MAX_EARLY_BYTES and not self._is_closed():
+            self._transport.resume_reading()
+        self._early_bytes = 0
         if self._parser.our_state is h11.MUST_CLOSE or (
             self._parser.their_state is not h11.DONE
         ):
@@ -207,7 +230,12 @@
         self._parser.start_next_cycle()
         self._limits = self._server.limits()
         self._arrived_s = time.monotonic()
-        self._set_timer(self._limits.idle_timeout_s, self._idle_timeout)
+        # Part of the next request may have arrived already.
+        self._has_partial_head = bool(self._parser.trailing_data[0])
+        if self._has_partial_head:
+            self._set_timer(self._limits.header_timeout_s, self._refuse_slow)
+        else:
+            self._set_timer(self._limits.idle_timeout_s, self._idle_timeout)
         self._read_requests()
 
     # Implementation of delivery.Caller.
@@ -243,8 +271,16 @@
 
     def abort(self) -> None:
         """Close the connection so that the caller sees a truncated response."""
-        if self._transport is not None:
-            self._transport.abort()
+        if self._transport is None:
+            return
+        if self._parser.their_http_version == b"1.0":
+            # Without a length, the response to an HTTP/1.0 caller is complete
+            # when its connection is closed, unless that is reset.
+            raw_socket = self._transport.get_extra_info("socket")
+            raw_socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+        self._transport.abort()
 
     def _encode_head(self, status: int, headers: wire.Headers) -> bytes:
         if self._server.shared.is_stopping:
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -11,10 +11,10 @@
 
 import h11
 
+from bilberryturn.gateway import response_limits
 from bilberryturn.routing import types
 
 READ_BYTES = 65536
-MAX_HEAD_BYTES = 65536
 # An idle connection is reused only for this share of the server's idle timeout,
 # since the server may close it while a request is being sent.
 REUSE_SHARE = 0.5
@@ -59,12 +59,14 @@
         self._reader = reader
         self._writer = writer
         self._parser = self._new_parser()
+        self._request: list = []
         self.reuse_until_s = 0.0
 
     @staticmethod
     def _new_parser() -> h11.Connection:
         return h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+            h11.CLIENT,
+            max_incomplete_event_size=response_limits.MAX_HEAD_BYTES,
         )
 
     def send(
@@ -80,11 +82,12 @@
             UpstreamError: The request is not valid HTTP; nothing was sent.
         """
         try:
-            request = h11.Request(method=method, target=target, headers=headers)
-            encoded = [self._parser.send(request)]
-            if body:
-                encoded.append(self._parser.send(h11.Data(data=body)))
-            encoded.append(self._parser.send(h11.EndOfMessage()))
+            self._request = [
+                h11.Request(method=method, target=target, headers=headers),
+                *([h11.Data(data=body)] if body else []),
+                h11.EndOfMessage(),
+            ]
+            encoded = [self._parser.send(event) for event in self._request]
         except h11.LocalProtocolError as error:
             raise UpstreamError(f"invalid request: {error}", False) from error
         self._writer.write(b"".join(encoded))
@@ -94,14 +97,23 @@
 
         Raises:
             UpstreamError: The connection failed or the response is not valid
-                HTTP.
+                HTTP or exceeds a limit.
         """
+        informational_count = 0
         try:
             while True:
                 event = self._parser.next_event()
+                if isinstance(event, h11.InformationalResponse):
+                    informational_count += 1
+                    if (
+                        informational_count
+                        > response_limits.MAX_INFORMATIONAL_RESPONSES
+                    ):
+                        raise UpstreamError(
+                            "too many informational responses", True
+                        )
+                    continue
                 if event is not h11.NEED_DATA:
-                    if isinstance(event, h11.InformationalResponse):
-                        continue
                     return event
                 data = await self._reader.read(READ_BYTES)
                 self._parser.receive_data(data)
@@ -110,6 +122,32 @@
         except OSError as error:
             raise UpstreamError(f"connection lost: {error}", True) from error
 
+    async def skip_response(self) -> None:
+        """Read on behind a response that belongs to an earlier request.
+
+        Raises:
+            UpstreamError: The connection failed or the response is not valid
+                HTTP or exceeds a limit.
+        """
+        size_bytes = 0
+        while not isinstance(
+            event := await self.next_event(), h11.EndOfMessage
+        ):
+            if not isinstance(event, h11.Data):
+                raise UpstreamError("answer cut short", True)
+            size_bytes += len(event.data)
+            if size_bytes > response_limits.MAX_BUFFERED_BODY_BYTES:
+                raise UpstreamError("answer too large", True)
+        rest, is_closed = self._parser.trailing_data
+        self._parser = self._new_parser()
+        for event in self._request:
+            # Sets the parser's state; the request was sent already.
+            self._parser.send(event)
+        if rest:
+            self._parser.receive_data(rest)
+        if is_closed:
+            self._parser.receive_data(b"")
+
     def is_reusable(self) -> bool:
         """Return whether the response ended cleanly and nothing followed."""
         return (
--- a/src/bilberryturn/platform/http.py
+++ b/src/bilberryturn/platform/http.py
@@ -15,7 +15,18 @@
 
 from bilberryturn.platform import exceptions
 
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Larger than any response that the platform's pages allow.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+
+
+class _BoundedBuffer(io.BytesIO):
+    """Collects a response body up to MAX_RESPONSE_BYTES."""
+
+    def write(self, data: bytes) -> int:
+        """Append bytes; curl ends the transfer if none are accepted."""
+        if self.tell() + len(data) > MAX_RESPONSE_BYTES:
+            return 0
+        return super().write(data)
 
 
 def _reset_on_close(descriptor: int, purpose: int) -> int:
@@ -101,7 +112,7 @@
         if handle is None:
             handle = self._local.handle = pycurl.Curl()
         handle.reset()
-        buffer = io.BytesIO()
+        buffer = _BoundedBuffer()
         payload = raw if body is None else msgspec.json.encode(body)
         header_lines = ["Expect:", *headers]
         if body is not None:
@@ -112,8 +123,7 @@
         handle.setopt(pycurl.NOSIGNAL, 1)
         handle.setopt(pycurl.TIMEOUT_MS, self._timeout_ms)
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, self._timeout_ms)
-        handle.setopt(pycurl.WRITEDATA, buffer)
-        handle.setopt(pycurl.MAXFILESIZE, MAX_RESPONSE_BYTES)
+        handle.setopt(pycurl.WRITEFUNCTION, buffer.write)
         handle.setopt(pycurl.HTTPHEADER, header_lines)
         if self._source_address:
             handle.setopt(pycurl.INTERFACE, self._source_address)
--- a/src/bilberryturn/platform/rows.py
+++ b/src/bilberryturn/platform/rows.py
@@ -139,6 +139,9 @@
         if result.is_error():
             return expression.Error(result.error)
         page = result.ok
+        if page.ver < since:
+            # The store knows no such version; only a snapshot is certain.
+            return expression.Error(exceptions.HistoryLostError(table, since))
         return expression.Ok(
             Changes([_decode_change(row) for row in page.rows], page.ver)
         )
