--- a/src/bilberryturn_standins/engine.py
+++ b/src/bilberryturn_standins/engine.py
@@ -147,6 +147,9 @@
         """Abort all connections and refuse new ones until restarted."""
         self.crashes += 1
         self.down_until_s = time.monotonic() + self.options.restart_s
+        # Closed first, so that a caller whose connection was aborted is
+        # refused when it reconnects.
+        self.loop_thread.run(self.close_listener)
         for transport in list(self._transports):
             transport.abort()
         for stream in self._streams.values():
--- a/src/bilberryturn_standins/server.py
+++ b/src/bilberryturn_standins/server.py
@@ -1,6 +1,7 @@
 """Run aiohttp applications on one event loop in a background thread."""
 
 import asyncio
+from collections.abc import Callable
 import concurrent.futures
 import threading
 from typing import Any
@@ -28,6 +29,13 @@
         )
         return future.result(CALL_TIMEOUT_S)
 
+    def run(self, function: Callable[[], None]) -> None:
+        """Run a function on the loop: at once if called there, else soon."""
+        if threading.current_thread() is self._thread:
+            function()
+        else:
+            self.loop.call_soon_threadsafe(function)
+
     def close(self) -> None:
         """Stop the loop and wait for its thread."""
         self.loop.call_soon_threadsafe(self.loop.stop)
@@ -82,6 +90,11 @@
         await self._runner.setup()
         await self.resume_listening()
 
+    def close_listener(self) -> None:
+        """Close the listening socket at once; on the event loop only."""
+        if self._site is not None:
+            self._site._server.close()
+
     async def pause_listening(self) -> None:
         """Close the listening socket so that new connections are refused."""
         if self._site is not None:
