--- a/features/relays.feature
+++ b/features/relays.feature
@@ -41,3 +41,13 @@
     Given a stand-in of the users' store
     When 12 nodes of one failure domain start together
     Then one of them reads the servers from the store
+
+  Scenario Outline: A node whose deployment <starts> and whose relay has not read the store
+    Given a relay that has not read the store
+    When a node of a deployment that <starts> polls it once
+    Then the node <reads> the store itself
+
+    Examples:
+      | starts                     | reads         |
+      | starts for the first time  | does not read |
+      | was in use before          | reads         |
--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -77,6 +77,7 @@
             lambda: self.applier.peer_revision,
             followers.on_loop(self.loop, self.applier.apply_peer_state),
             peers_known,
+            relays.RESTART_WAITS,
         )
         self.stopping = threading.Event()
         for job in (*self.followers, self.relay):
@@ -278,7 +279,7 @@
     context.client = relays.RelayClient(
         "n1", "127.0.0.1:1", "east", "", TIMES, list, list, dict, dict,
         shared_clock.SharedClock(), [], lambda: applier.peer_revision,
-        applier.apply_peer_state, threading.Event(),
+        applier.apply_peer_state, threading.Event(), relays.RESTART_WAITS,
     )  # fmt: skip
 
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -1,6 +1,7 @@
 """Steps of relays.feature: a relay and a node that polls it."""
 
 import asyncio
+import itertools
 import json
 import random
 import socket
@@ -25,6 +26,7 @@
 from bilberryturn.platform import rows
 from bilberryturn.routing import directory
 from support import platform_data
+from support import scripted
 
 SERVERS = 600
 TIMES = intervals.from_bounds(5.0, 5.0, 5.0)
@@ -280,7 +282,7 @@
             node_presence.domain_peers, node_presence.peers, dict, dict, clock,
             [self.follower, config_follower], lambda: applier.peer_revision,
             followers.on_loop(self.loop, applier.apply_peer_state),
-            node_presence.first_read,
+            node_presence.first_read, relays.FIRST_START_WAITS,
         )  # fmt: skip
         lease = leases.Lease("duties", f"n{number}", LEASE, store)
         duty_runner = duties.DutyRunner(
@@ -334,3 +336,53 @@
 def then_one_reads(context):
     reading = [n for n in context.starting if n.has_read_store()]
     assert len(reading) == 1, len(reading)
+
+
+@behave.given("a relay that has not read the store")
+def given_unread(context):
+    unread = _Peer("relay")
+
+    def answer(peer, head, body, number):
+        reply = msgspec.json.encode(unread.raw.state("", True))
+        peer.send(f"HTTP/1.1 200 OK\r\nContent-Length: {len(reply)}\r\n\r\n")
+        peer.send(reply)
+
+    server = scripted.ScriptedServer(answer)
+    context.closers.append(server.close)
+    context.relay_address = f"127.0.0.1:{server.port}"
+
+
+@behave.when("a node of a deployment that {starts} polls it once")
+def when_polls_once(context, starts):
+    waits = {
+        "starts for the first time": relays.FIRST_START_WAITS,
+        "was in use before": relays.RESTART_WAITS,
+    }[starts]
+    # An address of the node that ranks after the relay's.
+    own = next(
+        own
+        for number in itertools.count(1)
+        if relays.candidates(
+            own := f"10.0.0.{number}:1", {context.relay_address}, "east"
+        )
+    )
+    peers_known = threading.Event()
+    peers_known.set()
+    stopping = threading.Event()
+    context.client = relays.RelayClient(
+        "n1", own, "east", "", TIMES,
+        lambda: [context.relay_address], list, dict, dict,
+        shared_clock.SharedClock(), [], str,
+        lambda *_: stopping.set(), peers_known, waits,
+    )  # fmt: skip
+    context.client.run(stopping)
+
+
+@behave.then("the node reads the store itself")
+def then_reads(context):
+    assert context.client.reads_store
+
+
+@behave.then("the node does not read the store itself")
+def then_does_not_read(context):
+    assert not context.client.reads_store
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -173,6 +173,11 @@
             lambda: self._applier.peer_revision,
             store_followers.on_loop(loop, self._applier.apply_peer_state),
             node_presence.first_read,
+            (
+                relays.FIRST_START_WAITS
+                if settings.is_first_start
+                else relays.RESTART_WAITS
+            ),
         )
         self._duty_runner = self._create_duty_runner(
             store, node_presence, relay
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -12,6 +12,7 @@
 import threading
 import time
 from typing import Annotated
+from typing import NamedTuple
 
 import msgspec
 
@@ -27,13 +28,25 @@
 
 # Nodes that one relay serves.
 NODES_PER_RELAY = 48
-# A starting node that does not know its peers yet reads the store itself after
-# this time.
-MAX_PEER_WAIT_S = 2.0
-# After that, a relay that has started at the same time is given this time to
-# read the store, and is polled at this interval.
-RELAY_START_WAIT_S = 1.0
 START_POLL_INTERVAL_S = 0.2
+
+
+class StartWaits(NamedTuple):
+    """How long a starting node leaves the reading of the store to a relay.
+
+    Attributes:
+        peers_s: Longest wait until the other nodes are known.
+        relay_s: Time after that for a relay that has started as well.
+    """
+
+    peers_s: float
+    relay_s: float
+
+
+# When a deployment starts, callers come seconds later.
+FIRST_START_WAITS = StartWaits(2.0, 1.0)
+# A node that is replaced or started again is missed by its callers.
+RESTART_WAITS = StartWaits(0.2, 0.0)
 # A node that did not answer is skipped for this time. A killed node restarts in
 # about the same time, after which all nodes agree on the relay again.
 UNREACHABLE_BACKOFF_S = 5.0
@@ -99,6 +112,7 @@
         revision: Callable[[], str],
         deliver: Callable[[feeds.PeerState, float], None],
         peers_known: threading.Event,
+        start_waits: StartWaits,
     ):
         """Initialize the client.
 
@@ -121,6 +135,7 @@
                 at which it was received.
             peers_known: Set once the addresses of other nodes have been read
                 or cannot be read.
+            start_waits: How long to wait for peers and a relay at the start.
         """
         self._lifetime = lifetime
         self._address = address
@@ -136,6 +151,7 @@
         self._known_revision = revision
         self._deliver = deliver
         self._peers_known = peers_known
+        self._start_waits = start_waits
         self._unreachable_until_s: dict[str, float] = {}
         self._clients: dict[str, http.HttpClient] = {}
         # Address of the relay that last served this node; empty while this
@@ -148,8 +164,8 @@
 
     def run(self, stopping: threading.Event) -> None:
         """Poll until the node stops."""
-        self._peers_known.wait(MAX_PEER_WAIT_S)
-        self._start_wait_until_s = time.monotonic() + RELAY_START_WAIT_S
+        self._peers_known.wait(self._start_waits.peers_s)
+        self._start_wait_until_s = time.monotonic() + self._start_waits.relay_s
         while not stopping.is_set():
             try:
                 self._step()
