Move running streams away from engines that end

Change: gateway/moves asks an engine that is about to end to stop a run and to copy its memory to another engine, and the stream goes on there behind the last event that the caller has. Engines that state no time are left 1 s before their drain time is over. A move spends from the retry budget.

Calls to the store: while it is away, a node that is no relay tries with one follower, makes no other calls, and waits 1.5 s for its relay when the store is back; the list of nodes of a relay that has just started is not taken, which made nodes forget their relay (found in the logs of a start).

--- /dev/null
+++ b/features/moves.feature
@@ -0,0 +1,32 @@
+Feature: Running streams leave engines that end
+
+  Scenario Outline: All cheap engines of a failure domain are reclaimed: an engine that <state>
+    Then the streams of an engine that <state> are moved <when>
+
+    Examples:
+      | state                                  | when               |
+      | stays                                  | never              |
+      | ends in 2 s                            | at once            |
+      | ends in 9 s                            | 6.5 s later        |
+      | drains without a time, bound of 4 s    | 3 s later          |
+      | is reported as leaving a second time   | at once            |
+
+  Scenario Outline: A stream that runs on an engine that <answer>
+    Given two engines, the first of which sends 2 events and <answer>
+    When the first engine is reported to end in 2 s
+    Then the caller of the stream sees <outcome>
+    And the second engine received <second>
+
+    Examples:
+      | answer                           | outcome              | second                         |
+      | moves the run                    | the whole stream     | the moved run behind event 2   |
+      | refuses the move and goes on     | the whole stream     | nothing                        |
+      | stops the run but has no copy    | a broken stream      | nothing                        |
+      | ends without an answer           | a broken stream      | nothing                        |
+      | moves a run that is used up      | a broken stream      | the moved run behind event 2   |
+
+  Scenario: A stream is not moved once the retries are used up
+    Given two engines, the first of which sends 2 events and refuses the move and goes on
+    When the retry budget is used up and the first engine is reported to end in 2 s
+    Then the caller of the stream sees the whole stream
+    And the first engine was not asked to move it
--- a/features/relays.feature
+++ b/features/relays.feature
@@ -51,3 +51,14 @@
       | starts                     | reads         |
       | starts for the first time  | does not read |
       | was in use before          | reads         |
+
+  Scenario: While the store is away, only one follower of a node tries to reach it
+    Given a node behind a relay, both turned away by the store
+    Then the node makes at most 8 calls to the store in 5 s
+    When the store accepts calls again
+    Then the node has the configuration and the servers
+
+  Scenario: A relay that does not know the nodes yet does not make a node forget them
+    Given a node that has read 12 nodes
+    When a relay answers with 0 nodes, then with 13
+    Then the node knows 12 nodes, then 13
--- /dev/null
+++ b/features/steps/move_steps.py
@@ -0,0 +1,235 @@
+"""Steps of moves.feature: engines that end while streams run on them."""
+
+import itertools
+import json
+import threading
+import time
+
+import behave
+
+from bilberryturn.gateway import moves
+from bilberryturn.routing import directory
+from bilberryturn.routing import table
+from bilberryturn.routing import types
+from support import gateway_rig
+from support import platform_data
+from support import scripted
+
+EVENTS = 5
+DRAIN_S = 4.0
+HANDLE = "h-17"
+_ids = itertools.count(1)
+
+
+class _Stream:
+    """A stream on one engine that records whether it is moved."""
+
+    def __init__(self, lifetime):
+        self.lifetime = lifetime
+        self.is_moved = False
+
+    def start_move(self):
+        self.is_moved = True
+
+
+# By state: seconds until the engine ends as it reports, or None.
+REPORTS = {
+    "stays": (False, None),
+    "ends in 2 s": (True, 2.0),
+    "ends in 9 s": (True, 9.0),
+    "drains without a time, bound of 4 s": (True, None),
+    "is reported as leaving a second time": (True, 2.0),
+}
+MOVE_DELAYS_S = {"at once": 0.0, "6.5 s later": 6.5, "3 s later": 3.0}
+
+
+@behave.then("the streams of an engine that {state} are moved {when}")
+def then_moved(context, state, when):
+    is_leaving, leaves_in_s = REPORTS[state]
+    servers = directory.Directory()
+    server = gateway_rig.make_server("e", 80)
+    servers.report(server, 0.0)
+    server = server._replace(
+        is_leaving=is_leaving, leaves_in_s=leaves_in_s, sequence=2
+    )
+    servers.report(server, 100.0)
+    if "second time" in state:
+        servers.report(server._replace(leaves_in_s=30.0, sequence=3), 100.5)
+    evacuation = moves.Evacuation(servers, DRAIN_S)
+    stream = _Stream(server.lifetime)
+    evacuation.add(stream)
+    delay_s = MOVE_DELAYS_S.get(when)
+    if delay_s is None:
+        evacuation.step(1000.0)
+        assert not stream.is_moved
+        return
+    if delay_s:
+        evacuation.step(100.0 + delay_s - 0.1)
+        assert not stream.is_moved
+    evacuation.step(100.0 + delay_s)
+    assert stream.is_moved
+
+
+class _FirstEngine:
+    """Sends two events, then waits until it is asked to move the run.
+
+    Attributes:
+        move: Body of the request to move the run, or None.
+    """
+
+    def __init__(self, answer):
+        self.move = None
+        self.has_begun = threading.Event()
+        self._answer = answer
+        self._decided = threading.Event()
+
+    def script(self, peer, head, body, number):
+        if " /kv-move " in head:
+            return self._handle_move(peer, body)
+        peer.start_stream(head)
+        peer.chunk(scripted.event(1))
+        peer.chunk(scripted.event(2))
+        self.has_begun.set()
+        goes_on = self._answer == "refuses the move and goes on"
+        self._decided.wait(1.0 if goes_on else 5.0)
+        if not goes_on:
+            return "close"
+        for number in range(3, EVENTS + 1):
+            peer.chunk(scripted.event(number))
+        peer.chunk(b"")
+        return None
+
+    def _handle_move(self, peer, body):
+        self.move = json.loads(body)
+        if self._answer == "ends without an answer":
+            self._decided.set()
+            return "close"
+        status, reply = "200 OK", {"resultHandle": HANDLE, "created": 2}
+        if self._answer == "refuses the move and goes on":
+            status, reply = "404 Not Found", {}
+        elif self._answer == "stops the run but has no copy":
+            status, reply = "503 Busy", {"resultHandle": HANDLE}
+        self._decided.set()
+        data = json.dumps(reply).encode()
+        peer.send(f"HTTP/1.1 {status}\r\nContent-Length: {len(data)}\r\n\r\n")
+        peer.send(data)
+        return "close"
+
+
+def _second_engine(answer):
+    def script(peer, head, body, number):
+        if answer == "moves a run that is used up":
+            peer.answer(
+                head, status="503 Busy", extra="X-Bilberryturn-Not-Run: 1\r\n"
+            )
+            return
+        peer.start_stream(head)
+        for number in range(3, EVENTS + 1):
+            peer.chunk(scripted.event(number))
+        peer.chunk(b"")
+
+    return script
+
+
+@behave.given("two engines, the first of which sends 2 events and {answer}")
+def given_engines(context, answer):
+    context.first = _FirstEngine(answer)
+    context.servers = [
+        scripted.ScriptedServer(context.first.script),
+        scripted.ScriptedServer(_second_engine(answer)),
+    ]
+    for server in context.servers:
+        context.closers.append(server.close)
+    context.engines = [
+        gateway_rig.make_server(f"e{n}", server.port)
+        for n, server in enumerate(context.servers)
+    ]
+    route_table = table.RouteTable(
+        1,
+        [gateway_rig.make_route("stream")],
+        [types.Service("app", 100, types.Engine(8, 100_000, 1, True), None)],
+        types.Limits(),
+        {
+            table.key_hash(gateway_rig.KEY): types.ClientAccount(
+                "workshop", None
+            )
+        },
+    )
+    context.rig = gateway_rig.GatewayRig([context.engines[0]], route_table)
+    context.closers.append(context.rig.close)
+    context.answers = []
+    request = gateway_rig.request_text("stream", f"m{next(_ids)}")
+    context.caller = threading.Thread(
+        target=lambda: context.answers.append(
+            gateway_rig.send_request(context.rig.port, request)
+        )
+    )
+    context.caller.start()
+    assert context.first.has_begun.wait(5)
+
+
+def _report_end(context):
+    async def report():
+        now_s = time.monotonic()
+        shared = context.rig.shared
+        shared.directory.report(context.engines[1], now_s)
+        shared.directory.report(
+            context.engines[0]._replace(
+                is_leaving=True, leaves_in_s=2.0, sequence=2
+            ),
+            now_s,
+        )
+        shared.evacuation.step(now_s)
+
+    # The stream can be moved once its first event has been forwarded.
+    platform_data.wait_for(
+        lambda: context.rig.shared.evacuation._streams, 5, lambda: "no stream"
+    )
+    context.rig.call(report)
+
+
+@behave.when("the first engine is reported to end in 2 s")
+def when_reported(context):
+    _report_end(context)
+
+
+@behave.when(
+    "the retry budget is used up and the first engine is reported to end in 2 s"
+)
+def when_no_budget(context):
+    budget = context.rig.shared.retry_budget("app")
+    while budget.take(time.monotonic()):
+        pass
+    _report_end(context)
+
+
+@behave.then("the caller of the stream sees {outcome}")
+def then_caller_sees(context, outcome):
+    context.caller.join(8)
+    answer = context.answers[0]
+    whole = b"".join(scripted.event(n + 1) for n in range(EVENTS))
+    if outcome == "the whole stream":
+        assert answer.is_complete and answer.body == whole, answer.body
+        return
+    assert not answer.is_complete and whole.startswith(answer.body)
+
+
+@behave.then("the second engine received {what}")
+def then_second(context, what):
+    received = context.servers[1].requests
+    if what == "nothing":
+        assert not received, received
+        return
+    assert len(received) == 1, received
+    head, _ = received[0]
+    source = f"127.0.0.1:{context.servers[0].port}/{HANDLE}"
+    assert scripted.header(head, "Kv-From") == source, head
+    assert scripted.header(head, "Last-Event-Id") == "2", head
+    destination = f"127.0.0.1:{context.servers[1].port}"
+    assert context.first.move["to"] == destination, context.first.move
+    assert context.first.move["last"] is True
+
+
+@behave.then("the first engine was not asked to move it")
+def then_not_asked(context):
+    assert context.first.move is None
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -380,9 +380,113 @@
 
 @behave.then("the node reads the store itself")
 def then_reads(context):
-    assert context.client.reads_store
+    assert context.client._is_reading
 
 
 @behave.then("the node does not read the store itself")
 def then_does_not_read(context):
+    assert not context.client._is_reading
+
+
+@behave.given("a node behind a relay, both turned away by the store")
+def given_turned_away(context):
+    platform_data.start_standin(context)
+    context.standin.put("op", "config", platform_data.make_config(7))
+    context.standin.put("servers", "good", platform_data.make_entry())
+    context.standin.fault = "503"
+    given_unread(context)
+    context.node_peer = _Peer("n1")
+    applier = context.node_peer.applier
+    loop = asyncio.new_event_loop()
+    threading.Thread(target=loop.run_forever, daemon=True).start()
+    context.closers.append(lambda: loop.call_soon_threadsafe(loop.stop))
+    own = next(
+        own
+        for number in itertools.count(1)
+        if relays.candidates(
+            own := f"10.0.0.{number}:1", {context.relay_address}, "east"
+        )
+    )
+    followed = [
+        followers.Follower(
+            table, context.standin.address, 0.0, 0.2, "",
+            followers.on_loop(loop, deliver),
+        )
+        for table, deliver in (
+            (rows.SERVER_TABLE, applier.on_servers_read),
+            (rows.OPERATOR_TABLE, applier.on_config_read),
+            (rows.SUSPECT_TABLE, applier.on_suspects_read),
+        )
+    ]  # fmt: skip
+    peers_known = threading.Event()
+    peers_known.set()
+    context.client = relays.RelayClient(
+        "n1", own, "east", "", TIMES,
+        lambda: [context.relay_address], list, dict, dict,
+        shared_clock.SharedClock(), followed, lambda: applier.peer_revision,
+        followers.on_loop(loop, applier.apply_peer_state), peers_known,
+        relays.RESTART_WAITS,
+    )  # fmt: skip
+    stopping = threading.Event()
+    context.closers.append(stopping.set)
+    for job in (*followed, context.client):
+        threading.Thread(target=job.run, args=(stopping,), daemon=True).start()
+
+
+@behave.then("the node makes at most {count:d} calls to the store in 5 s")
+def then_few_calls(context, count):
+    time.sleep(5)
+    found = len(context.standin.calls)
+    assert 0 < found <= count, found
     assert not context.client.reads_store
+
+
+@behave.when("the store accepts calls again")
+def when_accepts(context):
+    context.standin.fault = ""
+
+
+@behave.then("the node has the configuration and the servers")
+def then_has_all(context):
+    platform_data.wait_for(
+        lambda: (
+            context.node_peer.shared.table is not None
+            and context.node_peer.shared.directory.usable("app")
+        ),
+        10,
+        context.node_peer.content,
+    )
+    assert context.client.reads_store
+
+
+def _node_rows(count):
+    return {f"nodes/east.n{n}": f"10.0.0.{n}:1" for n in range(count)}
+
+
+@behave.given("a node that has read {count:d} nodes")
+def given_nodes_read(context, count):
+    platform_data.start_standin(context)
+    for key, address in _node_rows(count).items():
+        context.standin.put("nodes", key.partition("/")[2], address)
+    store = rows.RowStore(
+        http.HttpClient("store", context.standin.address, 1.5)
+    )
+    context.presence = presence.Presence(store, "n0", "east", "10.0.0.0:1", ())
+    context.presence.read()
+
+
+@behave.when("a relay answers with {first:d} nodes, then with {second:d}")
+def when_answers(context, first, second):
+    context.counts = []
+    peer = _Peer("n0")
+    peer.applier._deliver_nodes = context.presence.take_nodes
+    for count in (first, second):
+        unread = _Peer("relay")
+        unread.applier.set_nodes(_node_rows(count))
+        peer.applier.apply_peer_state(unread.reply_to(peer), time.monotonic())
+        context.counts.append(len(context.presence.domain_peers()))
+
+
+@behave.then("the node knows {first:d} nodes, then {second:d}")
+def then_knows(context, first, second):
+    assert context.counts == [first, second], context.counts
--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -31,11 +31,11 @@
 PRESENCE_REFRESH_INTERVAL_S = 30.0
 # Interval at which a node that reads the store reads the shared time offset,
 # until it knows it and afterwards.
-OFFSET_READ_INTERVAL_S = 1.0
+OFFSET_READ_INTERVAL_S = 2.5
 OFFSET_REFRESH_INTERVAL_S = 30.0
 # Nodes that start together have all written their rows after this time; most
 # of them after the first one.
-FIRST_READ_DELAY_S = 1.0
+FIRST_READ_DELAY_S = 2.5
 SECOND_REFRESH_DELAY_S = 3.0
 
 
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -329,7 +329,9 @@
                 content[server_id] = value
                 continue
             decoded.append(result.ok)
-            content[server_id] = result.ok._replace(sequence=0)
+            content[server_id] = result.ok._replace(
+                sequence=0, leaves_in_s=None
+            )
         self._raw.after_outage = after_outage
         self._mark_changed_entries(content)
         directory = self._shared.directory
--- a/src/bilberryturn/edge/followers.py
+++ b/src/bilberryturn/edge/followers.py
@@ -123,6 +123,31 @@
         self.outage = OutageTracker(f"store/{table}")
         self.active = threading.Event()
         self.active.set()
+        # Followers that are active only while the calls of this one succeed.
+        self.dependents: tuple[Follower, ...] = ()
+        self._reached_since_s: float | None = None
+
+    def reached_for_s(self) -> float | None:
+        """Return for how long the calls have succeeded; None if they do not.
+
+        A follower that is paused does not reach the store.
+        """
+        since_s = self._reached_since_s
+        if since_s is None or not self.active.is_set():
+            return None
+        return time.monotonic() - since_s
+
+    def activate(self) -> None:
+        """Start to call the store; has no effect on an active follower."""
+        if not self.active.is_set():
+            self._reached_since_s = None
+            self.active.set()
+
+    def pause(self) -> None:
+        """Stop calling the store, dependents included."""
+        self.active.clear()
+        for dependent in self.dependents:
+            dependent.pause()
 
     def run(self, stopping: threading.Event) -> None:
         """Follow until the node stops; pauses while a relay serves the node."""
@@ -160,7 +185,12 @@
             )
         if result.is_ok():
             self.outage.record_success()
+            if self._reached_since_s is None:
+                self._reached_since_s = time.monotonic()
             self._backoff_s = INITIAL_BACKOFF_S
+            if self.active.is_set():
+                for dependent in self.dependents:
+                    dependent.activate()
             self._since = result.ok.version
             self._deliver(
                 Reading(
@@ -179,6 +209,9 @@
             self._since = None
             return 0.0
         self.outage.record_failure(error)
+        self._reached_since_s = None
+        for dependent in self.dependents:
+            dependent.pause()
         pause_s = self._backoff_s * random.uniform(0.7, 1.3)
         self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
         return pause_s
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -76,12 +76,13 @@
             settings.usage_window_s,
             self._pool,
             self._clock.now_s,
+            settings.drain_s,
         )
         self._applier = feeds.Applier(
             self.shared,
             self._raw,
             self._lifetime,
-            lambda nodes: self._node_presence.set_nodes(nodes),
+            lambda nodes: self._node_presence.take_nodes(nodes),
         )
         self._callers = caller_server.CallerServer(self.shared)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
@@ -138,18 +139,18 @@
                 store_followers.on_loop(loop, apply),
             )
             for table, wait_s, pause_s, apply in (
-                (
-                    rows.OPERATOR_TABLE,
-                    poll_intervals.config_wait_s,
-                    0.0,
-                    self._applier.on_config_read,
-                ),
                 (
                     rows.SERVER_TABLE,
                     0.0,
                     poll_intervals.server_poll_s,
                     self._applier.on_servers_read,
                 ),
+                (
+                    rows.OPERATOR_TABLE,
+                    poll_intervals.config_wait_s,
+                    0.0,
+                    self._applier.on_config_read,
+                ),
                 (
                     rows.SUSPECT_TABLE,
                     poll_intervals.suspect_wait_s,
@@ -334,6 +335,7 @@
 
     def _update_state(self, now_s: float) -> None:
         self._applier.expire()
+        self.shared.evacuation.step(now_s)
         self._own_suspects = self.shared.suspects.own_counts(now_s)
         self._update_readiness()
         self.shared.set_node_count(self._node_presence.count())
--- a/src/bilberryturn/edge/presence.py
+++ b/src/bilberryturn/edge/presence.py
@@ -62,15 +62,21 @@
                 for row in result.ok
                 if isinstance(row.value, str)
             }
-            self.set_nodes(nodes)
+            with self._lock:
+                self._nodes = nodes
             if self._deliver is not None:
                 self._deliver(nodes)
         self.first_read.set()
 
-    def set_nodes(self, nodes: dict[str, str]) -> None:
-        """Replace the known nodes, as read by this node or a peer."""
+    def take_nodes(self, nodes: dict[str, str]) -> None:
+        """Take the nodes that a peer knows, unless it knows fewer.
+
+        Rows of nodes are never removed, so that fewer nodes are an older state
+        or that of a peer that has just started.
+        """
         with self._lock:
-            self._nodes = nodes
+            if len(nodes) >= len(self._nodes):
+                self._nodes = nodes
 
     def domain_peers(self) -> list[str]:
         """Return the addresses of the nodes of this failure domain."""
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -29,6 +29,9 @@
 # Nodes that one relay serves.
 NODES_PER_RELAY = 48
 START_POLL_INTERVAL_S = 0.2
+# Time for the relay to be current again after an outage of the store. A node
+# that others do not poll reads only the servers' entries until then.
+RETURN_WAIT_S = 1.5
 
 
 class StartWaits(NamedTuple):
@@ -44,7 +47,7 @@
 
 
 # When a deployment starts, callers come seconds later.
-FIRST_START_WAITS = StartWaits(2.0, 1.0)
+FIRST_START_WAITS = StartWaits(3.5, 1.0)
 # A node that is replaced or started again is missed by its callers.
 RESTART_WAITS = StartWaits(0.2, 0.0)
 # A node that did not answer is skipped for this time. A killed node restarts in
@@ -90,10 +93,11 @@
 class RelayClient:
     """Polls relays on a thread of its own.
 
-    Activates the followers while no relay is current, otherwise pauses them.
-
-    Attributes:
-        reads_store: Whether this node reads the store itself.
+    Activates the followers while no relay is current, otherwise pauses them. A
+    node that is no relay activates the first of them and the others once its
+    call has succeeded, so that few calls are made while the store is away. A
+    node that others do not poll waits for longer, as the relay is usually
+    current again as soon as the store is back.
     """
 
     def __init__(
@@ -157,10 +161,23 @@
         # Address of the relay that last served this node; empty while this
         # node reads the store itself.
         self._relay = ""
-        self.reads_store = False
+        self._is_reading = False
+        # Whether no other node polls this one.
+        self._is_last = False
+        self._has_had_relay = False
         self._start_wait_until_s = 0.0
         for follower in followers:
-            follower.active.clear()
+            follower.pause()
+
+    @property
+    def reads_store(self) -> bool:
+        """Return whether this node reads the store itself and reaches it."""
+        if not self._is_reading or not self._followers:
+            return False
+        reached_for_s = self._followers[0].reached_for_s()
+        if reached_for_s is None:
+            return False
+        return not self._is_last or reached_for_s >= RETURN_WAIT_S
 
     def run(self, stopping: threading.Event) -> None:
         """Poll until the node stops."""
@@ -171,7 +188,7 @@
                 self._step()
             except Exception as error:
                 # The followers read the store until the next poll succeeds.
-                self._set_reads_store(True)
+                self._set_reads_store(True, False)
                 events.log(
                     events.JOB_FAILED,
                     job="relays",
@@ -192,6 +209,7 @@
     def _step(self) -> None:
         has_relay = False
         addresses = self._candidates()
+        self._is_last = len(addresses) > MAX_FALLBACK_NODES
         for address in addresses:
             has_relay = self._query(address)
             if has_relay:
@@ -199,15 +217,15 @@
             if address in self._unreachable_until_s:
                 # The request may have timed out, and the next one may as well;
                 # read the store in the meantime.
-                self._set_reads_store(True)
+                self._set_reads_store(True, False)
         if (
             addresses
             and not has_relay
-            and not self.reads_store
+            and not self._is_reading
             and self._waits_for_relay()
         ):
             return
-        self._set_reads_store(not has_relay)
+        self._set_reads_store(not has_relay, not addresses)
         if not has_relay and self._is_store_unreachable():
             self._query_any_peers()
 
@@ -220,15 +238,26 @@
         }
         return candidates(self._address, reachable, self._domain)
 
-    def _set_reads_store(self, reads_store: bool) -> None:
-        self.reads_store = reads_store
-        if reads_store:
-            self._relay = ""
-        for follower in self._followers:
-            if reads_store:
-                follower.active.set()
-            else:
-                follower.active.clear()
+    def _set_reads_store(self, reads_store: bool, is_relay: bool) -> None:
+        self._is_reading = reads_store
+        if not self._followers:
+            return
+        first, *others = self._followers
+        if not reads_store:
+            first.dependents = ()
+            for follower in self._followers:
+                follower.pause()
+            return
+        self._relay = ""
+        first.activate()
+        if is_relay:
+            first.dependents = ()
+            for follower in others:
+                follower.activate()
+            return
+        waits = self._is_last and self._has_had_relay
+        if not waits or (first.reached_for_s() or 0.0) >= RETURN_WAIT_S:
+            first.dependents = tuple(others)
 
     def _is_store_unreachable(self) -> bool:
         return any(
@@ -294,6 +323,7 @@
             )
         if is_current:
             self._relay = address
+            self._has_had_relay = True
         self._deliver(state, received_s)
         return is_current
 
--- a/src/bilberryturn/edge/shared_clock.py
+++ b/src/bilberryturn/edge/shared_clock.py
@@ -32,6 +32,7 @@
 # are known after the wait.
 MIN_SAMPLES = 3
 SAMPLE_WAIT_S = 4.0
+FIRST_ATTEMPT_INTERVAL_S = 1.0
 # Samples of nodes that have not polled for this time are dropped.
 SAMPLE_LIFETIME_S = 10.0
 
@@ -196,6 +197,7 @@
         samples = [own_offset_s, *self._samples.recent()]
         current_s = _offset_of(row)
         if current_s is None and not self._has_enough(samples, now_s):
+            self._next_adjustment_s = now_s + FIRST_ATTEMPT_INTERVAL_S
             return
         self._next_adjustment_s = now_s + ADJUST_INTERVAL_S
         target_s = statistics.median(samples)
--- a/src/bilberryturn/events.py
+++ b/src/bilberryturn/events.py
@@ -59,6 +59,8 @@
 REQUEST_RETRIED = Event(1304, "request_retried", logging.INFO)
 REQUEST_QUARANTINED = Event(1305, "request_quarantined", logging.WARNING)
 REQUEST_PREEMPTED = Event(1306, "request_preempted", logging.INFO)
+RUN_MOVED = Event(1309, "run_moved", logging.INFO)
+RUN_NOT_MOVED = Event(1310, "run_not_moved", logging.WARNING)
 CALLER_GONE = Event(1307, "caller_gone", logging.INFO)
 ATTEMPT_FAILED = Event(1308, "attempt_failed", logging.INFO)
 
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -9,6 +9,7 @@
 from bilberryturn import events
 from bilberryturn.gateway import delivery
 from bilberryturn.gateway import events_stream
+from bilberryturn.gateway import moves
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
@@ -75,7 +76,9 @@
     """Result of an attempt whose stream was forwarded to its end."""
 
 
-AttemptResult = Response | NotRun | AttemptFailed | StreamCompleted
+AttemptResult = (
+    Response | NotRun | AttemptFailed | StreamCompleted | moves.MovedRun
+)
 
 
 class Attempt:
@@ -91,7 +94,19 @@
         chosen: choice.Choice,
         caller_delivery: delivery.Delivery,
         shared: shared_state.SharedState,
+        moved_from: str | None = None,
     ):
+        """Initialize an attempt.
+
+        Args:
+            request: The request.
+            chosen: The server to send it to.
+            caller_delivery: Delivers the response.
+            shared: State that all requests share.
+            moved_from: Names the copy of the run to go on with, if any.
+        """
+        self._moved_from = moved_from
+        self._move: asyncio.Task[moves.MovedRun | None] | None = None
         self._request = request
         self._chosen = chosen
         self._delivery = caller_delivery
@@ -114,6 +129,9 @@
         try:
             result = await self._run(may_try_another)
         finally:
+            self._shared.evacuation.discard(self)
+            if self._move is not None:
+                self._move.cancel()
             self._end_attempt(None)
         if isinstance(result, AttemptFailed):
             self._log(result.reason)
@@ -147,6 +165,9 @@
             ):
                 return await self._receive()
         except upstream.UpstreamError as error:
+            moved = None if self._move is None else await self._move
+            if moved is not None:
+                return moved
             is_crash = error.was_sent and not was_reused
             self._end_attempt(False if is_crash else None)
             if is_crash and not self._delivery.has_started:
@@ -175,6 +196,37 @@
             self._delivery.last_event_id,
             request.incoming.body,
             request.incoming.method,
+            self._moved_from,
+        )
+
+    @property
+    def lifetime(self) -> tuple[str, int]:
+        """Return the lifetime of the server of this attempt."""
+        return self._chosen.server.lifetime
+
+    def start_move(self) -> None:
+        """Begin to move the stream to another server."""
+        if self._move is not None:
+            return
+        shared, request = self._shared, self._request
+        now_s = time.monotonic()
+        chosen = shared.load_balancer.choose(
+            request.requirements,
+            shared.directory.usable(request.service.name),
+            now_s,
+            frozenset({self._chosen.server.server_id}),
+        )
+        if chosen is None:
+            return
+        if not shared.retry_budget(request.service.name).take(now_s):
+            return
+        self._move = asyncio.get_running_loop().create_task(
+            moves.move(
+                shared.pool,
+                self._chosen.server,
+                request.incoming.headers.request_id,
+                chosen,
+            )
         )
 
     async def _receive(self) -> AttemptResult:
@@ -248,6 +300,10 @@
             raise upstream.UpstreamError(str(error), True) from error
         if has_sent_event and self._in_flight is not None:
             self._shared.load_balancer.record_first_token(self._in_flight)
+            engine = self._request.service.engine
+            if engine is not None and engine.can_move:
+                # The request runs from its first event on.
+                self._shared.evacuation.add(self)
 
     def _record_crash(self) -> None:
         request = self._request
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -6,6 +6,7 @@
 from bilberryturn import events
 from bilberryturn.gateway import attempts
 from bilberryturn.gateway import delivery
+from bilberryturn.gateway import moves
 from bilberryturn.gateway import outcomes
 from bilberryturn.gateway import shared_state
 from bilberryturn.routing import choice
@@ -111,17 +112,24 @@
         fallback: attempts.Response | None = None
         retry_after_s: float | None = None
         may_have_run = False
+        moved: moves.MovedRun | None = None
         while True:
             if self._remaining_s() < MIN_ATTEMPT_S:
                 break
-            if self._sent_count and not self._may_retry(may_have_run):
+            may_send = moved or not self._sent_count
+            if not may_send and not self._may_retry(may_have_run):
                 break
-            result = await self._attempt()
+            result = await self._attempt(moved)
+            moved = None
             if result is None:
                 break
             if isinstance(result, attempts.StreamCompleted):
                 return 200, "streamed"
-            if isinstance(result, attempts.Response):
+            if isinstance(result, moves.MovedRun):
+                moved = result
+                may_have_run = True
+                self._last_failure = "moved"
+            elif isinstance(result, attempts.Response):
                 if self._is_final(result):
                     return self._deliver(result)
                 fallback = result
@@ -151,21 +159,35 @@
     def _has_attempts_left(self) -> bool:
         return self._sent_count < self._request.route.attempts
 
-    async def _attempt(self) -> attempts.AttemptResult | None:
-        """Send the request once; returns None if no server is available."""
+    def _choose(self) -> choice.Choice | None:
         shared = self._shared
-        chosen = shared.load_balancer.choose(
+        return shared.load_balancer.choose(
             self._request.requirements,
             shared.directory.usable(self._request.service.name),
             time.monotonic(),
             frozenset(self._excluded),
         )
+
+    async def _attempt(
+        self, moved: moves.MovedRun | None
+    ) -> attempts.AttemptResult | None:
+        """Send the request once; returns None if no server is available.
+
+        Args:
+            moved: The moved run to go on with, if any.
+        """
+        shared = self._shared
+        chosen = moved.chosen if moved else self._choose()
         if chosen is None:
             return None
         self._chosen = chosen
         self._excluded.add(chosen.server.server_id)
         attempt = attempts.Attempt(
-            self._request, chosen, self._delivery, shared
+            self._request,
+            chosen,
+            self._delivery,
+            shared,
+            moved.moved_from if moved else None,
         )
         may_try_another = self._sent_count + 1 < self._request.route.attempts
         try:
--- /dev/null
+++ b/src/bilberryturn/gateway/moves.py
@@ -0,0 +1,151 @@
+"""Move running streams away from engines that are about to end.
+
+Handles the reclaim of all cheap servers of a failure domain at once, with
+seconds of notice: a stream that cannot be repeated would be lost with its
+engine. The run is stopped, its memory is copied to another engine, and the
+stream goes on there behind the last event that the caller has.
+"""
+
+import asyncio
+import time
+from typing import NamedTuple
+from typing import Protocol
+
+import h11
+
+from bilberryturn import events
+from bilberryturn.gateway import response_limits
+from bilberryturn.gateway import upstream
+from bilberryturn.platform import run_moves
+from bilberryturn.routing import choice
+from bilberryturn.routing import directory
+from bilberryturn.routing import types
+
+# A stream is moved this long before its engine ends: the copies of all its
+# streams share one link. Most engines that state no time go on for longer than
+# they have to.
+LEAD_TIME_S = 2.5
+UNSTATED_LEAD_TIME_S = 1.0
+MOVE_TIMEOUT_S = 3.0
+
+
+class MovedRun(NamedTuple):
+    """A run whose copy waits at another engine.
+
+    Attributes:
+        chosen: The engine that holds the copy.
+        moved_from: Names the copy in the request that goes on with it.
+    """
+
+    chosen: choice.Choice
+    moved_from: str
+
+
+class MovableStream(Protocol):
+    """A stream that runs on an engine and can be moved."""
+
+    @property
+    def lifetime(self) -> tuple[str, int]:
+        """Return the lifetime of the stream's engine."""
+
+    def start_move(self) -> None:
+        """Begin to move the stream; has no effect if it has begun."""
+
+
+class Evacuation:
+    """Tracks the movable streams and moves those whose engine ends."""
+
+    def __init__(self, servers: directory.Directory, drain_s: float):
+        """Initialize without streams.
+
+        Args:
+            servers: Tells which servers leave.
+            drain_s: Time for which a leaving server that states no time goes
+                on.
+        """
+        self._servers = servers
+        self._drain_s = drain_s
+        self._streams: set[MovableStream] = set()
+
+    def add(self, stream: MovableStream) -> None:
+        """Track a stream until it is discarded."""
+        self._streams.add(stream)
+
+    def discard(self, stream: MovableStream) -> None:
+        """Stop tracking a stream."""
+        self._streams.discard(stream)
+
+    def step(self, now_s: float) -> None:
+        """Move the streams whose engine is expected to end soon."""
+        for stream in list(self._streams):
+            departure = self._servers.departure(stream.lifetime)
+            if departure is None:
+                continue
+            if now_s >= self._move_time_s(departure):
+                stream.start_move()
+
+    def _move_time_s(self, departure: directory.Departure) -> float:
+        if departure.end_s is not None:
+            return departure.end_s - LEAD_TIME_S
+        return departure.reported_s + self._drain_s - UNSTATED_LEAD_TIME_S
+
+
+async def move(
+    pool: upstream.ConnectionPool,
+    source: types.BackendServer,
+    request_id: str,
+    chosen: choice.Choice,
+) -> MovedRun | None:
+    """Stop a run and copy it to another engine; returns None if it failed."""
+    started_s = time.monotonic()
+    try:
+        async with asyncio.timeout(MOVE_TIMEOUT_S):
+            moved = await _request_move(
+                pool, source, request_id, chosen.server.address
+            )
+            error = None if moved else "refused"
+    except (upstream.UpstreamError, TimeoutError) as failure:
+        moved, error = None, f"{type(failure).__name__}: {failure}"
+    events.log(
+        events.RUN_MOVED if moved else events.RUN_NOT_MOVED,
+        request=request_id,
+        server=source.server_id,
+        destination=chosen.server.server_id,
+        duration_s=round(time.monotonic() - started_s, 3),
+        error=error,
+    )
+    if moved is None:
+        return None
+    return MovedRun(chosen, run_moves.source_of(source.address, moved.handle))
+
+
+async def _request_move(
+    pool: upstream.ConnectionPool,
+    source: types.BackendServer,
+    request_id: str,
+    destination: str,
+) -> run_moves.Moved | None:
+    connection = await pool.acquire(source, MOVE_TIMEOUT_S, False)
+    try:
+        body = run_moves.encode(request_id, destination)
+        connection.send(
+            run_moves.METHOD,
+            run_moves.TARGET,
+            [
+                (b"host", source.address.encode()),
+                (b"content-type", b"application/json"),
+                (b"content-length", str(len(body)).encode()),
+            ],
+            body,
+        )
+        head = await connection.next_event()
+        if not isinstance(head, h11.Response):
+            raise upstream.UpstreamError("no answer", True)
+        data = b""
+        while isinstance(event := await connection.next_event(), h11.Data):
+            data += event.data
+            if len(data) > response_limits.MAX_HEAD_BYTES:
+                raise upstream.UpstreamError("answer too large", True)
+        return run_moves.decode(head.status_code, data)
+    finally:
+        connection.close()
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bilberryturn import metrics
+from bilberryturn.gateway import moves
 from bilberryturn.gateway import upstream
 from bilberryturn.routing import budget
 from bilberryturn.routing import choice
@@ -15,6 +16,8 @@
 from bilberryturn.routing import suspects
 from bilberryturn.routing import table as route_tables
 
+# Time for which leaving servers go on, unless the deployment states another.
+DEFAULT_DRAIN_S = 2.5
 # Ended windows that a node keeps publishing, in case a write of them is lost.
 KEPT_WINDOWS = 2
 
@@ -132,10 +135,12 @@
         usage_window_s: float,
         pool: upstream.ConnectionPool,
         time_of_day: Callable[[], float] = time.time,
+        drain_s: float = DEFAULT_DRAIN_S,
     ):
         self.failure_domain = failure_domain
         self.table: route_tables.RouteTable | None = None
         self.directory = directory.Directory()
+        self.evacuation = moves.Evacuation(self.directory, drain_s)
         self.load_balancer = choice.LoadBalancer()
         self.suspects = suspects.CrashCounter()
         self.usage = UsageCounts(usage_window_s, time_of_day)
--- a/src/bilberryturn/platform/operator_config.py
+++ b/src/bilberryturn/platform/operator_config.py
@@ -38,6 +38,8 @@
     kv_capacity: int = 0
     # Tokens per stream event.
     stride: int = 1
+    # Whether a running request can be moved to another engine.
+    moves: bool = False
 
 
 class _Scaling(msgspec.Struct, rename="camel"):
@@ -149,6 +151,7 @@
             service.engine.slots,
             service.engine.kv_capacity,
             max(1, service.engine.stride),
+            service.engine.moves,
         )
     if service.scaling is not None:
         scaling = types.Scaling(
--- a/src/bilberryturn/platform/server_entries.py
+++ b/src/bilberryturn/platform/server_entries.py
@@ -21,6 +21,8 @@
     spot: bool = False
     # Start time of the server process in Unix milliseconds.
     born: int = 0
+    # Time until a server that is taken away ends.
+    leaves_ms: float | None = msgspec.field(default=None, name="leaves_ms")
 
 
 def decode(
@@ -56,6 +58,9 @@
             is_cheap=entry.spot,
             started_ms=entry.born,
             sequence=entry.seq,
+            leaves_in_s=(
+                None if entry.leaves_ms is None else entry.leaves_ms / 1000
+            ),
         )
     )
 
--- a/src/bilberryturn/platform/wire.py
+++ b/src/bilberryturn/platform/wire.py
@@ -21,6 +21,8 @@
 NOT_RUN = b"x-bilberryturn-not-run"
 URGENCY = b"x-bilberryturn-request-urgency"
 LAST_EVENT_ID = b"last-event-id"
+# Names the copy of a moved run.
+MOVED_FROM = b"kv-from"
 DUTY_HOLDER = "X-Bilberryturn-Duty-Holder"
 FENCING_NUMBER = "X-Bilberryturn-Fence"
 
@@ -38,7 +40,7 @@
         b"x-bilberryturn-pin-ms",
         b"x-bilberryturn-kv-backup",
         b"x-bilberryturn-expect-version",
-        b"kv-from",
+        MOVED_FROM,
         b"kv-fetch",
         b"wait-ms",
         NOT_RUN,
@@ -134,6 +136,7 @@
     last_event_id: str | None,
     body: bytes,
     method: bytes,
+    moved_from: str | None = None,
 ) -> Headers:
     """Return the headers of a request to a backend server."""
     headers = [
@@ -152,6 +155,8 @@
         headers.append((URGENCY, str(urgency).encode()))
     if last_event_id is not None:
         headers.append((LAST_EVENT_ID, last_event_id.encode()))
+    if moved_from is not None:
+        headers.append((MOVED_FROM, moved_from.encode()))
     if body or method not in (b"GET", b"HEAD", b"DELETE"):
         headers.append((b"content-length", str(len(body)).encode()))
     return headers
--- a/src/bilberryturn/routing/directory.py
+++ b/src/bilberryturn/routing/directory.py
@@ -24,6 +24,18 @@
     kind: str
 
 
+class Departure(NamedTuple):
+    """When a leaving lifetime of a server was reported and ends.
+
+    Attributes:
+        reported_s: Monotonic time of the first report that it leaves.
+        end_s: Monotonic time at which it ends, or None if it did not say.
+    """
+
+    reported_s: float
+    end_s: float | None
+
+
 class Directory:
     """Applies reports about backend servers in the order received."""
 
@@ -31,6 +43,11 @@
         self._servers: dict[str, types.BackendServer] = {}
         self._tombstones: dict[tuple[str, int], float] = {}
         self._lapsed: dict[str, float] = {}
+        self._departures: dict[tuple[str, int], Departure] = {}
+
+    def departure(self, lifetime: tuple[str, int]) -> Departure | None:
+        """Return when a leaving server ends; None if it stays."""
+        return self._departures.get(lifetime)
 
     def usable(self, service: str) -> list[types.BackendServer]:
         """Return the servers of a service that take new requests."""
@@ -62,7 +79,13 @@
         if (server.server_id, server.started_ms) in self._tombstones:
             server = server._replace(is_leaving=True)
         if server.is_leaving:
-            self._tombstones[(server.server_id, server.started_ms)] = now_s
+            self._tombstones[server.lifetime] = now_s
+            end_s = None
+            if server.leaves_in_s is not None:
+                end_s = now_s + server.leaves_in_s
+            self._departures.setdefault(
+                server.lifetime, Departure(now_s, end_s)
+            )
         self._servers[server.server_id] = server
         if known is None:
             return Change(server.server_id, "joined")
@@ -109,6 +132,7 @@
         for key, tombstoned_s in list(self._tombstones.items()):
             if now_s - tombstoned_s > TOMBSTONE_S:
                 del self._tombstones[key]
+                self._departures.pop(key, None)
         overdue = [
             server_id
             for server_id, lapsed_s in self._lapsed.items()
--- a/src/bilberryturn/routing/types.py
+++ b/src/bilberryturn/routing/types.py
@@ -50,11 +50,16 @@
 
 
 class Engine(NamedTuple):
-    """Properties of the model engines of a service."""
+    """Properties of the model engines of a service.
+
+    Attributes:
+        can_move: Whether a running request can be moved to another engine.
+    """
 
     slots: int
     kv_capacity_tokens: int
     tokens_per_event: int
+    can_move: bool = False
 
 
 class Scaling(NamedTuple):
@@ -106,6 +111,8 @@
         started_ms: Start of this lifetime, Unix milliseconds; 0 if unknown.
         sequence: Increases with each report of one lifetime.
         is_cheap: Whether its failure domain may be reclaimed at any time.
+        leaves_in_s: Time until a leaving server ends, as it last reported;
+            None if unknown.
     """
 
     server_id: str
@@ -118,6 +125,12 @@
     is_cheap: bool
     started_ms: int
     sequence: int
+    leaves_in_s: float | None = None
+
+    @property
+    def address(self) -> str:
+        """Return the address as HOST:PORT."""
+        return f"{self.host}:{self.port}"
 
     @property
     def lifetime(self) -> tuple[str, int]:
