--- a/features/moves.feature
+++ b/features/moves.feature
@@ -30,3 +30,9 @@
     When the retry budget is used up and the first engine is reported to end in 2 s
     Then the caller of the stream sees the whole stream
     And the first engine was not asked to move it
+
+  Scenario: Streams that are moved at the same time go to different engines
+    Given two engines, the first of which sends 2 events and moves the run
+    And a third engine and a second stream on the first engine
+    When the first engine is reported to end in 2 s
+    Then each of the other engines received one moved run
--- a/features/steps/move_steps.py
+++ b/features/steps/move_steps.py
@@ -74,11 +74,13 @@
     """Sends two events, then waits until it is asked to move the run.
 
     Attributes:
-        move: Body of the request to move the run, or None.
+        move: Body of the last request to move a run, or None.
+        begun_count: Streams that have begun.
     """
 
     def __init__(self, answer):
         self.move = None
+        self.begun_count = 0
         self.has_begun = threading.Event()
         self._answer = answer
         self._decided = threading.Event()
@@ -89,6 +91,7 @@
         peer.start_stream(head)
         peer.chunk(scripted.event(1))
         peer.chunk(scripted.event(2))
+        self.begun_count += 1
         self.has_begun.set()
         goes_on = self._answer == "refuses the move and goes on"
         self._decided.wait(1.0 if goes_on else 5.0)
@@ -172,7 +175,8 @@
     async def report():
         now_s = time.monotonic()
         shared = context.rig.shared
-        shared.directory.report(context.engines[1], now_s)
+        for engine in context.engines[1:]:
+            shared.directory.report(engine, now_s)
         shared.directory.report(
             context.engines[0]._replace(
                 is_leaving=True, leaves_in_s=2.0, sequence=2
@@ -181,9 +185,14 @@
         )
         shared.evacuation.step(now_s)
 
-    # The stream can be moved once its first event has been forwarded.
+    # A stream can be moved once its first event has been forwarded.
     platform_data.wait_for(
-        lambda: context.rig.shared.evacuation._streams, 5, lambda: "no stream"
+        lambda: (
+            len(context.rig.shared.evacuation._streams)
+            == context.first.begun_count
+        ),
+        5,
+        lambda: "no stream",
     )
     context.rig.call(report)
 
@@ -233,3 +242,32 @@
 @behave.then("the first engine was not asked to move it")
 def then_not_asked(context):
     assert context.first.move is None
+
+
+@behave.given("a third engine and a second stream on the first engine")
+def given_third(context):
+    server = scripted.ScriptedServer(_second_engine("moves the run"))
+    context.closers.append(server.close)
+    context.servers.append(server)
+    context.engines.append(gateway_rig.make_server("e2", server.port))
+    request = gateway_rig.request_text("stream", f"m{next(_ids)}")
+    threading.Thread(
+        target=gateway_rig.send_request,
+        args=(context.rig.port, request),
+        daemon=True,
+    ).start()
+    platform_data.wait_for(
+        lambda: context.first.begun_count == 2,
+        5,
+        lambda: context.first.begun_count,
+    )
+
+
+@behave.then("each of the other engines received one moved run")
+def then_spread(context):
+    platform_data.wait_for(
+        lambda: sum(len(s.requests) for s in context.servers[1:]) == 2,
+        8,
+        lambda: [len(s.requests) for s in context.servers],
+    )
+    assert [len(s.requests) for s in context.servers[1:]] == [1, 1]
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -107,6 +107,7 @@
         """
         self._moved_from = moved_from
         self._move: asyncio.Task[moves.MovedRun | None] | None = None
+        self._move_reservation: choice.InFlightRequest | None = None
         self._request = request
         self._chosen = chosen
         self._delivery = caller_delivery
@@ -132,6 +133,9 @@
             self._shared.evacuation.discard(self)
             if self._move is not None:
                 self._move.cancel()
+                self._shared.load_balancer.end(
+                    self._move_reservation, None, time.monotonic()
+                )
             self._end_attempt(None)
         if isinstance(result, AttemptFailed):
             self._log(result.reason)
@@ -220,6 +224,12 @@
             return
         if not shared.retry_budget(request.service.name).take(now_s):
             return
+        # Its memory is copied, so nothing has to be prefilled.
+        chosen = chosen._replace(uncached_tokens=0)
+        # Other streams that are moved at the same time see this one's load.
+        self._move_reservation = shared.load_balancer.begin(
+            chosen, request.requirements, now_s
+        )
         self._move = asyncio.get_running_loop().create_task(
             moves.move(
                 shared.pool,
