--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -223,7 +223,7 @@
             fed_bytes += 1024
             splitter.feed(b"x" * 1024)
     except events_stream.EventTooLargeError:
-        context.rig.sweep()
+        pass
     assert fed_bytes <= response_limits.MAX_EVENT_BYTES + 1024, fed_bytes
     # Both delimiters are searched for, with an overlap of a few bytes.
     assert _CountingBuffer.searched_bytes <= 2.02 * fed_bytes
@@ -299,7 +299,7 @@
         while context.accepted_bytes < 64 * MB:
             context.accepted_bytes += connection.send(BLOCK)
     except TimeoutError:
-        context.rig.sweep()
+        pass
     connection.settimeout(8)
     context.answer = gateway_rig.read_answer(connection)
 
