Name the arguments of the relay client's switch

Read-through: keyword for whether a node is a relay, a plain condition while it waits, and what the two delays of a start are for. No behaviour changes.

--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -330,7 +330,7 @@
 def when_read_left(context):
     entry = json.dumps(platform_data.make_entry()).encode()
     now_s = time.monotonic()
-    context.client._set_reads_store(True, False)
+    context.client._set_reads_store(True, is_relay=False)
     context.applier.apply_servers({"good": entry}, True, now_s - 2, False)
     context.applier.apply_servers({"good": None}, False, now_s, False)
     assert not context.shared.directory.usable("app")
--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -33,8 +33,8 @@
 # until it knows it and afterwards.
 OFFSET_READ_INTERVAL_S = 2.5
 OFFSET_REFRESH_INTERVAL_S = 30.0
-# Nodes that start together have all written their rows after this time; most
-# of them after the first one.
+# A node that starts with its deployment reads the rows of the others after the
+# first delay, when most of them have registered, and again after the second.
 FIRST_READ_DELAY_S = 2.5
 SECOND_REFRESH_DELAY_S = 3.0
 
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -162,7 +162,8 @@
         # node reads the store itself.
         self._relay = ""
         self._is_reading = False
-        # Whether no other node polls this one.
+        # Whether no other node polls this one, as it ranks behind the relays
+        # and the fallback nodes.
         self._is_last = False
         self._has_had_relay = False
         self._start_wait_until_s = 0.0
@@ -188,7 +189,7 @@
                 self._step()
             except Exception as error:
                 # The followers read the store until the next poll succeeds.
-                self._set_reads_store(True, False)
+                self._set_reads_store(True, is_relay=False)
                 events.log(
                     events.JOB_FAILED,
                     job="relays",
@@ -217,15 +218,11 @@
             if address in self._unreachable_until_s:
                 # The request may have timed out, and the next one may as well;
                 # read the store in the meantime.
-                self._set_reads_store(True, False)
-        if (
-            addresses
-            and not has_relay
-            and not self._is_reading
-            and self._waits_for_relay()
-        ):
+                self._set_reads_store(True, is_relay=False)
+        is_waiting = not self._is_reading and self._waits_for_relay()
+        if addresses and not has_relay and is_waiting:
             return
-        self._set_reads_store(not has_relay, not addresses)
+        self._set_reads_store(not has_relay, is_relay=not addresses)
         if not has_relay and self._is_store_unreachable():
             self._query_any_peers()
 
@@ -238,7 +235,7 @@
         }
         return candidates(self._address, reachable, self._domain)
 
-    def _set_reads_store(self, reads_store: bool, is_relay: bool) -> None:
+    def _set_reads_store(self, reads_store: bool, *, is_relay: bool) -> None:
         self._is_reading = reads_store
         if not self._followers:
             return
