Reproduce requests that are lost in a planned stop

Callers saw: a request taken long after SIGTERM and given up. Real node processes are stopped while callers keep using their connections.

--- /dev/null
+++ b/features/planned_stop.feature
@@ -0,0 +1,40 @@
+Feature: A planned stop of a node process
+
+  # Guards against a request that is taken late in a drain and cut at its end.
+  Scenario Outline: No request is taken and given up <late>
+    Given a node process with a grace period of 8 s
+    And a caller that has begun to read a stream
+    When the node gets SIGTERM
+    And the caller sends a request <late> that its server never answers
+    Then the caller gets an answer, or no server has received the request
+
+    Examples:
+      | late                                       |
+      | behind the stream that ends after 3.7 s    |
+      | behind the stream that ends after 7.0 s    |
+      | ahead of the stream's end after 3.7 s      |
+      | in two halves, after 2.5 s and after 3.7 s |
+
+  # Guards against a request that is read, then dropped with its connection.
+  Scenario Outline: A request sent ahead of the end of <response> is answered
+    Given a node process with a grace period of 8 s
+    When the node gets SIGTERM <delay> s after a caller has requested <response>
+    And the caller sends a request ahead that its server answers at once
+    Then the caller gets the whole answer
+
+    Examples:
+      | response             | delay |
+      | a stream             | 0.3   |
+      | a delayed response   | 0.3   |
+
+  # Guards against a drain that ends too early within a short grace period.
+  Scenario Outline: A grace period of <grace> s leaves a request five sixths of it
+    Given a node process with a grace period of <grace> s
+    When the node gets SIGTERM
+    And a caller sends a request after <sent> s that its server answers after <end> s
+    Then the caller gets the whole answer
+
+    Examples:
+      | grace | sent | end |
+      | 8     | 2.5  | 6.4 |
+      | 4     | 0.5  | 3.1 |
--- a/features/soak/testbed.py
+++ b/features/soak/testbed.py
@@ -17,6 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HEARTBEAT_S = 1.0
 STOP_GRACE_S = 4
+TIMEOUT_MS = 3000
 EVENTS = 6
 ROUTES = {
     "safe": {"type": "safe", "attempts": 2, "service": "app"},
@@ -87,7 +88,7 @@
                 f"platform.addr={testbed.store_address}",
                 f"cloud.addr={testbed.store_address}",
                 "cloud.duties=usage",
-                f"bounds.graceS={STOP_GRACE_S}",
+                f"bounds.graceS={testbed.stop_grace_s}",
                 "bounds.leaseMs=2000",
                 "bounds.usageWindowS=2",
                 "bounds.usageDelayS=6",
@@ -121,10 +122,22 @@
 class Testbed:
     """All nodes, backend servers and the store of one seed."""
 
-    def __init__(self, folder, node_count, subnet, has_separate_zones):
+    def __init__(
+        self,
+        folder,
+        node_count,
+        subnet,
+        has_separate_zones,
+        script=None,
+        stop_grace_s=STOP_GRACE_S,
+        timeout_ms=TIMEOUT_MS,
+    ):
         self.folder = folder
         self.subnet = subnet
         self.has_separate_zones = has_separate_zones
+        self.stop_grace_s = stop_grace_s
+        self._timeout_ms = timeout_ms
+        self._script = script or self._answer
         self.keys = ["key-a", "key-b"]
         self.version = 0
         self.record = BackendRecord()
@@ -173,7 +186,7 @@
                         "name": kind,
                         "host": "h.example",
                         "prefix": f"/{kind}/",
-                        "timeoutMs": 3000,
+                        "timeoutMs": self._timeout_ms,
                         "targetLatencyMs": 500,
                         **route,
                     }
@@ -195,7 +208,7 @@
             },
         )
 
-    def _script(self, peer, head, body, number):
+    def _answer(self, peer, head, body, number):
         self.record.record_run(head, ("key-a", "key-b"))
         if "/safe/" in head or "/unsafe/" in head:
             request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
--- a/features/support/gateway_rig.py
+++ b/features/support/gateway_rig.py
@@ -131,12 +131,14 @@
 
     Attributes:
         is_complete: Whether all bytes that its framing announces arrived.
+        rest: Bytes received behind it.
     """
 
-    def __init__(self, head, body, is_complete):
+    def __init__(self, head, body, is_complete, rest=b""):
         self.head = head
         self.body = body
         self.is_complete = is_complete
+        self.rest = rest
         self.status = int(head.split(" ", 2)[1]) if head else 0
 
     def header(self, name):
@@ -144,9 +146,9 @@
         return scripted.header(self.head, name)
 
 
-def connect(port):
+def connect(port, host="127.0.0.1"):
     """Open a caller's connection to a port on loopback."""
-    connection = socket.create_connection(("127.0.0.1", port), 5)
+    connection = socket.create_connection((host, port), 5)
     connection.settimeout(8)
     return connection
 
@@ -161,9 +163,23 @@
     return answer
 
 
-def read_answer(connection):
-    """Read one answer; a truncated one has `is_complete` False."""
-    buffer = b""
+def read_answers(connection, count):
+    """Read the answers to requests that were sent ahead, in order."""
+    answers = []
+    rest = b""
+    for _ in range(count):
+        answers.append(read_answer(connection, rest))
+        rest = answers[-1].rest
+    return answers
+
+
+def read_answer(connection, buffer=b""):
+    """Read one answer; a truncated one has `is_complete` False.
+
+    Args:
+        connection: The caller's connection.
+        buffer: Bytes that were received behind an earlier answer.
+    """
     try:
         while b"\r\n\r\n" not in buffer:
             data = connection.recv(65536)
@@ -182,7 +198,7 @@
             if not data:
                 return Answer(text, rest, False)
             rest += data
-        return Answer(text, rest, True)
+        return Answer(text, rest[:length], True, rest[length:])
     except ConnectionResetError:
         return Answer("", buffer, False)
 
@@ -197,7 +213,7 @@
                 body += after[:size]
                 rest = after[size + 2 :]
                 if size == 0:
-                    return Answer(text, body, True)
+                    return Answer(text, body, True, rest)
                 continue
         try:
             data = connection.recv(65536)
