Log when a request arrived relative to a node's stop and what it cut

A request that a stopping node cut was logged as caller_gone, and no line told whether it had come before SIGTERM or long after it, so the hypotheses on the lost request couldn't be told apart. request_ended now has age_at_stop_s and the reason node_stopped; node_stopped counts the requests that were cut.

--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -15,6 +15,7 @@
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers
 from bilberryturn.edge import relays
+from bilberryturn.gateway import drain
 from bilberryturn.gateway import events_stream
 from bilberryturn.gateway import internal_server
 from bilberryturn.gateway import response_limits
@@ -334,7 +335,7 @@
     time.sleep(0.1)
 
     async def stop():
-        context.rig.shared.is_stopping = True
+        context.rig.shared.drain = drain.Drain(time.monotonic())
         context.rig.server.stop_listening()
         context.rig.server.close_idle()
 
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -125,7 +125,8 @@
 
 
 @behave.when(
-    "the node gets SIGTERM {delay_s:g} s after a caller has requested {response}"
+    "the node gets SIGTERM {delay_s:g} s after a caller has requested"
+    " {response}"
 )
 def when_stopped_after(context, delay_s, response):
     kind = "stream" if "stream" in response else "safe"
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -21,6 +21,7 @@
 from bilberryturn.edge import relays
 from bilberryturn.edge import shared_clock
 from bilberryturn.edge import usage_windows
+from bilberryturn.gateway import drain
 from bilberryturn.gateway import internal_server
 from bilberryturn.gateway import server as caller_server
 from bilberryturn.gateway import shared_state
@@ -100,9 +101,9 @@
         )
         tick_task = loop.create_task(self._tick())
         await self._stop_requested.wait()
-        await self._stop(jobs, executor)
+        cut_count = await self._stop(jobs, executor)
         tick_task.cancel()
-        events.log(events.NODE_STOPPED)
+        events.log(events.NODE_STOPPED, cut=cut_count)
 
     # Start.
 
@@ -390,10 +391,14 @@
     def _request_stop(self) -> None:
         self._stop_requested.set()
 
-    async def _stop(self, jobs, executor) -> None:
-        """Drain running requests while another node takes over the duties."""
+    async def _stop(self, jobs, executor) -> int:
+        """Drain running requests while another node takes over the duties.
+
+        Returns:
+            The number of requests that were cut.
+        """
         stop_started_s = time.monotonic()
-        self.shared.is_stopping = True
+        self.shared.drain = drain.Drain(stop_started_s)
         self._duty_runner.hand_over()
         self._update_readiness()
         events.log(events.NODE_STOPPING, running=self._callers.busy_count())
@@ -419,5 +424,6 @@
         await loop.run_in_executor(
             None, concurrent.futures.wait, jobs, max(0.1, remaining_s - 0.3)
         )
-        self._callers.abort_all()
+        cut_count = self._callers.abort_all()
         executor.shutdown(wait=False, cancel_futures=True)
+        return cut_count
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -46,7 +46,8 @@
         try:
             status, reason = await self._run()
         except asyncio.CancelledError:
-            self._log("caller_gone", 0)
+            is_cut = self._shared.is_cut
+            self._log("node_stopped" if is_cut else "caller_gone", 0)
             raise
         self._log(reason, status)
 
@@ -261,4 +262,5 @@
             config=shared.table.version if shared.table else None,
             config_age_s=shared.config_age_s(),
             servers_age_s=shared.servers_age_s(),
+            age_at_stop_s=shared.age_at_stop_s(arrived_s),
         )
--- a/src/bilberryturn/gateway/server.py
+++ b/src/bilberryturn/gateway/server.py
@@ -57,10 +57,13 @@
         """Return the number of connections with a request."""
         return sum(1 for c in self.connections if c.is_busy)
 
-    def abort_all(self) -> None:
-        """Abort all connections, those with a request included."""
+    def abort_all(self) -> int:
+        """Abort all connections; returns how many had a request."""
+        busy_count = self.busy_count()
+        self.shared.is_cut = True
         for connection in list(self.connections):
             connection.abort()
+        return busy_count
 
 
 class CallerConnection(asyncio.Protocol):
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bilberryturn import metrics
+from bilberryturn.gateway import drain
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import upstream
 from bilberryturn.routing import budget
@@ -121,7 +122,8 @@
 
     Attributes:
         table: Active configuration, or None until the first was read.
-        is_stopping: Whether the node is shutting down.
+        drain: The graceful shutdown in progress, or None.
+        is_cut: Whether the shutdown has cut the requests that still ran.
         config_confirmed_s: Monotonic time at which the configuration was last
             confirmed, or None.
         servers_confirmed_s: Monotonic time at which the server list was last
@@ -145,13 +147,28 @@
         self.suspects = suspects.CrashCounter()
         self.usage = UsageCounts(usage_window_s, time_of_day)
         self.pool = pool
-        self.is_stopping = False
+        self.drain: drain.Drain | None = None
+        self.is_cut = False
         self.config_confirmed_s: float | None = None
         self.servers_confirmed_s: float | None = None
         self._retry_limits = retry_limits
         self._node_count = 1
         self._budgets: dict[str, budget.RetryBudget] = {}
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether the node is shutting down."""
+        return self.drain is not None
+
+    def age_at_stop_s(self, arrived_s: float) -> float | None:
+        """Return how long before the shutdown's start a request arrived.
+
+        Negative for a request that arrived later; None without a shutdown.
+        """
+        if self.drain is None:
+            return None
+        return round(self.drain.started_s - arrived_s, 3)
+
     def retry_budget(self, service: str) -> budget.RetryBudget:
         """Return the retry budget of a service."""
         retry_budget = self._budgets.get(service)
