Take no request late in a stop that may be cut at its end

Callers saw: a request was read long after SIGTERM and ended without an answer.

Cause: nothing bounded what a stopping node accepts. A response whose head was sent before SIGTERM announces no close, so its connection began a new cycle when it ended, at any moment of the drain, and the next request was passed on and cut at the drain's end. The same held for requests sent ahead or in halves, and for connections that became idle after the drain was given up.

Change: after the time in which the load balancer may still send callers, a request is accepted only if it ends before the drain does, whatever its connection; others get 503 node_stopping with Retry-After 0, which is true as nothing was sent. Once the listener is closed, a connection is closed as its response ends, before the next request is read. Connections accepted just before are set up before the drain is found to be done.

Ruled out: the time of 3 s in which the node accepts as before (the load balancer needs two polls) isn't the cause; requests of that time end or are cut in the last sixth of the grace period.

--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -335,7 +335,9 @@
     time.sleep(0.1)
 
     async def stop():
-        context.rig.shared.drain = drain.Drain(time.monotonic())
+        context.rig.shared.drain = drain.Drain(
+            time.monotonic(), 0.0, time.monotonic() + 8.0
+        )
         context.rig.server.stop_listening()
         context.rig.server.close_idle()
 
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -42,6 +42,7 @@
 RELOADABLE = ("seeds", "stop_grace_s")
 # Settings that are read only at the start.
 START_ONLY = ("is_first_start",)
+STOP_POLL_INTERVAL_S = 0.05
 # Part of the grace period reserved for the last writes to the store.
 STOP_WRITE_RESERVE_S = 1.2
 
@@ -398,28 +399,26 @@
             The number of requests that were cut.
         """
         stop_started_s = time.monotonic()
-        self.shared.drain = drain.Drain(stop_started_s)
+        stop_end_s = stop_started_s + self._settings.stop_grace_s
+        drain_end_s = stop_end_s - STOP_WRITE_RESERVE_S
+        listen_until_s = min(stop_started_s + LISTEN_AFTER_STOP_S, drain_end_s)
+        self.shared.drain = drain.Drain(
+            stop_started_s, listen_until_s, drain_end_s
+        )
         self._duty_runner.hand_over()
         self._update_readiness()
         events.log(events.NODE_STOPPING, running=self._callers.busy_count())
-        drain_deadline_s = (
-            stop_started_s + self._settings.stop_grace_s - STOP_WRITE_RESERVE_S
-        )
-        listen_until_s = min(
-            stop_started_s + LISTEN_AFTER_STOP_S, drain_deadline_s
-        )
         await asyncio.sleep(max(0.0, listen_until_s - time.monotonic()))
         self._callers.stop_listening()
-        while time.monotonic() < drain_deadline_s:
+        while time.monotonic() < drain_end_s:
+            # Connections that were just accepted are set up meanwhile.
+            await asyncio.sleep(STOP_POLL_INTERVAL_S)
             self._callers.close_idle()
             if not self._callers.busy_count():
                 break
-            await asyncio.sleep(0.05)
         self.shared.usage.close()
         self._stopping.set()
-        remaining_s = (
-            stop_started_s + self._settings.stop_grace_s - time.monotonic()
-        )
+        remaining_s = stop_end_s - time.monotonic()
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(
             None, concurrent.futures.wait, jobs, max(0.1, remaining_s - 0.3)
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -76,16 +76,20 @@
         timeout_s = route.timeout_s
         if headers.caller_timeout_s is not None:
             timeout_s = min(timeout_s, headers.caller_timeout_s)
+        deadline_s = incoming.arrived_s + timeout_s
+        now_s = time.monotonic()
+        if shared.drain and not shared.drain.accepts(now_s, deadline_s):
+            return outcomes.NODE_STOPPING
         fingerprint = suspects.fingerprint(
             account.name if account else "", target, incoming.body
         )
-        if shared.suspects.is_refused(fingerprint, time.monotonic()):
+        if shared.suspects.is_refused(fingerprint, now_s):
             return outcomes.CRASHES_SERVERS
         service_name = route_tables.choose_service(route, headers.request_id)
         service = table.services.get(service_name)
         if service is None:
             return outcomes.no_server(RETRY_AFTER_S)
-        shared.retry_budget(service_name).record_request(time.monotonic())
+        shared.retry_budget(service_name).record_request(now_s)
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
@@ -103,7 +107,7 @@
             priority,
             requirements,
             fingerprint,
-            incoming.arrived_s + timeout_s,
+            deadline_s,
         )
         self._delivery = delivery.Delivery(self._caller, account, shared.usage)
         return None
--- a/src/bilberryturn/gateway/outcomes.py
+++ b/src/bilberryturn/gateway/outcomes.py
@@ -53,6 +53,12 @@
 SLOW_REQUEST = Refusal(
     408, "slow_request", "The request took too long to arrive; send it again"
 )
+NODE_STOPPING = Refusal(
+    503,
+    "node_stopping",
+    "This node is shutting down; the request has not run, send it again",
+    0.0,
+)
 CRASHES_SERVERS = Refusal(
     503,
     "crashes_servers",
--- a/src/bilberryturn/gateway/server.py
+++ b/src/bilberryturn/gateway/server.py
@@ -24,11 +24,17 @@
 
 
 class CallerServer:
-    """Accepts callers' connections and closes them gracefully."""
+    """Accepts callers' connections and closes them gracefully.
+
+    Attributes:
+        is_closed: Whether it has stopped listening. A connection is then
+            closed when its response has ended.
+    """
 
     def __init__(self, shared: shared_state.SharedState):
         self.shared = shared
         self.connections: set[CallerConnection] = set()
+        self.is_closed = False
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int) -> None:
@@ -45,6 +51,7 @@
 
     def stop_listening(self) -> None:
         """Stop accepting connections."""
+        self.is_closed = True
         if self._server is not None:
             self._server.close()
 
@@ -235,6 +242,9 @@
         self._arrived_s = time.monotonic()
         # Part of the next request may have arrived already.
         self._has_partial_head = bool(self._parser.trailing_data[0])
+        if self._server.is_closed and not self._has_partial_head:
+            self._close()
+            return
         if self._has_partial_head:
             self._set_timer(self._limits.header_timeout_s, self._refuse_slow)
         else:
