Answer requests sent ahead on a connection of a stopping node

Callers saw: a request that was sent ahead behind another one was read, and its connection closed without an answer.

Cause: each response of a stopping node announced the close of its connection, also when the next request had arrived already; h11 then ends the connection.

Change: the close is announced only if no part of a next request has arrived. A request that arrives behind an announced close is not processed, as HTTP/1.1 tells its caller (RFC 9112, 9.6).

Measured: planned_stop.feature, 'sent ahead of the end of a delayed response' failed before and passes; operators.feature and gateway.feature pass (74).

--- a/src/bilberryturn/gateway/server.py
+++ b/src/bilberryturn/gateway/server.py
@@ -21,6 +21,7 @@
 # Data accepted from a caller while its request is processed, such as further
 # requests. Beyond that the connection is not read until the request has ended.
 MAX_EARLY_BYTES = 65536
+CLOSE = (b"connection", b"close")
 
 
 class CallerServer:
@@ -240,8 +241,7 @@
         self._parser.start_next_cycle()
         self._limits = self._server.limits()
         self._arrived_s = time.monotonic()
-        # Part of the next request may have arrived already.
-        self._has_partial_head = bool(self._parser.trailing_data[0])
+        self._has_partial_head = self._has_next_request()
         if self._server.is_closed and not self._has_partial_head:
             self._close()
             return
@@ -296,12 +296,18 @@
         self._transport.abort()
 
     def _encode_head(self, status: int, headers: wire.Headers) -> bytes:
-        if self._server.shared.is_stopping:
-            headers = [*headers, (b"connection", b"close")]
+        closes = self._server.shared.is_stopping
+        # A request that was sent ahead gets an answer of its own.
+        if closes and CLOSE not in headers and not self._has_next_request():
+            headers = [*headers, CLOSE]
         return self._parser.send(
             h11.Response(status_code=status, headers=headers)
         )
 
+    def _has_next_request(self) -> bool:
+        """Return whether part of the next request has arrived already."""
+        return bool(self._parser.trailing_data[0])
+
     def _is_closed(self) -> bool:
         return self._transport is None or self._transport.is_closing()
 
@@ -342,7 +348,7 @@
         if self._parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.send_response(
                 refusal.status,
-                [*refusal.headers(), (b"connection", b"close")],
+                [*refusal.headers(), CLOSE],
                 refusal.body(),
             )
         self._close()
