Leave running requests five sixths of a short grace period

Cause: a fixed 1.2 s of the grace period was reserved for the last writes, whatever its length.

Change: the reserve is 15 in 100 of the grace period, at most 1.2 s. With the 8 s of all known deployments nothing changes.

--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -43,8 +43,10 @@
 # Settings that are read only at the start.
 START_ONLY = ("is_first_start",)
 STOP_POLL_INTERVAL_S = 0.05
-# Part of the grace period reserved for the last writes to the store.
-STOP_WRITE_RESERVE_S = 1.2
+# Part of the grace period reserved for the last writes to the store. Running
+# requests keep five sixths of it.
+MAX_STOP_WRITE_RESERVE_S = 1.2
+STOP_WRITE_RESERVE_SHARE = 0.15
 
 
 class EdgeNode:
@@ -399,8 +401,11 @@
             The number of requests that were cut.
         """
         stop_started_s = time.monotonic()
-        stop_end_s = stop_started_s + self._settings.stop_grace_s
-        drain_end_s = stop_end_s - STOP_WRITE_RESERVE_S
+        grace_s = self._settings.stop_grace_s
+        stop_end_s = stop_started_s + grace_s
+        drain_end_s = stop_end_s - min(
+            MAX_STOP_WRITE_RESERVE_S, STOP_WRITE_RESERVE_SHARE * grace_s
+        )
         listen_until_s = min(stop_started_s + LISTEN_AFTER_STOP_S, drain_end_s)
         self.shared.drain = drain.Drain(
             stop_started_s, listen_until_s, drain_end_s
