Log the shared parts of a prompt and how far an attempt that failed had come

The hypotheses on the servers that crash one after the other couldn't be told apart: no line named the parts that requests share, or whether an answer had begun.

--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -365,4 +365,6 @@
             expected_s=round(chosen.expected_s, 3),
             running=chosen.running,
             servers_age_s=self._shared.servers_age_s(),
+            answered_s=self._delivery.answered_s(),
+            prompt_parts=types.shared_parts(self._request.requirements.prompt),
         )
--- a/src/bilberryturn/gateway/delivery.py
+++ b/src/bilberryturn/gateway/delivery.py
@@ -78,6 +78,12 @@
         """Return whether an incomplete event is buffered."""
         return self._splitter.has_partial
 
+    def answered_s(self) -> float | None:
+        """Return the time since the first chunk was sent, or None."""
+        if self.first_chunk_s is None:
+            return None
+        return round(time.monotonic() - self.first_chunk_s, 3)
+
     def begin_attempt(self) -> None:
         """Discard an incomplete event that an earlier attempt left."""
         self._splitter.discard_partial()
--- a/src/bilberryturn/routing/types.py
+++ b/src/bilberryturn/routing/types.py
@@ -151,3 +151,13 @@
     parts: tuple[PromptPart, ...]
     input_tokens: int
     max_output_tokens: int
+
+
+def shared_parts(prompt: Prompt | None) -> tuple[str, ...]:
+    """Return the parts that other requests may have in their prompt too.
+
+    The last part belongs to the request itself or to its session.
+    """
+    if prompt is None:
+        return ()
+    return tuple(part.part_id for part in prompt.parts[:-1])
