Refuse the part of a prompt that crashes servers

Callers saw: requests of one kind crashed backend servers one after the other, and the sound requests that ran there were lost.

Cause: crashes were counted by account, path and body. Requests that share only a part of their prompt never met in one count, so none was refused.

Change: each node reports the shared parts of the requests that were about to be answered when their server crashed, and when it last saw an answer to those parts, with the crash counts that nodes share already. From all reports each node derives the fewest parts that explain the crashes: at least three servers in two incidents, none after the part's last answer. Of parts that always come together the last one is refused, so that requests with the earlier parts go on; crashes that one part explains don't count against others.

Ruled out: the request whose answer had begun (all with the part had none); slow propagation (found and known to all nodes within 4 s).

--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -372,9 +372,7 @@
         while len(self._raw.suspects) > MAX_LIFETIMES:
             self._raw.suspects.pop(next(iter(self._raw.suspects)))
         self._raw.mark_changed(Content.SUSPECTS, lifetime)
-        now_s = time.monotonic()
-        for fingerprint, count in counts.items():
-            self._shared.suspects.merge(fingerprint, lifetime, count, now_s)
+        self._shared.merge_crash_reports(lifetime, counts)
 
     def apply_peer_state(self, state: PeerState, received_s: float) -> None:
         """Apply the state of a peer that the store has confirmed recently.
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -340,7 +340,9 @@
     def _update_state(self, now_s: float) -> None:
         self._applier.expire()
         self.shared.evacuation.step(now_s)
-        self._own_suspects = self.shared.suspects.own_counts(now_s)
+        for cause in self.shared.part_crashes.new_causes():
+            events.log(events.PART_QUARANTINED, **cause._asdict())
+        self._own_suspects = self.shared.own_crash_reports()
         self._update_readiness()
         self.shared.set_node_count(self._node_presence.count())
 
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -15,6 +15,7 @@
 from bilberryturn.gateway import upstream
 from bilberryturn.platform import wire
 from bilberryturn.routing import choice
+from bilberryturn.routing import part_crashes
 from bilberryturn.routing import suspects
 from bilberryturn.routing import types
 
@@ -114,6 +115,8 @@
         self._shared = shared
         self._in_flight: choice.InFlightRequest | None = None
         self._connection: upstream.Connection | None = None
+        # Monotonic time of the first event of this attempt.
+        self._first_event_s: float | None = None
         self.was_sent = False
 
     async def run(self, may_try_another: bool) -> AttemptResult:
@@ -176,6 +179,8 @@
             self._end_attempt(False if is_crash else None)
             if is_crash and not self._delivery.has_started:
                 self._record_crash()
+            if is_crash and error.is_disconnect:
+                self._record_prompt_crash()
             return AttemptFailed(error.reason, error.was_sent)
         except TimeoutError:
             self._end_attempt(False)
@@ -260,6 +265,8 @@
             raise upstream.UpstreamError("resumption failed", True)
         self._delivery.count_request()
         self._shared.suspects.clear(self._request.fingerprint)
+        if head.status < 300:
+            self._shared.record_prompt_answer(self._prompt)
         self._end_attempt(head.status < 500, head)
         return Response(head, body)
 
@@ -300,6 +307,7 @@
             raise upstream.UpstreamError("stream ended inside an event", True)
         self._delivery.end_stream(head)
         self._shared.suspects.clear(self._request.fingerprint)
+        self._shared.record_prompt_answer(self._prompt)
         self._end_attempt(True, head)
         return StreamCompleted()
 
@@ -308,6 +316,8 @@
             has_sent_event = await self._delivery.forward(head, data)
         except events_stream.EventTooLargeError as error:
             raise upstream.UpstreamError(str(error), True) from error
+        if has_sent_event and self._first_event_s is None:
+            self._first_event_s = time.monotonic()
         if has_sent_event and self._in_flight is not None:
             self._shared.load_balancer.record_first_token(self._in_flight)
             engine = self._request.service.engine
@@ -328,6 +338,22 @@
                 crashes=count,
             )
 
+    @property
+    def _prompt(self) -> types.Prompt | None:
+        return self._request.requirements.prompt
+
+    def _record_prompt_crash(self) -> None:
+        """Record the prompt unless its answer had been coming for a while."""
+        answering_s = 0.0
+        if self._first_event_s is not None:
+            answering_s = time.monotonic() - self._first_event_s
+        if answering_s >= part_crashes.SOUND_ANSWER_S:
+            self._shared.record_prompt_answer(self._prompt)
+        else:
+            self._shared.record_prompt_crash(
+                self._chosen.server.lifetime, self._prompt
+            )
+
     def _end_attempt(
         self, outcome: bool | None, head: wire.ServerResponse | None = None
     ) -> None:
@@ -366,5 +392,5 @@
             running=chosen.running,
             servers_age_s=self._shared.servers_age_s(),
             answered_s=self._delivery.answered_s(),
-            prompt_parts=types.shared_parts(self._request.requirements.prompt),
+            prompt_parts=types.shared_parts(self._prompt),
         )
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -89,6 +89,9 @@
         service = table.services.get(service_name)
         if service is None:
             return outcomes.no_server(RETRY_AFTER_S)
+        prompt = headers.prompt if service.engine else None
+        if shared.refuses_prompt(prompt):
+            return outcomes.PROMPT_CRASHES_SERVERS
         shared.retry_budget(service_name).record_request(now_s)
         priority = route.priority
         if account is not None and account.priority is not None:
@@ -96,7 +99,7 @@
         requirements = choice.Requirements(
             service,
             shared.failure_domain,
-            headers.prompt if service.engine else None,
+            prompt,
             route.gap_target_s,
         )
         self._request = attempts.RoutedRequest(
@@ -159,6 +162,8 @@
         now_s = time.monotonic()
         if self._shared.suspects.is_refused(self._request.fingerprint, now_s):
             return False
+        if self._shared.refuses_prompt(self._request.requirements.prompt):
+            return False
         return self._shared.retry_budget(self._request.service.name).take(now_s)
 
     def _has_attempts_left(self) -> bool:
--- a/src/bilberryturn/gateway/outcomes.py
+++ b/src/bilberryturn/gateway/outcomes.py
@@ -65,6 +65,13 @@
     "This request has crashed the servers that ran it; change it",
     30.0,
 )
+PROMPT_CRASHES_SERVERS = Refusal(
+    503,
+    "prompt_crashes_servers",
+    "A part of this prompt crashes the servers that answer it; the request has"
+    " not run, change its prompt",
+    30.0,
+)
 
 
 def no_server(retry_after_s: float) -> Refusal:
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -14,8 +14,10 @@
 from bilberryturn.routing import budget
 from bilberryturn.routing import choice
 from bilberryturn.routing import directory
+from bilberryturn.routing import part_crashes
 from bilberryturn.routing import suspects
 from bilberryturn.routing import table as route_tables
+from bilberryturn.routing import types
 
 # Time for which leaving servers go on, unless the deployment states another.
 DEFAULT_DRAIN_S = 2.5
@@ -128,6 +130,8 @@
             confirmed, or None.
         servers_confirmed_s: Monotonic time at which the server list was last
             confirmed, or None.
+        time_of_day: Returns the time of day that all nodes share, in Unix
+            seconds.
     """
 
     def __init__(
@@ -145,6 +149,8 @@
         self.evacuation = moves.Evacuation(self.directory, drain_s)
         self.load_balancer = choice.LoadBalancer()
         self.suspects = suspects.CrashCounter()
+        self.part_crashes = part_crashes.PartCrashes()
+        self.time_of_day = time_of_day
         self.usage = UsageCounts(usage_window_s, time_of_day)
         self.pool = pool
         self.drain: drain.Drain | None = None
@@ -188,6 +194,42 @@
         for retry_budget in self._budgets.values():
             retry_budget.resize(self._retry_limits.node_slack(node_count))
 
+    def record_prompt_crash(
+        self, server: part_crashes.Lifetime, prompt: types.Prompt | None
+    ) -> None:
+        """Record a prompt that was about to be answered in a crash."""
+        self.part_crashes.record_crash(
+            server, types.shared_parts(prompt), self.time_of_day()
+        )
+
+    def record_prompt_answer(self, prompt: types.Prompt | None) -> None:
+        """Record a prompt that was answered."""
+        self.part_crashes.record_answer(
+            types.shared_parts(prompt), self.time_of_day()
+        )
+
+    def refuses_prompt(self, prompt: types.Prompt | None) -> bool:
+        """Return whether a part of a prompt crashes servers."""
+        cause = self.part_crashes.refused(
+            types.shared_parts(prompt), self.time_of_day()
+        )
+        return cause is not None
+
+    def merge_crash_reports(self, node: str, reports: dict[str, int]) -> None:
+        """Merge the crash reports of another node's lifetime."""
+        now_s = time.monotonic()
+        self.part_crashes.merge(node, reports)
+        for name, count in reports.items():
+            if not part_crashes.is_report(name):
+                self.suspects.merge(name, node, count, now_s)
+
+    def own_crash_reports(self) -> dict[str, int]:
+        """Return the crash reports of this node, for other nodes."""
+        return {
+            **self.suspects.own_counts(time.monotonic()),
+            **self.part_crashes.own_reports(self.time_of_day()),
+        }
+
     def config_age_s(self) -> float | None:
         """Return the time since the configuration was last confirmed."""
         return _age_s(self.config_confirmed_s)
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -31,12 +31,16 @@
     Attributes:
         reason: Short cause for logs.
         was_sent: Whether the server may have received any byte of the request.
+        is_disconnect: Whether the server closed or reset the connection.
     """
 
-    def __init__(self, reason: str, was_sent: bool):
+    def __init__(
+        self, reason: str, was_sent: bool, is_disconnect: bool = False
+    ):
         super().__init__(reason)
         self.reason = reason
         self.was_sent = was_sent
+        self.is_disconnect = is_disconnect
 
 
 class Connection:
@@ -118,9 +122,13 @@
                 data = await self._reader.read(READ_BYTES)
                 self._parser.receive_data(data)
         except h11.RemoteProtocolError as error:
-            raise UpstreamError(f"not an answer: {error}", True) from error
+            raise UpstreamError(
+                f"not an answer: {error}", True, self._reader.at_eof()
+            ) from error
         except OSError as error:
-            raise UpstreamError(f"connection lost: {error}", True) from error
+            raise UpstreamError(
+                f"connection lost: {error}", True, True
+            ) from error
 
     async def skip_response(self) -> None:
         """Read on behind a response that belongs to an earlier request.
--- /dev/null
+++ b/src/bilberryturn/routing/part_crashes.py
@@ -0,0 +1,355 @@
+"""Find the part of a prompt that crashes the backend servers.
+
+Handles requests that are all different but share one part of their prompt, on
+which each server crashes as it begins to answer. Sound requests share their
+client account and their other parts, and run on the servers that crash.
+
+Each node reports which requests were about to be answered when their server
+crashed, and when it last saw an answer to a part. From the reports of all nodes
+it derives the fewest parts that explain the crashes.
+"""
+
+import collections
+from collections.abc import Iterable
+from typing import NamedTuple
+
+# Crashes of servers from which a part is refused.
+MIN_CRASHES = 3
+# Servers that fail together, such as those of one failure domain, are one
+# incident. Crashes this far apart are different incidents.
+INCIDENT_S = 0.5
+MIN_INCIDENTS = 2
+# A part that was answered before its first crash needs more incidents, unless
+# the answer is older than this.
+MIN_INCIDENTS_IF_ANSWERED = 3
+ANSWER_TTL_S = 60.0
+# After this time a refused part is tried again.
+CRASH_TTL_S = 300.0
+# An answer that has been coming for this long shows that its parts are sound.
+SOUND_ANSWER_S = 1.0
+MAX_ANSWERED_PARTS = 4096
+# Bounds on the reports of one node; its row stays under 10 KB.
+MAX_CRASH_REPORTS = 60
+MAX_ANSWER_REPORTS = 60
+MAX_REPORTED_PARTS = 6
+MAX_NODES = 1000
+# Shared times of answers are this old at most.
+ANSWER_REPORT_INTERVAL_S = 1.0
+
+_CRASH_PREFIX = "crash:"
+_ANSWER_PREFIX = "answered:"
+
+Chain = tuple[str, ...]
+Lifetime = tuple[str, int]
+
+
+class Crash(NamedTuple):
+    """A request that was about to be answered when its server crashed.
+
+    Attributes:
+        server: Identifies the lifetime of the server.
+        parts: The last shared parts of the request's prompt, in prefill order.
+        at_s: Time of the crash on the clock that all nodes share.
+    """
+
+    server: str
+    parts: Chain
+    at_s: float
+
+
+class Cause(NamedTuple):
+    """A part that explains crashes.
+
+    Attributes:
+        crashes: Number of server lifetimes that it explains.
+        incidents: Number of incidents among them.
+    """
+
+    part: str
+    crashes: int
+    incidents: int
+
+
+class _Evidence:
+    """Crashes by part, without those before the part's last answer."""
+
+    def __init__(self, crashes: Iterable[Crash], answered: dict[str, float]):
+        self._answered = answered
+        self._times: dict[str, dict[str, float]] = {}
+        self._followers: dict[str, set[str]] = {}
+        for crash in crashes:
+            for position, part in enumerate(crash.parts):
+                if crash.at_s <= answered.get(part, 0.0):
+                    continue
+                times = self._times.setdefault(part, {})
+                earlier_s = times.get(crash.server, crash.at_s)
+                times[crash.server] = min(earlier_s, crash.at_s)
+                followers = self._followers.setdefault(part, set())
+                followers.update(crash.parts[position + 1 :])
+
+    def find_cause(self, explained: set[str]) -> Cause | None:
+        """Return the part that explains most crashes, if any is refused.
+
+        Args:
+            explained: Servers whose crash has another cause.
+        """
+        causes = {
+            cause.part: cause
+            for part in self._times
+            if (cause := self._cause(part, explained))
+        }
+        if not causes:
+            return None
+        best = max(causes.values(), key=self._rank)
+        seen: set[str] = set()
+        while best.part not in seen:
+            seen.add(best.part)
+            best = self._better_follower(best, causes, explained) or best
+        return best
+
+    def servers(self, part: str) -> set[str]:
+        """Return the servers that crashed under a part."""
+        return set(self._times[part])
+
+    def _cause(self, part: str, explained: set[str]) -> Cause | None:
+        """Return a part as a cause if its evidence is sufficient."""
+        times_s = sorted(
+            at_s
+            for server, at_s in self._times[part].items()
+            if server not in explained
+        )
+        if len(times_s) < MIN_CRASHES:
+            return None
+        incidents = 0
+        incident_s = -INCIDENT_S
+        for at_s in times_s:
+            if at_s - incident_s >= INCIDENT_S:
+                incidents += 1
+                incident_s = at_s
+        needed = MIN_INCIDENTS
+        if times_s[0] - self._answered.get(part, -ANSWER_TTL_S) < ANSWER_TTL_S:
+            needed = MIN_INCIDENTS_IF_ANSWERED
+        if incidents < needed:
+            return None
+        return Cause(part, len(times_s), incidents)
+
+    def _rank(self, cause: Cause) -> tuple[int, float, str]:
+        answered_s = self._answered.get(cause.part, 0.0)
+        return cause.crashes, -answered_s, cause.part
+
+    def _better_follower(
+        self, cause: Cause, causes: dict[str, Cause], explained: set[str]
+    ) -> Cause | None:
+        """Return a later part of the same prompts that explains as much.
+
+        Requests without the later part then stay allowed. A part that was
+        answered once yields to one that never was.
+        """
+        followers = [
+            causes[part]
+            for part in self._followers[cause.part]
+            if part in causes and part != cause.part
+        ]
+        is_answered = cause.part in self._answered
+        for follower in sorted(followers, key=self._rank, reverse=True):
+            is_clearer = is_answered and follower.part not in self._answered
+            if follower.crashes < cause.crashes and not is_clearer:
+                continue
+            rest = explained | self.servers(follower.part)
+            if self._cause(cause.part, rest) is None:
+                return follower
+        return None
+
+
+def find_causes(
+    crashes: Iterable[Crash], answered: dict[str, float]
+) -> list[Cause]:
+    """Return the parts that crash servers, the clearest first.
+
+    Args:
+        crashes: Reports of all nodes.
+        answered: Time at which each part was last answered.
+    """
+    evidence = _Evidence(crashes, answered)
+    causes: list[Cause] = []
+    explained: set[str] = set()
+    while (cause := evidence.find_cause(explained)) is not None:
+        causes.append(cause)
+        explained |= evidence.servers(cause.part)
+    return causes
+
+
+class _NodeReports(NamedTuple):
+    """The decoded reports of one node."""
+
+    crashes: tuple[Crash, ...]
+    answered: dict[str, float]
+
+
+class PartCrashes:
+    """Collects the reports of all nodes and refuses parts.
+
+    Times are on the clock that all nodes share, in Unix seconds.
+    """
+
+    def __init__(self):
+        self._own: collections.OrderedDict[tuple[str, Chain], Crash] = (
+            collections.OrderedDict()
+        )
+        self._own_answered: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._reported_answers: dict[str, float] = {}
+        self._others: collections.OrderedDict[str, _NodeReports] = (
+            collections.OrderedDict()
+        )
+        self._causes: dict[str, Cause] = {}
+        self._new_causes: list[Cause] = []
+        self._is_changed = False
+        self._expires_s = 0.0
+
+    def record_crash(
+        self, server: Lifetime, parts: Chain, now_s: float
+    ) -> None:
+        """Record a request that its server crashed on before answering it."""
+        chain = parts[-MAX_REPORTED_PARTS:]
+        if not chain:
+            return
+        name = f"{server[0]}/{server[1]}"
+        if (name, chain) in self._own:
+            return
+        self._own[(name, chain)] = Crash(name, chain, now_s)
+        while len(self._own) > MAX_CRASH_REPORTS:
+            self._own.popitem(last=False)
+        self._is_changed = True
+
+    def record_answer(self, parts: Chain, now_s: float) -> None:
+        """Record an answer that shows that its parts are sound."""
+        for part in parts:
+            self._own_answered[part] = now_s
+            self._own_answered.move_to_end(part)
+            self._is_changed = self._is_changed or part in self._causes
+        while len(self._own_answered) > MAX_ANSWERED_PARTS:
+            self._own_answered.popitem(last=False)
+
+    def merge(self, node: str, reports: dict[str, int]) -> None:
+        """Replace the reports of another node.
+
+        Args:
+            node: Lifetime of the node.
+            reports: As from own_reports; other names are ignored.
+        """
+        decoded = _decode(reports)
+        if self._others.get(node, _NodeReports((), {})) == decoded:
+            return
+        self._others[node] = decoded
+        while len(self._others) > MAX_NODES:
+            self._others.popitem(last=False)
+        self._is_changed = True
+
+    def own_reports(self, now_s: float) -> dict[str, int]:
+        """Return this node's reports, for other nodes."""
+        answered = self._answered()
+        reports = {
+            f"{_CRASH_PREFIX}{c.server}:{','.join(c.parts)}": _to_ms(c.at_s)
+            for c in self._own.values()
+            if now_s - c.at_s < CRASH_TTL_S
+            and any(c.at_s > answered.get(part, 0.0) for part in c.parts)
+        }
+        self._reported_answers = self._answers_to_report(now_s)
+        for part, at_s in self._reported_answers.items():
+            reports[_ANSWER_PREFIX + part] = _to_ms(at_s)
+        return reports
+
+    def _answers_to_report(self, now_s: float) -> dict[str, float]:
+        """Return when this node last saw answers to suspected parts.
+
+        A time that was reported is kept for a while, so that the reports do
+        not change with each answer.
+        """
+        found: dict[str, float] = {}
+        for part in self._suspected_parts()[-MAX_ANSWER_REPORTS:]:
+            answered_s = self._own_answered.get(part)
+            if answered_s is None or now_s - answered_s >= ANSWER_TTL_S:
+                continue
+            reported_s = self._reported_answers.get(part, 0.0)
+            is_due = answered_s - reported_s >= ANSWER_REPORT_INTERVAL_S
+            found[part] = answered_s if is_due else reported_s
+        return found
+
+    def refused(self, parts: Chain, now_s: float) -> Cause | None:
+        """Return the cause for which requests with these parts are refused."""
+        if self._is_changed or now_s >= self._expires_s:
+            self._update(now_s)
+        for part in parts:
+            if part in self._causes:
+                return self._causes[part]
+        return None
+
+    def new_causes(self) -> list[Cause]:
+        """Return the causes found since the last call."""
+        new, self._new_causes = self._new_causes, []
+        return new
+
+    def _update(self, now_s: float) -> None:
+        """Derive the causes from the reports."""
+        crashes = [
+            crash
+            for crash in self._all_crashes()
+            if now_s - crash.at_s < CRASH_TTL_S
+        ]
+        found = {c.part: c for c in find_causes(crashes, self._answered())}
+        self._new_causes += [
+            cause for part, cause in found.items() if part not in self._causes
+        ]
+        self._causes = found
+        self._is_changed = False
+        self._expires_s = CRASH_TTL_S + min(
+            (crash.at_s for crash in crashes), default=now_s
+        )
+
+    def _all_crashes(self) -> Iterable[Crash]:
+        yield from self._own.values()
+        for reports in self._others.values():
+            yield from reports.crashes
+
+    def _answered(self) -> dict[str, float]:
+        """Return when each suspected part was last answered by any node."""
+        answered = {
+            part: self._own_answered[part]
+            for part in self._suspected_parts()
+            if part in self._own_answered
+        }
+        for reports in self._others.values():
+            for part, at_s in reports.answered.items():
+                answered[part] = max(at_s, answered.get(part, 0.0))
+        return answered
+
+    def _suspected_parts(self) -> list[str]:
+        """Return the parts of all reported crashes, each once."""
+        return list(
+            dict.fromkeys(
+                part for crash in self._all_crashes() for part in crash.parts
+            )
+        )
+
+
+def is_report(name: str) -> bool:
+    """Return whether a name stands for a report, not for a fingerprint."""
+    return name.startswith((_CRASH_PREFIX, _ANSWER_PREFIX))
+
+
+def _to_ms(at_s: float) -> int:
+    return int(at_s * 1000)
+
+
+def _decode(reports: dict[str, int]) -> _NodeReports:
+    crashes: list[Crash] = []
+    answered: dict[str, float] = {}
+    for name, at_ms in reports.items():
+        if name.startswith(_ANSWER_PREFIX):
+            answered[name.removeprefix(_ANSWER_PREFIX)] = at_ms / 1000
+        elif name.startswith(_CRASH_PREFIX):
+            server, _, parts = name.removeprefix(_CRASH_PREFIX).rpartition(":")
+            crashes.append(Crash(server, tuple(parts.split(",")), at_ms / 1000))
+    return _NodeReports(tuple(crashes), answered)
