Treat a stream that ends with its channel before an event as broken off

Callers could see an empty success: a server that crashed after the head of a stream without length or chunks ended its channel, and the gateway ended the stream as complete. Nor did the crash count against the prompt.

Change: such a stream without a whole event is a failed attempt, and a stream that ends inside an event or before one counts as a crash of its server if only the end of the channel ended it.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -91,6 +91,10 @@
       | reset instead of the end of a channel  | stream | 1.0     |
       | reset instead of the end of a channel  | unsafe | 1.1     |
       | cut inside its length                  | unsafe | 1.0     |
+      | without a length that ends inside an event | stream | 1.1 |
+      | without a length that ends inside an event | stream | 1.0 |
+      | without a length that ends before an event | stream | 1.1 |
+      | without a length that ends before an event | stream | 1.0 |
 
   Scenario: Malformed messages end neither a process nor its jobs
     Given a follower, a peer's port and a caller's port
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -449,7 +449,22 @@
     return "close"
 
 
+def _end_channel_in_event(peer, head, body, number):
+    peer.send(_head(head, ""))
+    peer.send(scripted.event(1) + b"id: 2\ndata: tok")
+    time.sleep(0.1)
+    return "close"
+
+
+def _end_channel_before_event(peer, head, body, number):
+    peer.send(_head(head, ""))
+    time.sleep(0.1)
+    return "close"
+
+
 BROKEN = {
+    "without a length that ends inside an event": _end_channel_in_event,
+    "without a length that ends before an event": _end_channel_before_event,
     "cut between two chunks": _cut_between_chunks,
     "cut after the last event": _cut_after_last,
     "reset instead of the end of a channel": _reset_at_end,
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -303,8 +303,15 @@
             if not isinstance(event, h11.Data):
                 raise upstream.UpstreamError("stream cut short", True)
             await self._forward(head, bytes(event.data))
-        if self._delivery.has_partial_event:
-            raise upstream.UpstreamError("stream ended inside an event", True)
+        is_empty = not self._delivery.has_started
+        if self._delivery.has_partial_event or (
+            is_empty and not head.has_framing
+        ):
+            raise upstream.UpstreamError(
+                "stream ended inside or before an event",
+                True,
+                not head.has_framing,
+            )
         self._delivery.end_stream(head)
         self._shared.suspects.clear(self._request.fingerprint)
         self._shared.record_prompt_answer(self._prompt)
--- a/src/bilberryturn/platform/wire.py
+++ b/src/bilberryturn/platform/wire.py
@@ -169,6 +169,8 @@
         is_not_run: Whether the server states that it did not run the request.
         closes_connection: Whether the server closes the connection after the
             response.
+        has_framing: Whether the body has a length or chunks; otherwise it ends
+            with its connection, also if the server crashed.
         idle_timeout_s: How long the server keeps an idle connection open.
         headers: Headers to forward to the caller.
     """
@@ -179,6 +181,7 @@
     is_not_run: bool
     is_encoded: bool
     closes_connection: bool
+    has_framing: bool
     idle_timeout_s: float | None
     retry_after_s: float | None
     headers: Headers
@@ -196,6 +199,8 @@
         is_not_run=NOT_RUN in values or status == 421,
         is_encoded=encoding not in (b"", b"identity"),
         closes_connection=b"close" in connection,
+        has_framing=b"content-length" in values
+        or b"transfer-encoding" in values,
         idle_timeout_s=_keep_alive_s(values.get(b"keep-alive")),
         retry_after_s=_bounded_float(values.get(b"retry-after")),
         headers=[pair for pair in headers if pair[0] not in _HOP_BY_HOP],
