Wait in a stop for answers that callers are still reading

Callers saw: the rest of a large answer was missing if the caller read it slowly while its node stopped, well before the end of the grace period.

Cause: a connection counted as busy only until its request had ended. The rest of its answer then waits in the transport for the caller to read, so the drain was found to be done and the connection aborted. The node logged cut=0.

Ruled out: streams wait for the caller before each piece, so their request goes on; a scenario with a large stream passed before the change too (1 run).

Change: a connection with unsent data counts in the drain and among those cut.

Measured: planned_stop.feature, 'A caller that reads slowly gets the whole answer': 2 of 2 runs failed before, 3 of 3 passed after.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -38,3 +38,11 @@
       | grace | sent | end |
       | 8     | 2.5  | 6.4 |
       | 4     | 0.5  | 3.1 |
+
+  # Guards against a drain that overlooks answers still on their way.
+  Scenario: A caller that reads slowly gets the whole answer
+    Given a node process with a grace period of 8 s
+    And a caller that has requested a large answer and reads none of it
+    When the node gets SIGTERM
+    And the caller reads the answer after 4.5 s
+    Then the caller gets the whole answer
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -3,6 +3,7 @@
 import pathlib
 import re
 import signal
+import socket
 import tempfile
 import threading
 import time
@@ -18,6 +19,10 @@
 READY_LIMIT_S = 30.0
 STREAM_REQUEST = "stream-1"
 REQUEST = "request-1"
+LARGE_BYTES = 3_900_000
+# Receive buffer of a caller that reads slowly, so that most of a large answer
+# waits in the node.
+SLOW_READER_BYTES = 4096
 
 
 class _ControlledServer:
@@ -48,6 +53,9 @@
         request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
         self.received.add(request)
         is_stream = "/stream/" in head
+        if "/large" in head:
+            peer.answer(head, b"x" * LARGE_BYTES)
+            return
         if is_stream:
             peer.start_stream(head)
             peer.chunk(scripted.event(1))
@@ -72,15 +80,22 @@
     time.sleep(max(0.0, context.stopped_s + after_stop_s - time.monotonic()))
 
 
-def _connect(context):
-    connection = gateway_rig.connect(context.node.port, context.node.ip)
+def _connect(context, receive_bytes=None):
+    connection = socket.socket()
+    if receive_bytes is not None:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes
+        )
     connection.settimeout(20)
+    connection.connect((context.node.ip, context.node.port))
     context.closers.append(connection.close)
     return connection
 
 
-def _request(kind, request, body=b""):
-    return gateway_rig.request_text(kind, request, key="key-a", body=body)
+def _request(kind, request, body=b"", path="x"):
+    return gateway_rig.request_text(
+        kind, request, key="key-a", body=body, path=path
+    )
 
 
 def _wait_received(context, request):
@@ -118,6 +133,13 @@
     _wait_received(context, STREAM_REQUEST)
 
 
+@behave.given("a caller that has requested a large answer and reads none of it")
+def given_slow_reader(context):
+    context.connection = _connect(context, SLOW_READER_BYTES)
+    context.connection.sendall(_request("unsafe", REQUEST, path="large"))
+    _wait_received(context, REQUEST)
+
+
 @behave.when("the node gets SIGTERM")
 def when_stopped(context):
     context.node.signal(signal.SIGTERM)
@@ -203,6 +225,12 @@
     context.answer = gateway_rig.read_answer(connection)
 
 
+@behave.when("the caller reads the answer after {after_s:g} s")
+def when_read_late(context, after_s):
+    _at(context, after_s)
+    context.answer = gateway_rig.read_answer(context.connection)
+
+
 def _node_log(context):
     return context.node.log_path.read_text("utf-8")[-2500:]
 
--- a/src/bilberryturn/gateway/server.py
+++ b/src/bilberryturn/gateway/server.py
@@ -62,11 +62,13 @@
             connection.close_if_idle()
 
     def busy_count(self) -> int:
-        """Return the number of connections with a request."""
-        return sum(1 for c in self.connections if c.is_busy)
+        """Return the number of connections with a request or unsent data."""
+        return sum(
+            1 for c in self.connections if c.is_busy or c.has_unsent_data
+        )
 
     def abort_all(self) -> int:
-        """Abort all connections; returns how many had a request."""
+        """Abort all connections; returns how many of them were cut."""
         busy_count = self.busy_count()
         self.shared.is_cut = True
         for connection in list(self.connections):
@@ -104,6 +106,14 @@
             or self._has_partial_head
         )
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Return whether part of a response waits for the caller to read."""
+        return (
+            self._transport is not None
+            and self._transport.get_write_buffer_size() > 0
+        )
+
     # Callbacks of asyncio.Protocol.
 
     def connection_made(self, transport) -> None:
