Keep a node that gets SIGHUP while it starts

Operators saw: SIGHUP in the first moments of a node's process ended it.

Cause: the node handles SIGHUP once its event loop runs, after all imports. Until then the signal's default action holds, which ends the process.

Ruled out: SIGTERM there is no loss, as nothing listens yet. The interpreter's own start, before the script's first lines, isn't covered.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -46,3 +46,9 @@
     When the node gets SIGTERM
     And the caller reads the answer after 4.5 s
     Then the caller gets the whole answer
+
+  # Guards against the default action of a signal that comes before its handler.
+  Scenario: A node that gets SIGHUP while it starts goes on
+    Given a node process with a grace period of 8 s
+    When the node is killed and gets SIGHUP while it starts again
+    Then the node becomes ready
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -23,6 +23,8 @@
 # Receive buffer of a caller that reads slowly, so that most of a large answer
 # waits in the node.
 SLOW_READER_BYTES = 4096
+# Loaded by a node's imports, long after the interpreter has started.
+EARLY_MODULE = "msgspec"
 
 
 class _ControlledServer:
@@ -120,8 +122,14 @@
     context.closers.append(context.testbed.close)
     context.closers.append(context.server.close)
     context.node = context.testbed.nodes[0]
+    _wait_ready(context.node, 1)
+
+
+def _wait_ready(node, count):
+    """Wait until a node has become ready for the given time."""
     limit_s = time.monotonic() + READY_LIMIT_S
-    while '"is_ready": true' not in context.node.log_path.read_text("utf-8"):
+    while node.log_path.read_text("utf-8").count('"is_ready": true') < count:
+        assert node.is_running(), node.process.poll()
         assert time.monotonic() < limit_s, "the node is not ready"
         time.sleep(0.05)
 
@@ -231,6 +239,20 @@
     context.answer = gateway_rig.read_answer(context.connection)
 
 
+@behave.when("the node is killed and gets SIGHUP while it starts again")
+def when_reloaded_at_start(context):
+    node = context.node
+    node.signal(signal.SIGKILL)
+    node.process.wait()
+    node.start()
+    maps_path = pathlib.Path(f"/proc/{node.process.pid}/maps")
+    limit_s = time.monotonic() + READY_LIMIT_S
+    while EARLY_MODULE not in maps_path.read_text("utf-8"):
+        assert time.monotonic() < limit_s, f"{EARLY_MODULE} was not loaded"
+        time.sleep(0.002)
+    node.signal(signal.SIGHUP)
+
+
 def _node_log(context):
     return context.node.log_path.read_text("utf-8")[-2500:]
 
@@ -244,3 +266,8 @@
 @behave.then("the caller gets the whole answer")
 def then_answered(context):
     assert context.answer.is_complete, _node_log(context)
+
+
+@behave.then("the node becomes ready")
+def then_ready(context):
+    _wait_ready(context.node, 2)
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -92,6 +92,8 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
+        # Blocked by the start script; a pending one is handled now.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         executor = concurrent.futures.ThreadPoolExecutor(
             max_workers=6, thread_name_prefix="store"
         )
