Process no request that was refused while its connection closes

Callers saw: status 413 for too large a body, and yet a server received the request, without its body or with the part that had come before.

Cause: the connection is closed after the refusal, but parsing went on with what had been received already, whose end started the request. Usually the closed connection cancelled it at once; not while an earlier answer waited for the caller, as the connection then stays open until that is sent.

Ruled out: a refusal with nothing unsent before it (3 sizes tried, no request passed on); a slow or invalid request, which leaves nothing to parse.

Change: parsing ends as soon as the connection is closing.

Measured: operators.feature, 'A refused request behind an answer not yet read reaches no server': 3 of 3 runs failed before, 5 of 5 passed after.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -51,6 +51,12 @@
     Then the gateway accepts at most 8 MB of them
     And the caller gets its answer
 
+  Scenario: A refused request behind an answer not yet read reaches no server
+    Given a gateway before a server that sends large answers
+    When a caller that reads nothing sends a request, then one with too large a body
+    Then the server has received only the first request
+    And the caller gets the whole answer, then status 413
+
   Scenario Outline: A stop finds a request <state>
     Given a gateway before a server that answers after 0.3 s
     When the gateway stops while a request is <state>
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -31,6 +31,9 @@
 MB = 1024 * 1024
 BLOCK_BYTES = 65536
 WHOLE = b"answer"
+LARGE = b"x" * 3_900_000
+# Above the limit of the rig's configuration by less than one read.
+TOO_LARGE_BYTES = 100_500
 EVENTS = 5
 FUZZ_SEED = 11
 _ids = itertools.count(1)
@@ -316,6 +319,62 @@
     assert context.answer.body.startswith(WHOLE), context.answer.head
 
 
+# Refused requests
+
+
+@behave.given("a gateway before a server that sends large answers")
+def given_large(context):
+    def script(peer, head, body, number):
+        peer.answer(head, LARGE)
+
+    _start_gateway(context, script)
+
+
+@behave.when(
+    "a caller that reads nothing sends a request, then one with too large a"
+    " body"
+)
+def when_too_large(context):
+    connection = socket.socket()
+    context.closers.append(connection.close)
+    # Keeps most of the large answer in the gateway.
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    connection.settimeout(8)
+    connection.connect(("127.0.0.1", context.rig.port))
+    connection.sendall(gateway_rig.request_text("unsafe", f"l{next(_ids)}"))
+    _wait_unsent(context)
+    connection.sendall(
+        gateway_rig.request_text(
+            "unsafe", f"l{next(_ids)}", body=b"x" * TOO_LARGE_BYTES
+        )
+    )
+    context.answers = gateway_rig.read_answers(connection, 2)
+
+
+def _wait_unsent(context):
+    """Wait until the first request has ended with its answer unsent."""
+    limit_s = time.monotonic() + 8
+    while True:
+        connections = list(context.rig.server.connections)
+        if any(c.has_unsent_data and not c.is_busy for c in connections):
+            return
+        assert time.monotonic() < limit_s, "no answer waits for its caller"
+        time.sleep(0.01)
+
+
+@behave.then("the server has received only the first request")
+def then_only_first(context):
+    requests = context.servers[0].requests
+    assert len(requests) == 1, [(head, len(body)) for head, body in requests]
+
+
+@behave.then("the caller gets the whole answer, then status 413")
+def then_refused(context):
+    first, refused = context.answers
+    assert first.body == LARGE and first.is_complete, len(first.body)
+    assert refused.status == 413 and refused.is_complete, refused.head
+
+
 # Planned stop
 
 
--- a/src/bilberryturn/gateway/server.py
+++ b/src/bilberryturn/gateway/server.py
@@ -162,7 +162,7 @@
     # Parsing of requests.
 
     def _read_requests(self) -> None:
-        while self._task is None:
+        while self._task is None and not self._is_closed():
             try:
                 event = self._parser.next_event()
             except h11.RemoteProtocolError as error:
