--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -24,6 +24,20 @@
     Then every answer equals the engine's own
     And the node has exited with status 0
 
+  # Guards against requests that are passed on and lost as their node stops.
+  Scenario Outline: Callers keep using their connections for <kind> until their node is gone
+    Given a cluster of 1 domains with 2 nodes each
+    And every engine takes 0.01 seconds for a token
+    When a node is stopped while 8 callers send <kind> back to back
+    Then the node has exited with status 0 within 10 seconds
+    And each request that a server received has a whole answer
+
+    Examples:
+      | kind                   |
+      | repeatable calls       |
+      | calls that run once    |
+      | streams                |
+
   Scenario Outline: <victim> is killed under traffic
     Given a cluster of 2 domains with 3 nodes each
     When traffic through the other nodes runs while <victim> is killed
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -1,15 +1,22 @@
 """Steps for leaving servers and stopping nodes."""
 
+import json
 import threading
 import time
+from typing import NamedTuple
 
 import behave
 
 from bilberryturn import membership
+from bilberryturn_standins import caller
 from bilberryturn_standins import cluster as cluster_module
+from support import gateway_rig
 from support import traffic
 
 SEED = 3
+PROFILE = "quote-draft"
+STREAM_TOKENS = 20
+CALL_DELAY_S = 0.05
 
 
 def mark_draining(context, name):
@@ -126,6 +133,150 @@
     assert context.exit_status == status, context.exit_status
 
 
+class _SentRequest(NamedTuple):
+    """A request on a kept connection and what came back."""
+
+    name: str
+    answer: gateway_rig.Answer
+
+    def is_whole(self, is_stream):
+        """Return whether the answer is complete, a stream with its end."""
+        answer = self.answer
+        if not answer.is_complete:
+            return False
+        if not is_stream or answer.status != 200:
+            return True
+        return answer.body.rstrip().endswith(b"data: [DONE]")
+
+
+class _KeptConnection:
+    """A caller that sends one request after another on its connection.
+
+    It ignores an announced close and connects again only when the connection
+    has been closed, until its node is gone.
+    """
+
+    def __init__(self, node, key, kind, number):
+        self._node = node
+        self._key = key
+        self._kind = kind
+        self._number = number
+        self._connection = None
+        self.sent: list[_SentRequest] = []
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self._thread.start()
+
+    def join(self):
+        self._thread.join(90)
+        assert not self._thread.is_alive(), "a caller did not finish"
+
+    def _run(self):
+        while self._node.is_running:
+            name = f"kept-{SEED}-{self._number}-{len(self.sent)}."
+            try:
+                self._connect()
+            except OSError:
+                time.sleep(0.01)
+                continue
+            self.sent.append(_SentRequest(name, self._send(name)))
+        self._close()
+
+    def _connect(self):
+        if self._connection is None:
+            host, port = self._node.caller_address.split(":")
+            self._connection = gateway_rig.connect(int(port), host)
+            self._connection.settimeout(60)
+
+    def _close(self):
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _send(self, name):
+        try:
+            self._connection.sendall(_kept_request(self._kind, self._key, name))
+            answer = gateway_rig.read_answer(self._connection)
+        except OSError:
+            answer = gateway_rig.Answer("", b"", False)
+        if not answer.is_complete:
+            self._close()
+        return answer
+
+
+def _kept_request(kind, key, name):
+    """Return the bytes of a request that its server recognizes by its name."""
+    path, body, extra = "/services/booking/book", b"{}", ""
+    if kind == "streams":
+        path = "/v1/chat/completions"
+        body = json.dumps(caller.chat_body(name, STREAM_TOKENS)).encode()
+        extra = f"X-Bilberryturn-Profile: {PROFILE}\r\n"
+    elif kind == "repeatable calls":
+        path = f"/services/catalogue/search/{name}"
+    else:
+        extra = f"Idempotency-Key: {name}\r\n"
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: router\r\n"
+        f"Authorization: Bearer {key}\r\n{extra}"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def _received_bytes(cluster):
+    standins = (*cluster.engines.values(), *cluster.services.values())
+    return b"\n".join(data for s in standins for data in s.received)
+
+
+@behave.when(
+    "a node is stopped while {count:d} callers send {kind} back to back"
+)
+def step_stop_kept(context, count, kind):
+    node = context.cluster.nodes[0]
+    for service in context.cluster.services.values():
+        service.delay_s = CALL_DELAY_S
+    context.kind = kind
+    context.callers = [
+        _KeptConnection(node, context.key, kind, n) for n in range(count)
+    ]
+    cluster_module.wait_for(
+        lambda: all(len(c.sent) > 3 for c in context.callers),
+        "every caller to have answers",
+    )
+    started_s = time.monotonic()
+    context.exit_status = node.stop()
+    context.stop_s = time.monotonic() - started_s
+    for kept in context.callers:
+        kept.join()
+
+
+@behave.then(
+    "the node has exited with status {status:d} within {limit_s:d} seconds"
+)
+def step_status_within(context, status, limit_s):
+    assert context.exit_status == status, context.exit_status
+    assert context.stop_s <= limit_s, context.stop_s
+
+
+@behave.then("each request that a server received has a whole answer")
+def step_kept_whole(context):
+    received = _received_bytes(context.cluster)
+    sent = [request for kept in context.callers for request in kept.sent]
+    passed_on = [r for r in sent if r.name.encode() in received]
+    assert passed_on
+    lost = [
+        (request.name, request.answer.head, request.answer.body[-200:])
+        for request in passed_on
+        if not request.is_whole(context.kind == "streams")
+    ]
+    assert not lost, (len(passed_on), lost)
+    false_refusals = [
+        request.name
+        for request in passed_on
+        if b'"not run"' in request.answer.body
+    ]
+    assert not false_refusals, false_refusals
+
+
 @behave.when("traffic through the other nodes runs while {victim} is killed")
 def step_kill_nodes(context, victim):
     cluster = context.cluster
