End the requests that a stopping daemon can't wait for any longer

Callers saw, of a request that still ran at stop_deadline_s: status 499, "the caller closed the connection", though they waited for it.

Operators saw: the stop went on while a stream had events to send, however long ago the deadline had passed.

Cause: nothing told the running requests of the deadline. The HTTP server's own stop shuts down the reading side of their connections, which looks as if the caller had gone; that is looked for only while no event arrives.

Change: at the deadline the running requests end with the error node_stopped, status 502, which tells whether they may have run; a stream gets it as its last event. node_stopped in the log counts them, as on the gateway.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -38,6 +38,22 @@
       | calls that run once    |
       | streams                |
 
+  # Guards against a stop without end, and against a request that it cuts and
+  # reports as given up by its caller.
+  Scenario Outline: A stop that reaches its deadline ends <kind>
+    Given a cluster of 1 domains with 2 nodes each
+    And every engine takes 0.05 seconds for a token
+    And the deadline of a node's stop is 1 second
+    When the node is stopped while a caller waits for <kind>
+    Then the node has exited with status 0 within 10 seconds
+    And the caller is told that the node has stopped and the request may have run
+
+    Examples:
+      | kind                |
+      | a repeatable call     |
+      | a call that runs once |
+      | a stream              |
+
   Scenario Outline: <victim> is killed under traffic
     Given a cluster of 2 domains with 3 nodes each
     When traffic through the other nodes runs while <victim> is killed
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -1,6 +1,7 @@
 """Steps for leaving servers and stopping nodes."""
 
 import json
+import signal
 import threading
 import time
 from typing import NamedTuple
@@ -14,9 +15,13 @@
 from support import traffic
 
 SEED = 3
+REQUEST = "request-1."
 PROFILE = "quote-draft"
 STREAM_TOKENS = 20
 CALL_DELAY_S = 0.05
+# Both last far longer than the stop's deadline.
+LONG_CALL_S = 8.0
+LONG_STREAM_TOKENS = 400
 
 
 def mark_draining(context, name):
@@ -203,14 +208,14 @@
         return answer
 
 
-def _kept_request(kind, key, name):
+def _kept_request(kind, key, name, tokens=STREAM_TOKENS):
     """Return the bytes of a request that its server recognizes by its name."""
     path, body, extra = "/services/booking/book", b"{}", ""
-    if kind == "streams":
+    if "stream" in kind:
         path = "/v1/chat/completions"
-        body = json.dumps(caller.chat_body(name, STREAM_TOKENS)).encode()
+        body = json.dumps(caller.chat_body(name, tokens)).encode()
         extra = f"X-Bilberryturn-Profile: {PROFILE}\r\n"
-    elif kind == "repeatable calls":
+    elif "repeatable" in kind:
         path = f"/services/catalogue/search/{name}"
     else:
         extra = f"Idempotency-Key: {name}\r\n"
@@ -277,6 +282,57 @@
     assert not false_refusals, false_refusals
 
 
+@behave.given("the deadline of a node's stop is {deadline_s:d} second")
+def step_stop_deadline(context, deadline_s):
+    node = context.cluster.nodes[0]
+    context.cluster.write_settings(node, stop_deadline_s=deadline_s)
+    node.signal(signal.SIGHUP)
+    cluster_module.wait_for(
+        lambda: "settings_reloaded" in node.log_text(),
+        "the settings to be reloaded",
+    )
+
+
+@behave.when("the node is stopped while a caller waits for {kind}")
+def step_stop_waiting(context, kind):
+    node = context.cluster.nodes[0]
+    for service in context.cluster.services.values():
+        service.delay_s = LONG_CALL_S
+    connection = _connect(context, node)
+    connection.sendall(
+        _kept_request(kind, context.key, REQUEST, LONG_STREAM_TOKENS)
+    )
+    cluster_module.wait_for(
+        lambda: REQUEST.encode() in _received_bytes(context.cluster),
+        "a server to receive the request",
+    )
+    started_s = time.monotonic()
+    node.signal(signal.SIGTERM)
+    context.answer = gateway_rig.read_answer(connection)
+    context.exit_status = node.wait()
+    context.stop_s = time.monotonic() - started_s
+
+
+def _connect(context, node):
+    host, port = node.caller_address.split(":")
+    connection = gateway_rig.connect(int(port), host)
+    connection.settimeout(60)
+    context.closers.append(connection.close)
+    return connection
+
+
+@behave.then(
+    "the caller is told that the node has stopped and the request may have run"
+)
+def step_told_stopped(context):
+    answer = context.answer
+    assert answer.is_complete, answer.body[-300:]
+    last = answer.body.strip().rpartition(b"\n")[2].removeprefix(b"data: ")
+    error = json.loads(last).get("error", {})
+    assert error.get("code") == "node_stopped", last
+    assert error["ran"] == "may have run", last
+
+
 @behave.when("traffic through the other nodes runs while {victim} is killed")
 def step_kill_nodes(context, victim):
     cluster = context.cluster
--- a/src/bilberryturn/daemon/node.py
+++ b/src/bilberryturn/daemon/node.py
@@ -409,7 +409,11 @@
         time.sleep(timing.drain_announce_s)
         self.context.is_stopping = True
         deadline_s = time.monotonic() + timing.stop_deadline_s
-        while self.running.count() and time.monotonic() < deadline_s:
+        cut_count = 0
+        while self.running.count():
+            if time.monotonic() >= deadline_s:
+                cut_count = self._cut_running()
+                break
             time.sleep(STOP_POLL_INTERVAL_S)
         self.caller_server.stop()
         self.jobs.stop()
@@ -417,7 +421,14 @@
         self.stream_loop.stop()
         self.admin_server.stop()
         self.control.stop()
-        events.log(events.NODE_STOPPED)
+        events.log(events.NODE_STOPPED, cut=cut_count)
+
+    def _cut_running(self) -> int:
+        """End the running requests with an error; returns their number."""
+        running = self.running.all()
+        for exchange in running:
+            exchange.cancel(entry_exceptions.NodeStoppedError())
+        return len(running)
 
     def _leave(self) -> None:
         """Release the leases and send unflushed usage to peers."""
--- a/src/bilberryturn/entry/exceptions.py
+++ b/src/bilberryturn/entry/exceptions.py
@@ -195,6 +195,15 @@
     remedy = "Connect again; the balancer picks another node"
 
 
+class NodeStoppedError(RequestError):
+    """The node could not wait any longer for the request to end."""
+
+    status = 502
+    code = "node_stopped"
+    problem = "This node stopped before the request had ended"
+    remedy = "Try again if running the request twice does no harm"
+
+
 class IsolatedError(RequestError):
     """The node cannot receive withdrawals of keys."""
 
