--- a/features/mutants.py
+++ b/features/mutants.py
@@ -274,6 +274,84 @@
         "leaving",
         "A planned stop",
     ),
+    Mutant(
+        "a stopping node of the gateway accepts requests until its end",
+        (
+            (
+                "gateway/drain.py",
+                "return deadline_s + RESPONSE_MARGIN_S <= self.end_s",
+                "return True",
+            ),
+        ),
+        "planned_stop",
+        "in two halves",
+    ),
+    Mutant(
+        "a stopping node begins the next cycle of a connection",
+        (
+            (
+                "gateway/server.py",
+                "if self._server.is_closed and not self._has_partial_head:",
+                "if False:",
+            ),
+            (
+                "gateway/drain.py",
+                "return deadline_s + RESPONSE_MARGIN_S <= self.end_s",
+                "return True",
+            ),
+        ),
+        "planned_stop",
+        "behind the stream that ends after 3.7 s",
+    ),
+    Mutant(
+        "a stopping node announces a close before a request sent ahead",
+        (
+            (
+                "gateway/server.py",
+                "if closes and CLOSE not in headers"
+                " and not self._has_next_request():",
+                "if closes and CLOSE not in headers:",
+            ),
+        ),
+        "planned_stop",
+        "a delayed response is answered",
+    ),
+    Mutant(
+        "parts of prompts that crash servers are not refused",
+        (
+            (
+                "gateway/exchange.py",
+                "if shared.refuses_prompt(prompt):",
+                "if False:",
+            ),
+        ),
+        "part_crashes",
+        "between other parts",
+    ),
+    Mutant(
+        "answers do not clear a part of the crashes around it",
+        (
+            (
+                "routing/part_crashes.py",
+                "if crash.at_s <= answered.get(part, 0.0):",
+                "if False:",
+            ),
+        ),
+        "part_crashes",
+        "before the part's last answer",
+    ),
+    Mutant(
+        "the first of several parts is refused instead of the last",
+        (
+            (
+                "routing/part_crashes.py",
+                "if self._cause(cause.part, rest) is None:",
+                "if False:",
+            ),
+        ),
+        "part_crashes",
+        "that always come together",
+    ),
     Mutant(
         "an entry does not retry at a second broker",
         (
@@ -567,7 +645,9 @@
     """Return whether the scenario detected the mutant, and its output."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix="mutant-"))
     try:
-        shutil.copytree(ROOT / "src", folder / "src")
+        # Node processes are started from the copy, by its deploy script.
+        for name in ("src", "deploy", "features"):
+            shutil.copytree(ROOT / name, folder / name)
         for file, old, new in mutant.edits:
             path = folder / "src" / "bilberryturn" / file
             text = path.read_text("utf-8")
@@ -576,9 +656,9 @@
             path.write_text(text.replace(old, new), "utf-8")
         command = [
             sys.executable,
-            str(ROOT / "features" / "run.py"),
+            str(folder / "features" / "run.py"),
             "--here",
-            str(ROOT / "features" / f"{mutant.feature}.feature"),
+            str(folder / "features" / f"{mutant.feature}.feature"),
             "-n",
             mutant.scenario,
         ]
