Don't refuse a part for one request that its caller repeats

Found by looking at the older fault, a request that crashes its servers and comes again: its crashes would have condemned a part of its prompt that sound requests share.

Change: a crash report names the request; it is a possible cause like a part, behind all parts of its prompt. Its own refusal stays with its fingerprint.

--- a/features/part_crashes.feature
+++ b/features/part_crashes.feature
@@ -33,6 +33,8 @@
       | at three moments under a part that was answered before    | dead       |
       | of three servers before the part's last answer            | nothing    |
       | of a whole failure domain under busy parts                | nothing    |
+      | under one request that its caller repeats                 | nothing    |
+      | under a part in requests that their callers repeat once   | dead       |
 
   Scenario: All nodes refuse a part from reports that each holds in part
     Given three nodes that each saw one of three crashes under a part
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -138,8 +138,10 @@
 # Evidence without a network
 
 
-def _crash(server, at_s, *parts):
-    return part_crashes.Crash(server, parts, at_s)
+def _crash(server, at_s, *parts, request=None):
+    """Return a crash under a request that isn't repeated, unless named."""
+    request = request or f"r-{server}-{'-'.join(parts)}"
+    return part_crashes.Crash(server, parts, request, at_s)
 
 
 def _series(times_s, *chains):
@@ -204,6 +206,23 @@
         _series((100, 101, 102), ("f", "dead")),
         {"f": 102.1, "dead": 102.1},
     ),
+    "under one request that its caller repeats": (
+        [
+            *(
+                _crash(f"s{n}", 100 + n, "f", "g", request="r1")
+                for n in range(4)
+            ),
+            _crash("s1", 101, "f", "h"),
+        ],
+        {"f": 99.0},
+    ),
+    "under a part in requests that their callers repeat once": (
+        [
+            _crash(f"s{n}", 100 + n, "f", "dead", request=f"r{n // 2}")
+            for n in range(4)
+        ],
+        {"f": 99.0},
+    ),
     "of a whole failure domain under busy parts": (
         _series((100, 100.2, 100.3, 100.4, 100.7), ("f", "g"), ("h", "i")),
         {"f": 99.9, "g": 97.0, "h": 99.8, "i": 80.0},
@@ -215,7 +234,7 @@
 def then_causes(context, pattern, causes):
     crashes, answered = PATTERNS[pattern]
     found = part_crashes.find_causes(crashes, answered, NOW_S)
-    names = sorted(cause.part for cause in found)
+    names = sorted(cause.part for cause in found if not cause.is_request)
     expected = [] if causes == "nothing" else sorted(causes.split(", "))
     assert names == expected, found
 
@@ -233,7 +252,9 @@
     context.nodes = {f"n{n}": part_crashes.PartCrashes() for n in range(3)}
     for number, node in enumerate(context.nodes.values()):
         node.record_answer(("f",), 999.0 + number)
-        node.record_crash((f"s{number}", 7), ("f", DEADLY), 1000.0 + number)
+        node.record_crash(
+            (f"s{number}", 7), ("f", DEADLY), f"r{number}", 1000.0 + number
+        )
 
 
 @behave.then("none of them refuses it before they exchanged their reports")
@@ -366,7 +387,8 @@
             if now_s - first_s >= part_crashes.SOUND_ANSWER_S:
                 node.record_answer(parts, now_s)
             else:
-                node.record_crash(lifetime, parts, now_s)
+                request = f"r{first_s}{node}"
+                node.record_crash(lifetime, parts, request, now_s)
 
 
 @behave.then(
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -362,7 +362,9 @@
         if answering_s >= part_crashes.SOUND_ANSWER_S:
             self._shared.record_prompt_answer(self._prompt)
         else:
-            self._shared.record_prompt_crash(self.lifetime, self._prompt)
+            self._shared.record_prompt_crash(
+                self.lifetime, self._prompt, self._request.fingerprint
+            )
 
     def _end_attempt(
         self, outcome: bool | None, head: wire.ServerResponse | None = None
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -195,11 +195,18 @@
             retry_budget.resize(self._retry_limits.node_slack(node_count))
 
     def record_prompt_crash(
-        self, server: part_crashes.Lifetime, prompt: types.Prompt | None
+        self,
+        server: part_crashes.Lifetime,
+        prompt: types.Prompt | None,
+        fingerprint: str,
     ) -> None:
         """Record a prompt that was about to be answered in a crash."""
+        if prompt is None or not prompt.parts:
+            return
+        # Requests with equal bodies may still have different prompts.
+        request = f"{fingerprint[:8]}-{prompt.parts[-1].part_id}"
         self.part_crashes.record_crash(
-            server, types.shared_parts(prompt), self.time_of_day()
+            server, types.shared_parts(prompt), request, self.time_of_day()
         )
 
     def record_prompt_answer(self, prompt: types.Prompt | None) -> None:
--- a/src/bilberryturn/routing/part_crashes.py
+++ b/src/bilberryturn/routing/part_crashes.py
@@ -6,7 +6,7 @@
 
 Each node reports which requests were about to be answered when their server
 crashed, and when it last saw an answer to a part. From the reports of all nodes
-it derives the fewest parts that explain the crashes.
+it derives the fewest parts, or single requests, that explain the crashes.
 """
 
 import collections
@@ -55,25 +55,36 @@
     Attributes:
         server: Identifies the lifetime of the server.
         parts: The last shared parts of the request's prompt, in prefill order.
+        request: Identifies the request across its retries.
         at_s: Time of the crash on the clock that all nodes share.
     """
 
     server: str
     parts: Chain
+    request: str
     at_s: float
 
+    @property
+    def suspects(self) -> Chain:
+        """Return what may have caused the crash, the request itself last."""
+        return (*self.parts, self.request)
+
 
 class Cause(NamedTuple):
-    """A part that explains crashes.
+    """A part, or a single request, that explains crashes.
 
     Attributes:
+        part: Identifier of the part, or that of the request.
         crashes: Number of server lifetimes that it explains.
         incidents: Number of incidents among them.
+        is_request: Whether it is a single request, which its fingerprint
+            refuses.
     """
 
     part: str
     crashes: int
     incidents: int
+    is_request: bool
 
 
 class _Evidence:
@@ -89,15 +100,17 @@
         self._now_s = now_s
         self._times: dict[str, dict[str, float]] = {}
         self._followers: dict[str, set[str]] = {}
+        self._requests: set[str] = set()
         for crash in crashes:
-            for position, part in enumerate(crash.parts):
+            self._requests.add(crash.request)
+            for position, part in enumerate(crash.suspects):
                 if crash.at_s <= answered.get(part, 0.0):
                     continue
                 times = self._times.setdefault(part, {})
                 earlier_s = times.get(crash.server, crash.at_s)
                 times[crash.server] = min(earlier_s, crash.at_s)
                 followers = self._followers.setdefault(part, set())
-                followers.update(crash.parts[position + 1 :])
+                followers.update(crash.suspects[position + 1 :])
 
     def find_cause(self, explained: set[str]) -> Cause | None:
         """Return the clearest cause of the other crashes, or None.
@@ -126,7 +139,8 @@
     def _cause(self, part: str, explained: set[str]) -> Cause | None:
         """Return a part as a cause if its evidence is sufficient."""
         is_answered = self._was_answered(part)
-        is_delayed = is_answered or bool(self._followers[part])
+        has_follower = bool(self._followers[part] - self._requests)
+        is_delayed = is_answered or has_follower
         until_s = self._now_s - (REPORT_DELAY_S if is_delayed else 0.0)
         times_s = sorted(
             at_s
@@ -144,7 +158,7 @@
         needed = MIN_INCIDENTS_IF_ANSWERED if is_answered else MIN_INCIDENTS
         if incidents < needed:
             return None
-        return Cause(part, len(times_s), incidents)
+        return Cause(part, len(times_s), incidents, part in self._requests)
 
     def _was_answered(self, part: str) -> bool:
         """Return whether a part was answered not long before its crashes."""
@@ -160,7 +174,8 @@
     ) -> Cause | None:
         """Return a later part of the same prompts that leaves no other cause.
 
-        Requests without the later part then stay allowed.
+        Requests without the later part then stay allowed. The last one is the
+        request itself: one that its caller repeats condemns no part.
         """
         followers = [
             causes[part]
@@ -226,16 +241,21 @@
         self._next_update_s = 0.0
 
     def record_crash(
-        self, server: Lifetime, parts: Chain, now_s: float
+        self, server: Lifetime, parts: Chain, request: str, now_s: float
     ) -> None:
-        """Record a request that its server crashed on before answering it."""
-        chain = parts[-MAX_REPORTED_PARTS:]
-        if not chain:
+        """Record a request that its server crashed on before answering it.
+
+        Args:
+            server: Lifetime of the server.
+            parts: Shared parts of the prompt.
+            request: Identifies the request across its retries.
+            now_s: Present time.
+        """
+        if not parts:
             return
         name = f"{server[0]}/{server[1]}"
-        if (name, chain) in self._own:
-            return
-        self._own[(name, chain)] = Crash(name, chain, now_s)
+        crash = Crash(name, parts[-MAX_REPORTED_PARTS:], request, now_s)
+        self._own.setdefault((name, crash.suspects), crash)
         while len(self._own) > MAX_CRASH_REPORTS:
             self._own.popitem(last=False)
         self._is_changed = True
@@ -270,7 +290,7 @@
         """Return this node's reports, for other nodes."""
         answered = self._answered()
         reports = {
-            f"{_CRASH_PREFIX}{c.server}:{','.join(c.parts)}": _to_ms(c.at_s)
+            f"{_CRASH_PREFIX}{c.server}:{','.join(c.suspects)}": _to_ms(c.at_s)
             for c in self._own.values()
             if now_s - c.at_s < CRASH_TTL_S
             and any(c.at_s > answered.get(part, 0.0) for part in c.parts)
@@ -318,7 +338,7 @@
             if now_s - crash.at_s < CRASH_TTL_S
         ]
         causes = find_causes(crashes, self._answered(), now_s)
-        found = {cause.part: cause for cause in causes}
+        found = {c.part: c for c in causes if not c.is_request}
         self._new_causes += [
             cause for part, cause in found.items() if part not in self._causes
         ]
@@ -368,6 +388,7 @@
         if name.startswith(_ANSWER_PREFIX):
             answered[name.removeprefix(_ANSWER_PREFIX)] = at_ms / 1000
         elif name.startswith(_CRASH_PREFIX):
-            server, _, parts = name.removeprefix(_CRASH_PREFIX).rpartition(":")
-            crashes.append(Crash(server, tuple(parts.split(",")), at_ms / 1000))
+            server, _, names = name.removeprefix(_CRASH_PREFIX).rpartition(":")
+            *parts, request = names.split(",")
+            crashes.append(Crash(server, tuple(parts), request, at_ms / 1000))
     return _NodeReports(tuple(crashes), answered)
