Process no request behind a close that a stopping daemon announced

Callers saw: a request that was sent ahead on a connection reached a server, and the response before it announced the connection's close. A caller that obeys this has left by then, so its request ran without an answer.

Cause: a stopping node's responses carry Connection: close, which the HTTP server sends without closing the connection; it went on reading requests (RFC 9112, 9.6).

Change: the connection closes behind such a response. As on the gateway, the close isn't announced if part of the next request has arrived already, so that it gets an answer of its own. A body that the application left unread is no next request; the HTTP server still reads it before the response.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -31,6 +31,7 @@
     When a node is stopped while 8 callers send <kind> back to back
     Then the node has exited with status 0 within 10 seconds
     And each request that a server received has a whole answer
+    And each refusal announced that its connection closes
 
     Examples:
       | kind                   |
@@ -54,6 +55,23 @@
       | a call that runs once |
       | a stream              |
 
+  # Guards against a request that is passed on behind an announced close, whose
+  # caller has left by then.
+  Scenario Outline: A request sent <when> a response of a stopping node
+    Given a cluster of 1 domains with 2 nodes each
+    When a node is stopped and a caller sends a request <when> a response
+    Then <result>
+
+    Examples:
+      | when                          | result                                                |
+      | ahead of                      | no close is announced before the last of both answers |
+      | behind the close announced by | the connection is closed without a run of the request |
+
+  Scenario: A stopping node refuses a large body with a whole answer
+    Given a cluster of 1 domains with 2 nodes each
+    When a caller sends a body of 3 MB to a node that stops and refuses requests
+    Then the caller gets the whole refusal
+
   Scenario Outline: <victim> is killed under traffic
     Given a cluster of 2 domains with 3 nodes each
     When traffic through the other nodes runs while <victim> is killed
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -1,5 +1,6 @@
 """Steps for leaving servers and stopping nodes."""
 
+import contextlib
 import json
 import signal
 import threading
@@ -16,12 +17,17 @@
 
 SEED = 3
 REQUEST = "request-1."
+NEXT_REQUEST = "request-2."
 PROFILE = "quote-draft"
 STREAM_TOKENS = 20
 CALL_DELAY_S = 0.05
 # Both last far longer than the stop's deadline.
 LONG_CALL_S = 8.0
 LONG_STREAM_TOKENS = 400
+# Long enough to send a second request, far shorter than ANNOUNCE_S.
+SHORT_CALL_S = 0.5
+MB = 1024 * 1024
+ANNOUNCE_S = 5
 
 
 def mark_draining(context, name):
@@ -208,9 +214,9 @@
         return answer
 
 
-def _kept_request(kind, key, name, tokens=STREAM_TOKENS):
+def _kept_request(kind, key, name, tokens=STREAM_TOKENS, body=b"{}"):
     """Return the bytes of a request that its server recognizes by its name."""
-    path, body, extra = "/services/booking/book", b"{}", ""
+    path, extra = "/services/booking/book", ""
     if "stream" in kind:
         path = "/v1/chat/completions"
         body = json.dumps(caller.chat_body(name, tokens)).encode()
@@ -282,10 +288,23 @@
     assert not false_refusals, false_refusals
 
 
+@behave.then("each refusal announced that its connection closes")
+def step_refusals_close(context):
+    answers = [request.answer for c in context.callers for request in c.sent]
+    refusals = [answer for answer in answers if answer.status == 503]
+    kept = [a.head for a in refusals if a.header("Connection") != "close"]
+    assert not kept, (len(refusals), len(kept), kept[0])
+
+
 @behave.given("the deadline of a node's stop is {deadline_s:d} second")
 def step_stop_deadline(context, deadline_s):
     node = context.cluster.nodes[0]
-    context.cluster.write_settings(node, stop_deadline_s=deadline_s)
+    _reload(context, node, stop_deadline_s=deadline_s)
+
+
+def _reload(context, node, **timing):
+    """Change settings of a running node."""
+    context.cluster.write_settings(node, **timing)
     node.signal(signal.SIGHUP)
     cluster_module.wait_for(
         lambda: "settings_reloaded" in node.log_text(),
@@ -333,6 +352,92 @@
     assert error["ran"] == "may have run", last
 
 
+@behave.when("a node is stopped and a caller sends a request {when} a response")
+def step_stop_between(context, when):
+    node = context.cluster.nodes[0]
+    _reload(context, node, drain_announce_s=ANNOUNCE_S)
+    for service in context.cluster.services.values():
+        service.delay_s = SHORT_CALL_S
+    first, second = (
+        _kept_request("repeatable call", context.key, name)
+        for name in (REQUEST, NEXT_REQUEST)
+    )
+    node.signal(signal.SIGTERM)
+    cluster_module.wait_for(
+        lambda: "node_stopping" in node.log_text(), "the node to be stopping"
+    )
+    context.connection = _connect(context, node)
+    if when == "ahead of":
+        context.connection.sendall(first + second)
+        context.answers = gateway_rig.read_answers(context.connection, 2)
+        return
+    context.connection.sendall(first)
+    context.answers = [gateway_rig.read_answer(context.connection)]
+    with contextlib.suppress(OSError):
+        context.connection.sendall(second)
+
+
+@behave.then("no close is announced before the last of both answers")
+def step_both_answered(context):
+    assert [a.status for a in context.answers] == [200, 200]
+    announced = [a.header("Connection") for a in context.answers]
+    assert announced == [None, "close"], announced
+
+
+@behave.then("the connection is closed without a run of the request")
+def step_closed(context):
+    assert context.answers[0].header("Connection") == "close"
+    following = gateway_rig.read_answer(context.connection)
+    assert not following.head, following.head
+    received = _received_bytes(context.cluster)
+    assert NEXT_REQUEST.encode() not in received
+
+
+@behave.when(
+    "a caller sends a body of {size_mb:d} MB to a node that stops and refuses"
+    " requests"
+)
+def step_large_body(context, size_mb):
+    node = context.cluster.nodes[0]
+    for service in context.cluster.services.values():
+        service.delay_s = LONG_CALL_S
+    # Keeps the node from ending.
+    running = _connect(context, node)
+    running.sendall(_kept_request("repeatable call", context.key, REQUEST))
+    cluster_module.wait_for(
+        lambda: REQUEST.encode() in _received_bytes(context.cluster),
+        "a server to receive the request",
+    )
+    node.signal(signal.SIGTERM)
+    cluster_module.wait_for(
+        lambda: _call_models(context, node).code == "stopping",
+        "the node to refuse requests",
+    )
+    connection = _connect(context, node)
+    connection.sendall(
+        _kept_request(
+            "repeatable call",
+            context.key,
+            NEXT_REQUEST,
+            body=b"x" * (size_mb * MB),
+        )
+    )
+    context.answer = gateway_rig.read_answer(connection)
+
+
+def _call_models(context, node):
+    return context.cluster.caller(node, context.key).request(
+        "GET", "/v1/models"
+    )
+
+
+@behave.then("the caller gets the whole refusal")
+def step_whole_refusal(context):
+    answer = context.answer
+    assert answer.status == 503 and answer.is_complete, answer.head
+    assert json.loads(answer.body)["error"]["code"] == "stopping", answer.body
+
+
 @behave.when("traffic through the other nodes runs while {victim} is killed")
 def step_kill_nodes(context, victim):
     cluster = context.cluster
--- a/src/bilberryturn/entry/server.py
+++ b/src/bilberryturn/entry/server.py
@@ -1,6 +1,7 @@
 """Threaded HTTP server for the WSGI application."""
 
 import logging
+import select
 import threading
 
 import cheroot.server
@@ -13,16 +14,54 @@
 SPARE_THREADS = 16
 THREAD_STACK_BYTES = 512 * 1024
 CONNECTION_KEY = "bilberryturn.connection"
+CLOSE = ("Connection", "close")
+CLOSE_BYTES = (b"Connection", b"close")
+LINE_BREAK = b"\r\n"
 
 
 class _Gateway(cheroot.wsgi.Gateway_10):
-    """Exposes the socket in the environ, to detect disconnected callers."""
+    """Connects the application with the connection of its request.
+
+    The socket in the environ serves to detect disconnected callers.
+    """
 
     def get_environ(self):
         environ = super().get_environ()
         environ[CONNECTION_KEY] = self.req.conn.socket
         return environ
 
+    def start_response(self, status, headers, exc_info=None):
+        """Announce no close to a caller that has sent a request ahead."""
+        if CLOSE in headers and self._has_next_request():
+            headers = [field for field in headers if field != CLOSE]
+        return super().start_response(status, headers, exc_info)
+
+    def respond(self):
+        """Close the connection after a response that announces that."""
+        super().respond()
+        if CLOSE_BYTES in self.req.outheaders:
+            self.req.close_connection = True
+
+    def _has_next_request(self) -> bool:
+        """Return whether part of the next request has arrived already."""
+        if self._has_unread_body():
+            return False
+        connection = self.req.conn
+        received = connection.rfile
+        # The line break behind a chunked body isn't read with it.
+        if received.has_data() and received.peek() != LINE_BREAK:
+            return True
+        poller = select.poll()
+        poller.register(connection.socket, select.POLLIN)
+        return bool(poller.poll(0))
+
+    def _has_unread_body(self) -> bool:
+        """Return whether the application has left part of the body unread."""
+        body = self.req.rfile
+        if self.req.chunked_read:
+            return not body.closed
+        return body.remaining > 0
+
 
 class CallerServer:
     """HTTP server that listens on one address.
