Close a daemon's connection behind a chunked body that wasn't read

Callers saw: a refused request with a chunked body, such as one with an unknown key or to a stopping node, got its refusal and then status 400, which a kept connection takes for the answer to its next request.

Cause: the HTTP server reads the rest of a body with a length, but not of one in chunks, and parsed it as the next request.

Ruled out: a request that is hidden in a plain chunk (1 trial). What is left begins with the chunk's size, which is no request line, and the connection closes behind the 400. A crafted chunk extension wasn't tried.

Change: such a response announces the close, and the connection closes.

--- a/features/path.feature
+++ b/features/path.feature
@@ -58,6 +58,10 @@
       | no idempotency key | 400    | missing_idempotency_key |
       | path traversal     | 400    | invalid_body            |
 
+  Scenario: A refused request with a body in chunks gets one answer
+    When a caller sends a request with an unknown key and a body in chunks
+    Then the caller gets status 401 and nothing behind it
+
   Scenario: A disconnect of the caller cancels generation on the engine
     Given every engine takes 0.05 seconds for a token
     When a caller disconnects in the middle of a stream of 400 tokens
--- a/features/steps/path_steps.py
+++ b/features/steps/path_steps.py
@@ -11,6 +11,7 @@
 from bilberryturn_standins import caller
 from bilberryturn_standins import cluster as cluster_module
 from bilberryturn_standins import engine
+from support import gateway_rig
 
 PROMPT = "Which mats need new borders?"
 
@@ -187,6 +188,29 @@
     return connection
 
 
+@behave.when(
+    "a caller sends a request with an unknown key and a body in chunks"
+)
+def step_refused_chunks(context):
+    host, port = context.cluster.nodes[0].caller_address.split(":")
+    connection = gateway_rig.connect(int(port), host)
+    context.closers.append(connection.close)
+    connection.sendall(
+        b"POST /services/booking/book HTTP/1.1\r\nHost: router\r\n"
+        b"Authorization: Bearer unknown\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"2\r\n{}\r\n0\r\n\r\n"
+    )
+    context.answer = gateway_rig.read_answer(connection)
+    context.following = gateway_rig.read_answer(connection, context.answer.rest)
+
+
+@behave.then("the caller gets status {status:d} and nothing behind it")
+def step_one_answer(context, status):
+    assert context.answer.status == status, context.answer.head
+    assert context.answer.header("Connection") == "close", context.answer.head
+    assert not context.following.head, context.following.head
+
+
 @behave.when(
     "a caller disconnects in the middle of a stream of {tokens:d} tokens"
 )
--- a/src/bilberryturn/entry/server.py
+++ b/src/bilberryturn/entry/server.py
@@ -31,8 +31,16 @@
         return environ
 
     def start_response(self, status, headers, exc_info=None):
-        """Announce no close to a caller that has sent a request ahead."""
-        if CLOSE in headers and self._has_next_request():
+        """Announce whether the connection closes behind the response.
+
+        It doesn't close if the caller has sent a request ahead. It closes
+        behind a chunked body that the application has left unread, whose rest
+        would be parsed as the next request.
+        """
+        leaves_chunks = self.req.chunked_read and self._has_unread_body()
+        if leaves_chunks and CLOSE not in headers:
+            headers = [*headers, CLOSE]
+        elif CLOSE in headers and self._has_next_request():
             headers = [field for field in headers if field != CLOSE]
         return super().start_response(status, headers, exc_info)
 
