Let the soak find requests that planned work loses

Cause: its callers left a connection at the first sign of its end, all requests ended within 0.2 s, and no check said that a lost request is a violation.

Change: callers use a connection until it is closed or its close is announced, with pauses from 0 to 50 ms; some send requests ahead or in two halves, and requests last up to 7 s or are never answered. Then each request without a complete answer must have a reason that allows it (checks.py). Grace periods are 4 s or 8 s; a node that outlives its own is killed. Nodes that are stopping at the last fault start again before the 6 s until then begin.

--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -1,130 +1,144 @@
-"""Sends requests through random nodes and checks the answers."""
+"""Callers that keep using their connections until the node closes them."""
 
 import random
-import socket
 import threading
 import time
 
-from soak import testbed as testbed_module
+from soak import connections
 from support import gateway_rig
-from support import scripted
 
 KINDS = ("safe", "unsafe", "resumable", "stream")
-NOT_RUN_STATUSES = (408, 421, 429, 503)
-PAUSE_S = 0.03
-
-
-class InvariantChecker:
-    """Collects the answers of all callers and invariant violations.
-
-    Attributes:
-        violations: Texts of the violations found.
-        refused: Requests refused with a status that means not run.
-        non_repeatable: Requests that may run at most once.
-        success_count: Number of complete answers with status 200.
-        results: Time in seconds and success of each answer.
-    """
-
-    def __init__(self):
-        self.violations = []
-        self.refused = set()
-        self.non_repeatable = set()
-        self.success_count = 0
-        self.results = []
-        self._lock = threading.Lock()
-
-    def add_violation(self, text):
-        with self._lock:
-            self.violations.append(text)
-
-    def check_answer(self, kind, request, answer, at_s):
-        """Check an answer and record it for check_end."""
-        with self._lock:
-            if kind in ("unsafe", "stream"):
-                self.non_repeatable.add(request)
-            if answer.status in NOT_RUN_STATUSES:
-                self.refused.add(request)
-            is_good = answer.status == 200 and answer.is_complete
-            self.results.append((at_s, is_good))
-            self.success_count += is_good
-        if answer.status == 200:
-            self._check_body(kind, request, answer)
-
-    def _check_body(self, kind, request, answer):
-        answered_id = answer.header("X-Bilberryturn-Attempt-Id")
-        if answered_id != request:
-            self.add_violation(f"{request}: got the answer to {answered_id}")
-        if kind in ("safe", "unsafe"):
-            expected = f"answer to {request}".encode()
-        else:
-            expected = b"".join(
-                scripted.event(n + 1) for n in range(testbed_module.EVENTS)
-            )
-        if answer.is_complete and answer.body != expected:
-            self.add_violation(
-                f"{request}: a complete answer reads {answer.body!r}"
-            )
-        if not expected.startswith(answer.body):
-            self.add_violation(
-                f"{request}: a truncated answer reads {answer.body!r}"
-            )
-
-    def check_end(self, runs):
-        """Compare the answers with the number of runs on backend servers."""
-        for request in self.non_repeatable:
-            if runs.get(request, 0) > 1:
-                self.add_violation(f"{request}: ran {runs[request]} times")
-        for request in self.refused & self.non_repeatable:
-            if runs.get(request):
-                self.add_violation(f"{request}: refused as not run, but ran")
+RETRY_PAUSE_S = 0.03
+BODY = b"body of the request"
+# Longer than any time limit: the backend server does not answer.
+ENDLESS_S = 30.0
+CALM_DURATION_S = 0.3
+# Share of the callers that send short requests only, and so many of them.
+QUICK_SHARE = 0.4
+QUICK_DURATION_S = 0.06
 
 
 class Caller(threading.Thread):
-    """Sends requests one after another over kept-alive connections."""
+    """Sends requests over kept-alive connections, one round after another."""
 
-    def __init__(self, number, testbed, checker, stopping, seed):
+    def __init__(self, number, testbed, checker, phases, seed):
         super().__init__(daemon=True)
         self._number = number
         self._testbed = testbed
         self._checker = checker
-        self._stopping = stopping
+        self._phases = phases
         self._rng = random.Random(seed)
+        self._is_quick = self._rng.random() < QUICK_SHARE
         self._connection = None
+        self._count = 0
 
     def run(self):
-        count = 0
-        while not self._stopping.is_set():
-            count += 1
-            kind = self._rng.choice(KINDS)
-            request = f"c{self._number}-{count}-{kind}"
+        while not self._phases.stopping.is_set():
             try:
-                self._send_request(kind, request)
+                self._run_round()
             except OSError:
                 # The node's process ended or is paused; choose a new node.
-                self._close_connection()
-            self._stopping.wait(PAUSE_S)
+                self._phases.stopping.wait(RETRY_PAUSE_S)
+        self._close_connection(False)
 
-    def _send_request(self, kind, request):
+    def _run_round(self):
         if self._connection is None:
             node = self._rng.choice(self._testbed.nodes)
-            self._connection = socket.create_connection((node.ip, node.port), 1)
-            self._connection.settimeout(4)
+            self._connection = connections.Connection(node)
+        send = self._rng.choices(
+            (self._send_one, self._send_ahead, self._send_halves), (70, 15, 15)
+        )[0]
+        send()
+        is_answer_lost = self._read_answers()
+        is_done = self._rng.random() < 0.03
+        if is_done or not self._connection.is_open:
+            self._close_connection(is_answer_lost)
+        self._phases.stopping.wait(self._pause_s())
+
+    def _read_answers(self):
+        """Read the pending answers; returns whether one is incomplete."""
+        while self._connection.pending:
+            planned, answer = self._connection.read_answer()
+            if answer.head:
+                self._checker.check_answer(planned, answer, time.monotonic())
+            if not answer.is_complete:
+                return True
+        return False
+
+    def _close_connection(self, is_answer_lost):
+        if self._connection is None:
+            return
+        self._checker.add_lost(self._connection.close(is_answer_lost))
+        self._connection = None
+
+    # Ways to send.
+
+    def _send_one(self):
+        planned, data = self._next_request()
+        self._connection.send(planned, [data])
+
+    def _send_ahead(self):
+        """Send requests before the answers to those ahead of them."""
+        self._send_one()
+        for _ in range(self._rng.choice((1, 1, 2))):
+            gap_s = self._rng.choice((0.0, 0.01, self._rng.uniform(0, 2)))
+            if not self._connection.read_for(gap_s):
+                return
+            self._send_one()
+
+    def _send_halves(self):
+        planned, data = self._next_request()
+        cut = self._rng.randrange(1, len(data))
+        pause_s = self._rng.choice((0.005, 0.3, self._rng.uniform(0, 2.5)))
+        self._connection.send(planned, [data[:cut], data[cut:]], pause_s)
+
+    def _pause_s(self):
+        return self._rng.choice(
+            (0.0, 0.0, self._rng.uniform(0, 0.005), self._rng.uniform(0, 0.05))
+        )
+
+    def _next_request(self):
+        self._count += 1
+        kind = self._rng.choice(KINDS)
+        request = f"c{self._number}-{self._count}-{kind}"
+        planned = connections.PlannedRequest(
+            kind,
+            request,
+            self._duration_s(),
+            self._rng.choice((3.0, 6.0, 12.0)),
+        )
+        limit_ms = round(planned.limit_s * 1000)
         data = gateway_rig.request_text(
             kind,
             request,
             key="key-a",
-            extra="X-Bilberryturn-Deadline-Ms: 3000\r\n",
+            extra=f"X-Bilberryturn-Deadline-Ms: {limit_ms}\r\n",
+            body=self._rng.choice((b"", BODY)),
+            path=str(round(planned.duration_s * 1000)),
         )
-        self._connection.sendall(data)
-        answer = gateway_rig.read_answer(self._connection)
-        self._checker.check_answer(kind, request, answer, time.monotonic())
-        should_close = (
-            not answer.is_complete or answer.header("connection") == "close"
-        )
-        if should_close or self._rng.random() < 0.1:
-            self._close_connection()
+        return planned, data
+
+    def _duration_s(self):
+        draw = self._rng.random()
+        if self._phases.calm.is_set():
+            return draw * CALM_DURATION_S
+        if self._is_quick or draw < 0.5:
+            return self._rng.uniform(0, QUICK_DURATION_S)
+        if draw < 0.75:
+            return self._rng.uniform(QUICK_DURATION_S, 1.0)
+        if draw < 0.96:
+            return self._rng.uniform(1.0, 7.0)
+        return ENDLESS_S
+
 
-    def _close_connection(self):
-        if self._connection is not None:
-            self._connection.close()
-            self._connection = None
+class Phases:
+    """Tells callers in which part of a run they are.
+
+    Attributes:
+        calm: Set when no more faults are injected; requests are short then.
+        stopping: Set when callers must end.
+    """
+
+    def __init__(self):
+        self.calm = threading.Event()
+        self.stopping = threading.Event()
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -10,24 +10,31 @@
 
 
 class FaultInjector:
-    """Injects faults into processes, links and the store; reverts them."""
+    """Injects faults into processes, links and the store; reverts them.
 
-    def __init__(self, testbed, rng):
+    Attributes:
+        log: Time and kind of each fault.
+    """
+
+    def __init__(self, testbed, rng, is_planned):
         self._testbed = testbed
         self._rng = rng
+        self._injections = PLANNED_WORK if is_planned else INJECTIONS
+        self._probability = 0.5 if is_planned else 0.25
         self._pending_reverts = []
         self._rules = {}
         self.log = []
 
-    def step(self, now_s):
+    def step(self):
         """Revert faults that are due, restart nodes, maybe inject a fault."""
+        now_s = time.monotonic()
         for due_s, revert in list(self._pending_reverts):
             if now_s >= due_s:
                 self._pending_reverts.remove((due_s, revert))
                 revert()
         self._testbed.restart_ended()
-        if self._rng.random() < 0.25:
-            inject = self._rng.choice(INJECTIONS)
+        if self._rng.random() < self._probability:
+            inject = self._rng.choice(self._injections)
             text = inject(self, now_s)
             self.log.append(f"{now_s:.2f} {text}")
 
@@ -62,9 +69,32 @@
 
     def stop(self, now_s):
         node = self._node()
-        node.signal(signal.SIGTERM)
+        node.stop()
         return f"stop {node.name}"
 
+    def stop_serving(self, now_s):
+        """Stop a node that is not yet stopping, if there is one."""
+        return self._stop_some(1)
+
+    def stop_many_serving(self, now_s):
+        """Stop several nodes at about the same time."""
+        return self._stop_some(max(2, len(self._testbed.nodes) // 3))
+
+    def _stop_some(self, count):
+        serving = [n for n in self._testbed.nodes if n.is_serving()]
+        chosen = self._rng.sample(serving, min(count, len(serving)))
+        for node in chosen:
+            node.stop()
+        return "stop " + " ".join(node.name for node in chosen)
+
+    def signal_stopping(self, now_s):
+        """Send signals again to the nodes that are stopping."""
+        stopping = [n for n in self._testbed.nodes if n.is_stopping]
+        for node in stopping:
+            for _ in range(self._rng.randint(1, 3)):
+                node.signal(self._rng.choice((signal.SIGTERM, signal.SIGHUP)))
+        return "signal again " + " ".join(node.name for node in stopping)
+
     def reload(self, now_s):
         node = self._node()
         node.signal(signal.SIGHUP)
@@ -126,6 +156,7 @@
     def drain_server(self, now_s):
         name = self._rng.choice(list(self._testbed.backends))
         sequence = int(time.monotonic() * 1000)
+        self._testbed.leaving.add(name)
         self._testbed.store.put(
             "servers", name, self._testbed.entry(name, sequence, "draining")
         )
@@ -133,6 +164,7 @@
         def rejoin():
             entry = self._testbed.entry(name, 1)
             entry["born"] = sequence
+            self._testbed.leaving.discard(name)
             self._testbed.store.put("servers", name, entry)
 
         self._schedule_revert(now_s, rejoin)
@@ -152,3 +184,13 @@
     FaultInjector.update_config,
     FaultInjector.drain_server,
 )
+
+PLANNED_WORK = (
+    FaultInjector.stop,
+    FaultInjector.stop_serving,
+    FaultInjector.stop_many_serving,
+    FaultInjector.signal_stopping,
+    FaultInjector.reload,
+    FaultInjector.update_config,
+    FaultInjector.drain_server,
+)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -4,72 +4,127 @@
 import json
 import pathlib
 import random
+import shutil
 import sys
 import tempfile
-import threading
 import time
+from typing import NamedTuple
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from bilberryturn_standins import ports  # noqa: E402
 from soak import callers  # noqa: E402
+from soak import checks  # noqa: E402
 from soak import faults  # noqa: E402
 from soak import testbed as testbed_module  # noqa: E402
 
 STEP_S = 0.25
 START_LIMIT_S = 20.0
+START_LIMIT_PER_NODE_S = 1.0
 # Time after the last fault until all bounds hold again. The success ratio is
 # measured over the RECOVERY_S that follow.
 SETTLE_S = 6.0
 RECOVERY_S = 3.0
 MIN_SUCCESS_RATIO = 0.9
+# Longer than the time limit of any request.
+JOIN_LIMIT_S = 20.0
+GRACE_PERIODS_S = (4, 8)
+# Of the seeds, every third has planned work only.
+PLANNED_EVERY = 3
+CALLERS_PER_NODE = 4
 
 
-def run_seed(seed, seconds, node_count=3, caller_count=6, folder=None):
+class Outcome(NamedTuple):
+    """The outcome of one seed; the nodes' logs are in the folder."""
+
+    checker: checks.InvariantChecker
+    faults: list[str]
+    folder: pathlib.Path
+    is_planned: bool
+    stop_grace_s: int
+
+
+def run_seed(
+    seed,
+    duration_s,
+    node_count=3,
+    caller_count=None,
+    is_planned=False,
+    folder=None,
+):
     """Run one seed.
 
-    Returns:
-        The checker with the violations found, the log of injected faults and
-        the folder with the logs of the nodes.
+    Args:
+        seed: Seed of the faults and of the callers' requests.
+        duration_s: Time in which faults are injected.
+        node_count: Number of node processes.
+        caller_count: Number of callers, or None for some for each node.
+        is_planned: Whether only planned work happens, which loses no request;
+            otherwise that depends on the seed.
+        folder: Folder for the logs of the nodes.
     """
     rng = random.Random(seed)
     folder = folder or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    has_separate_zones = rng.random() < 0.5
+    is_planned = is_planned or seed % PLANNED_EVERY == 0
     testbed = testbed_module.Testbed(
-        folder, node_count, 1 + ports.block_number(), rng.random() < 0.5
+        folder,
+        node_count,
+        1 + ports.block_number(),
+        has_separate_zones,
+        stop_grace_s=rng.choice(GRACE_PERIODS_S),
     )
-    checker = callers.InvariantChecker()
-    stopping = threading.Event()
-    fault_injector = faults.FaultInjector(testbed, rng)
+    checker = checks.InvariantChecker()
+    phases = callers.Phases()
+    fault_injector = faults.FaultInjector(testbed, rng, is_planned)
     try:
         _wait_ready(testbed)
         threads = [
-            callers.Caller(n, testbed, checker, stopping, seed * 100 + n)
-            for n in range(caller_count)
+            callers.Caller(n, testbed, checker, phases, seed * 1000 + n)
+            for n in range(caller_count or CALLERS_PER_NODE * node_count)
         ]
         for thread in threads:
             thread.start()
-        end_s = time.monotonic() + seconds
-        while time.monotonic() < end_s:
-            fault_injector.step(time.monotonic())
-            time.sleep(STEP_S)
+        _repeat(fault_injector.step, duration_s)
         fault_injector.revert_all()
-        time.sleep(SETTLE_S)
+        phases.calm.set()
+        _wait_stopped(testbed)
+        _repeat(testbed.restart_ended, SETTLE_S)
         recovered_s = time.monotonic()
-        time.sleep(RECOVERY_S)
-        stopping.set()
+        _repeat(testbed.restart_ended, RECOVERY_S)
+        phases.stopping.set()
         for thread in threads:
-            thread.join(10)
+            thread.join(JOIN_LIMIT_S)
         # Requests in flight run or are dropped before the comparison.
         time.sleep(1.0)
         _check(testbed, checker, recovered_s)
+        if is_planned:
+            checker.check_lost(testbed)
     finally:
-        stopping.set()
+        phases.stopping.set()
         testbed.close()
-    return checker, fault_injector.log, folder
+    return Outcome(
+        checker, fault_injector.log, folder, is_planned, testbed.stop_grace_s
+    )
+
+
+def _repeat(action, duration_s):
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        action()
+        time.sleep(STEP_S)
+
+
+def _wait_stopped(testbed):
+    """Wait until the nodes that are stopping have started again."""
+    while any(node.is_stopping for node in testbed.nodes):
+        testbed.restart_ended()
+        time.sleep(STEP_S)
 
 
 def _wait_ready(testbed):
-    end_s = time.monotonic() + START_LIMIT_S
+    limit_s = START_LIMIT_S + START_LIMIT_PER_NODE_S * len(testbed.nodes)
+    end_s = time.monotonic() + limit_s
     waiting = list(testbed.nodes)
     while waiting:
         assert time.monotonic() < end_s, "the nodes were not ready in time"
@@ -114,7 +169,10 @@
     parser.add_argument("--fresh", type=int, default=0, help="fresh seeds")
     parser.add_argument("--seconds", type=float, default=15.0)
     parser.add_argument("--nodes", type=int, default=3)
-    parser.add_argument("--callers", type=int, default=6)
+    parser.add_argument("--callers", type=int, help="default: 4 for each node")
+    parser.add_argument(
+        "--planned", action="store_true", help="only planned work"
+    )
     options = parser.parse_args()
     seeds = list(options.seeds)
     if options.fresh:
@@ -124,26 +182,39 @@
         ]
     failed = 0
     for seed in seeds:
-        checker, log, folder = run_seed(
-            seed, options.seconds, options.nodes, options.callers
+        outcome = run_seed(
+            seed,
+            options.seconds,
+            options.nodes,
+            options.callers,
+            options.planned,
         )
-        print(
-            json.dumps(
-                {
-                    "seed": seed,
-                    "good": checker.success_count,
-                    "answers": len(checker.results),
-                    "faults_injected": len(log),
-                    "broken": checker.violations[:5],
-                }
-            ),
-            flush=True,
-        )
-        if checker.violations:
-            failed += 1
-            print("\n".join(log), f"\nlogs: {folder}", flush=True)
+        _print_outcome(seed, outcome)
+        failed += bool(outcome.checker.violations)
     return 1 if failed else 0
 
 
+def _print_outcome(seed, outcome):
+    """Print the outcome; the logs of a seed without a violation are removed."""
+    checker = outcome.checker
+    summary = {
+        "seed": seed,
+        "is_planned": outcome.is_planned,
+        "stop_grace_s": outcome.stop_grace_s,
+        "good": checker.success_count,
+        "statuses": checker.statuses,
+        "lost": len(checker.lost),
+        "excuses": checker.excuses,
+        "faults_injected": len(outcome.faults),
+        "broken": len(checker.violations),
+    }
+    print(json.dumps(summary), flush=True)
+    if not checker.violations:
+        shutil.rmtree(outcome.folder)
+        return
+    lines = [*outcome.faults, *checker.violations, f"logs: {outcome.folder}"]
+    print("\n".join(lines), flush=True)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/features/soak/testbed.py
+++ b/features/soak/testbed.py
@@ -15,9 +15,12 @@
 from support import store_standin
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-HEARTBEAT_S = 1.0
 STOP_GRACE_S = 4
-TIMEOUT_MS = 3000
+TIMEOUT_MS = 12_000
+# Time after its start in which a node reads the store and becomes ready.
+STARTING_S = 3.0
+MIN_BACKENDS = 5
+NODES_PER_BACKEND = 2
 EVENTS = 6
 ROUTES = {
     "safe": {"type": "safe", "attempts": 2, "service": "app"},
@@ -37,11 +40,13 @@
 
     Attributes:
         runs: Number of runs by request identifier.
+        ended_s: Monotonic time at which the last run of a request ended.
         violations: Invariant violations seen by backend servers.
     """
 
     def __init__(self):
         self.runs = {}
+        self.ended_s = {}
         self.violations = []
         self._lock = threading.Lock()
 
@@ -55,9 +60,18 @@
             if account != "workshop":
                 self.violations.append(f"{request}: ran for {account}")
 
+    def record_end(self, head):
+        request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
+        with self._lock:
+            self.ended_s[request] = time.monotonic()
+
 
 class Node:
-    """A gateway node that runs as a process and can be restarted."""
+    """A gateway node that runs as a process and can be restarted.
+
+    Attributes:
+        is_stopping: Whether its process has got SIGTERM.
+    """
 
     def __init__(self, testbed, number):
         self.name = f"edge-{number}"
@@ -67,38 +81,40 @@
         self.peer_port = ports.allocate()
         self._testbed = testbed
         self.process = None
-        self.is_paused = False
+        self._started_s = 0.0
+        # Times of the first SIGTERM of each process.
+        self._stops_s = []
+        self.is_stopping = False
         self.log_path = testbed.folder / f"{self.name}.log"
 
     def write_settings(self, is_first):
         testbed = self._testbed
         seeds = ",".join(f"{n.ip}:{n.peer_port}" for n in testbed.nodes[:3])
-        text = "\n".join(
-            [
-                f"node={self.name}",
-                f"ip={self.ip}",
-                f"zone=zone-{self.name[-1]}"
-                if testbed.has_separate_zones
-                else "zone=zone-0",
-                f"listen.front={self.ip}:{self.port}",
-                f"listen.ready={self.ip}:{self.ready_port}",
-                f"listen.control={self.ip}:{self.peer_port}",
-                f"seeds={seeds}",
-                f"bootstrap={'true' if is_first else 'false'}",
-                f"platform.addr={testbed.store_address}",
-                f"cloud.addr={testbed.store_address}",
-                "cloud.duties=usage",
-                f"bounds.graceS={testbed.stop_grace_s}",
-                "bounds.leaseMs=2000",
-                "bounds.usageWindowS=2",
-                "bounds.usageDelayS=6",
-            ]
-        )
+        zone = self.name[-1] if testbed.has_separate_zones else "0"
+        lines = [
+            f"node={self.name}",
+            f"ip={self.ip}",
+            f"zone=zone-{zone}",
+            f"listen.front={self.ip}:{self.port}",
+            f"listen.ready={self.ip}:{self.ready_port}",
+            f"listen.control={self.ip}:{self.peer_port}",
+            f"seeds={seeds}",
+            f"bootstrap={'true' if is_first else 'false'}",
+            f"platform.addr={testbed.store_address}",
+            f"cloud.addr={testbed.store_address}",
+            "cloud.duties=usage",
+            f"bounds.graceS={testbed.stop_grace_s}",
+            "bounds.leaseMs=2000",
+            "bounds.usageWindowS=2",
+            "bounds.usageDelayS=6",
+        ]
         self.settings_path = testbed.folder / f"{self.name}.conf"
-        self.settings_path.write_text(text + "\n", "utf-8")
+        self.settings_path.write_text("\n".join(lines) + "\n", "utf-8")
 
     def start(self, is_first=False):
         self.write_settings(is_first)
+        self._started_s = time.monotonic()
+        self.is_stopping = False
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "deploy/edge.py"],
@@ -118,9 +134,38 @@
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
+    def is_serving(self):
+        """Return whether the node has had time to start and is not stopping."""
+        age_s = time.monotonic() - self._started_s
+        return self.is_running() and not self.is_stopping and age_s > STARTING_S
+
+    def stop(self):
+        """Send SIGTERM, which may be sent again to a node that stops."""
+        if self.is_running() and not self.is_stopping:
+            self.is_stopping = True
+            self._stops_s.append(time.monotonic())
+        self.signal(signal.SIGTERM)
+
+    def last_stop_s(self, before_s):
+        """Return the time of the last first SIGTERM before a time, or None."""
+        return max(
+            (at_s for at_s in self._stops_s if at_s <= before_s), default=None
+        )
+
+    def kill_overdue(self):
+        """Kill a node that has not ended within its grace period."""
+        if not self.is_stopping:
+            return
+        if time.monotonic() > self._stops_s[-1] + self._testbed.stop_grace_s:
+            self.signal(signal.SIGKILL)
+
 
 class Testbed:
-    """All nodes, backend servers and the store of one seed."""
+    """All nodes, backend servers and the store of one seed.
+
+    Attributes:
+        leaving: Names of the servers whose answers announce a close.
+    """
 
     def __init__(
         self,
@@ -147,8 +192,9 @@
         self.store_address = self.proxy.listen(self.store.address)
         self.backends = {}
         self._stopping = threading.Event()
-        for number in range(5):
-            self._add_backend(f"s{number}", "llm" if number < 3 else "app")
+        self.leaving = set()
+        for number in range(max(MIN_BACKENDS, node_count // NODES_PER_BACKEND)):
+            self._add_backend(f"s{number}", "llm" if number % 5 < 3 else "app")
         self.publish_config()
         self.nodes = []
         self.nodes.extend(Node(self, n) for n in range(node_count))
@@ -174,8 +220,18 @@
         }
 
     def publish_config(self):
-        """Write the next version of the configuration to the store."""
+        """Write the next version of the configuration to the store.
+
+        Odd versions move a route to another service and have one more route
+        and one more key than even ones.
+        """
         self.version += 1
+        routes = dict(ROUTES)
+        keys = list(self.keys)
+        if self.version % 2:
+            routes["unsafe"] = {**routes["unsafe"], "service": "llm"}
+            routes["extra"] = routes["safe"]
+            keys.append("key-extra")
         self.store.put(
             "op",
             "config",
@@ -190,7 +246,7 @@
                         "targetLatencyMs": 500,
                         **route,
                     }
-                    for kind, route in ROUTES.items()
+                    for kind, route in routes.items()
                 ],
                 "services": [
                     {"name": "app", "maxConns": 50},
@@ -204,26 +260,47 @@
                         },
                     },
                 ],
-                "tenants": [{"name": "workshop", "apiKeys": self.keys}],
+                "tenants": [{"name": "workshop", "apiKeys": keys}],
             },
         )
 
     def _answer(self, peer, head, body, number):
+        """Answer after the milliseconds that end the path of a request."""
         self.record.record_run(head, ("key-a", "key-b"))
-        if "/safe/" in head or "/unsafe/" in head:
-            request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
-            peer.answer(head, f"answer to {request}".encode())
-            return
+        path = head.split(" ", 2)[1]
+        duration_s = int(path.rpartition("/")[2]) / 1000
+        is_stream = not path.startswith(("/safe/", "/unsafe/"))
+        send = self._send_stream if is_stream else self._send_answer
+        result = send(peer, head, duration_s)
+        self.record.record_end(head)
+        return result
+
+    def _send_answer(self, peer, head, duration_s):
+        if self._stopping.wait(duration_s):
+            return "close"
+        request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
+        body = f"answer to {request}".encode()
+        server = scripted.header(head, "X-Bilberryturn-Expect-Instance")
+        if server not in self.leaving:
+            peer.answer(head, body)
+            return None
+        peer.answer(head, body, extra="Connection: close\r\n")
+        return "close"
+
+    def _send_stream(self, peer, head, duration_s):
         peer.start_stream(head)
         after = int(scripted.header(head, "Last-Event-Id") or 0)
         for event_number in range(after + 1, EVENTS + 1):
             peer.chunk(scripted.event(event_number))
-            time.sleep(0.02)
+            if self._stopping.wait(duration_s / EVENTS):
+                return "close"
         peer.chunk(b"")
+        return None
 
     def restart_ended(self):
-        """Restart nodes whose process has ended."""
+        """Kill nodes that stop too long and restart those that have ended."""
         for node in self.nodes:
+            node.kill_overdue()
             if not node.is_running():
                 node.start()
 
