--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -15,7 +15,6 @@
 from bilberryturn.gateway import upstream
 from bilberryturn.platform import wire
 from bilberryturn.routing import choice
-from bilberryturn.routing import part_crashes
 from bilberryturn.routing import suspects
 from bilberryturn.routing import types
 
@@ -180,7 +179,12 @@
             if is_crash and not self._delivery.has_started:
                 self._record_crash()
             if is_crash and error.is_disconnect:
-                self._record_prompt_crash()
+                self._shared.record_prompt_disconnect(
+                    self.lifetime,
+                    self._prompt,
+                    self._request.fingerprint,
+                    self._first_event_s,
+                )
             return AttemptFailed(error.reason, error.was_sent)
         except TimeoutError:
             self._end_attempt(False)
@@ -349,23 +353,6 @@
     def _prompt(self) -> types.Prompt | None:
         return self._request.requirements.prompt
 
-    def _record_prompt_crash(self) -> None:
-        """Record the prompt unless its answer had been coming for a while.
-
-        The end of a server that leaves is no crash.
-        """
-        if self._shared.directory.departure(self.lifetime) is not None:
-            return
-        answering_s = 0.0
-        if self._first_event_s is not None:
-            answering_s = time.monotonic() - self._first_event_s
-        if answering_s >= part_crashes.SOUND_ANSWER_S:
-            self._shared.record_prompt_answer(self._prompt)
-        else:
-            self._shared.record_prompt_crash(
-                self.lifetime, self._prompt, self._request.fingerprint
-            )
-
     def _end_attempt(
         self, outcome: bool | None, head: wire.ServerResponse | None = None
     ) -> None:
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -194,15 +194,31 @@
         for retry_budget in self._budgets.values():
             retry_budget.resize(self._retry_limits.node_slack(node_count))
 
-    def record_prompt_crash(
+    def record_prompt_disconnect(
         self,
         server: part_crashes.Lifetime,
         prompt: types.Prompt | None,
         fingerprint: str,
+        first_event_s: float | None,
     ) -> None:
-        """Record a prompt that was about to be answered in a crash."""
+        """Record a prompt whose server closed the connection of its answer.
+
+        Args:
+            server: Lifetime of the server; the end of one that leaves is no
+                crash.
+            prompt: The prompt, if the service has engines.
+            fingerprint: Identifies the request across its retries.
+            first_event_s: Monotonic time of the answer's first event, or None.
+        """
         if prompt is None or not prompt.parts:
             return
+        if self.directory.departure(server) is not None:
+            return
+        if first_event_s is not None:
+            answering_s = time.monotonic() - first_event_s
+            if answering_s >= part_crashes.SOUND_ANSWER_S:
+                self.record_prompt_answer(prompt)
+                return
         # Requests with equal bodies may still have different prompts.
         request = f"{fingerprint[:8]}-{prompt.parts[-1].part_id}"
         self.part_crashes.record_crash(
