Don't count a node's own crashes again that its relay returns

Callers saw: a request whose connection was reset on two servers was refused as one that crashes servers, where three are needed.

Cause: a relay returns to each node the crash counts of all nodes, that node's own included. The node merged them as another node's and counted each crash twice.

Change: a node skips its own lifetime, from the store and from peers alike.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -62,3 +62,11 @@
     Given a node that has read 12 nodes
     When a relay answers with 0 nodes, then with 13
     Then the node knows 12 nodes, then 13
+
+  # Guards against a request that is refused after two crashes, as its node
+  # counts both again when its relay returns them.
+  Scenario: A node does not count its own crashes again that its relay returns
+    Given a relay that has read 600 servers
+    And a node that has the relay's content
+    When the node reports 2 crashes of a request and polls the relay
+    Then the node accepts the request until it has crashed a third server
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -490,3 +490,22 @@
 @behave.then("the node knows {first:d} nodes, then {second:d}")
 def then_knows(context, first, second):
     assert context.counts == [first, second], context.counts
+
+
+@behave.when(
+    "the node reports {count:d} crashes of a request and polls the relay"
+)
+def when_own_crashes(context, count):
+    shared = context.peer.shared
+    for _ in range(count):
+        shared.suspects.record_crash("request", time.monotonic())
+    context.relay.applier.merge_suspects("node", shared.own_crash_reports())
+    when_polls(context)
+
+
+@behave.then("the node accepts the request until it has crashed a third server")
+def then_third(context):
+    suspects = context.peer.shared.suspects
+    assert not suspects.is_refused("request", time.monotonic())
+    suspects.record_crash("request", time.monotonic())
+    assert suspects.is_refused("request", time.monotonic())
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -254,8 +254,6 @@
         """Apply a reading of the nodes' crash counts."""
         self.peer_revision = ""
         for lifetime, value in reading.values().items():
-            if lifetime == self._lifetime:
-                continue
             try:
                 counts = msgspec.json.decode(
                     value or b"{}", type=dict[str, int]
@@ -365,7 +363,12 @@
             self._raw.mark_changed(Content.NODES)
 
     def merge_suspects(self, lifetime: str, counts: dict[str, int]) -> None:
-        """Merge the crash counts of one lifetime of another node."""
+        """Merge the crash counts of one lifetime of another node.
+
+        Peers also return this node's own counts, which it has already.
+        """
+        if lifetime == self._lifetime:
+            return
         if self._raw.suspects.get(lifetime, {}) == counts:
             return
         self._raw.suspects[lifetime] = counts
