Pass the crash reports of a relay on to the nodes behind it

Callers saw: nodes of a failure domain went on sending requests whose part the domain's relay had already seen crash three servers.

Cause: a relay passes on the reports that it has read or received. Its own it writes to the store only, and skips when it reads them, so the nodes that poll it never have them.

Change: each node serves its own crash reports to its peers too.

The stand-in of the store stated 1 ms as the store's clock in every response. The shared time of day of node processes then stood still or went back, and the new scenario failed for that reason alone. It states a steady clock now, as the protocol has it.

Measured: the new scenario on 3 node processes failed before (one node did not refuse the part that another saw, 5 s after the crashes) and passes; part_crashes, relays, beliefs, users_platform, clocks, usage_windows and planned_stop pass.

--- a/features/part_crashes.feature
+++ b/features/part_crashes.feature
@@ -41,6 +41,13 @@
     And they accept it again when the crashes have expired
     And a node whose reports were malformed changes nothing
 
+  # Guards against the reports of a relay, which reads the store for the other
+  # nodes of its failure domain, not reaching these.
+  Scenario: All node processes refuse a part whichever of them saw its crashes
+    Given 3 node processes of one failure domain before 3 servers that crash
+    When each node in turn sees 3 crashes under a part of its own
+    Then 5 s after the crashes the other nodes refuse each of the parts
+
   Scenario Outline: Random traffic with a deadly part at share <share>
     Then in <runs> seeded runs at share <share> the part is refused within 5 crashes and 4 s, and no sound part is
 
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -1,7 +1,10 @@
 """Steps of part_crashes.feature."""
 
 import itertools
+import pathlib
 import random
+import tempfile
+import threading
 import time
 
 import behave
@@ -9,13 +12,18 @@
 from bilberryturn.routing import part_crashes
 from bilberryturn.routing import table
 from bilberryturn.routing import types
+from bilberryturn_standins import ports
+from soak import testbed as testbed_module
 from support import gateway_rig
+from support import platform_data
 from support import scripted
 
 DEADLY = "dead"
 ENGINE = types.Engine(16, 100_000, 3)
 # Time between two requests; the crashes spread over some seconds.
 PAUSE_S = 0.75
+# All nodes know within this time that a server has started again.
+RESTART_PAUSE_S = 1.6
 _ids = itertools.count(1)
 
 
@@ -270,6 +278,111 @@
     assert part_crashes.find_causes([], {}, 1000.0) == []
 
 
+# Node processes
+
+
+class _CrashLog:
+    """Servers that crash on prompts with a deadly part and start again.
+
+    Attributes:
+        testbed: Registers the servers; set once it has started.
+    """
+
+    def __init__(self):
+        self.testbed = None
+        self._crashes = {}
+        self._starts = itertools.count(1)
+        self._lock = threading.Lock()
+
+    def answer(self, peer, head, body, number):
+        parts = scripted.header(head, "X-Bilberryturn-Prefix-Hash")
+        deadly = parts.partition(":")[0]
+        server = scripted.header(head, "X-Bilberryturn-Expect-Instance")
+        with self._lock:
+            self._crashes[deadly] = self.count(deadly) + 1
+            entry = self.testbed.entry(server, 1)
+            entry["born"] = next(self._starts)
+            self.testbed.store.put("servers", server, entry)
+        peer.reset()
+        return "close"
+
+    def count(self, part):
+        """Return the number of servers that crashed under a part."""
+        return self._crashes.get(part, 0)
+
+
+@behave.given(
+    "{count:d} node processes of one failure domain before 3 servers that crash"
+)
+def given_processes(context, count):
+    context.crash_log = _CrashLog()
+    context.testbed = testbed_module.Testbed(
+        pathlib.Path(tempfile.mkdtemp(prefix="part-crashes-")),
+        count,
+        1 + ports.block_number(),
+        False,
+        context.crash_log.answer,
+    )
+    context.closers.append(context.testbed.close)
+    context.crash_log.testbed = context.testbed
+    nodes = context.testbed.nodes
+    platform_data.wait_for(
+        lambda: all(
+            '"is_ready": true' in n.log_path.read_text("utf-8") for n in nodes
+        ),
+        30,
+        lambda: "the nodes are not ready",
+    )
+    # The nodes know each other and have found their relay.
+    time.sleep(6)
+
+
+def _send_to(node, part):
+    request = f"p{next(_ids)}"
+    data = gateway_rig.request_text(
+        "stream",
+        request,
+        key="key-a",
+        extra=_prompt_headers([part, request]),
+        body=request.encode(),
+    )
+    connection = gateway_rig.connect(node.port, node.ip)
+    try:
+        return gateway_rig.send_request(node.port, data, connection)
+    finally:
+        connection.close()
+
+
+@behave.when("each node in turn sees 3 crashes under a part of its own")
+def when_each_sees(context):
+    context.parts = {}
+    for number, node in enumerate(context.testbed.nodes):
+        part = context.parts[node.name] = f"{DEADLY}{number}"
+
+        def has_crashed(node=node, part=part):
+            _send_to(node, part)
+            time.sleep(RESTART_PAUSE_S)
+            return context.crash_log.count(part) >= 3
+
+        platform_data.wait_for(has_crashed, 20, lambda: context.crash_log)
+
+
+@behave.then(
+    "{delay_s:d} s after the crashes the other nodes refuse each of the parts"
+)
+def then_others_refuse(context, delay_s):
+    time.sleep(delay_s)
+    for observer, part in context.parts.items():
+        for node in context.testbed.nodes:
+            answer = _send_to(node, part)
+            count = context.crash_log.count(part)
+            assert (answer.status, count) == (503, 3), (
+                f"{node.name} did not refuse the part that {observer} saw",
+                answer.status,
+                count,
+            )
+
+
 class _Fleet:
     """Servers and nodes under seeded traffic, in steps of 0.05 s.
 
--- a/features/support/store_standin.py
+++ b/features/support/store_standin.py
@@ -10,6 +10,11 @@
 import urllib.parse
 
 
+def _now_ms():
+    """Return the store's steady clock."""
+    return int(time.monotonic() * 1000)
+
+
 class StoreStandin:
     """An in-memory store over HTTP with fault injection.
 
@@ -97,7 +102,7 @@
                 "rows": rows[:limit],
                 "hasMore": len(rows) > limit,
                 "ver": self.version,
-                "nowMs": 1,
+                "nowMs": _now_ms(),
             }
 
     def feed(self, query):
@@ -122,7 +127,7 @@
                 if value is None:
                     row["deleted"] = True
                 rows.append(row)
-            return 200, {"rows": rows, "ver": self.version, "nowMs": 1}
+            return 200, {"rows": rows, "ver": self.version, "nowMs": _now_ms()}
 
     def transact(self, body):
         with self.lock:
@@ -139,7 +144,7 @@
             for row_id in body["remove"]:
                 self.rows.pop((row_id["table"], row_id["key"]), None)
             self.lock.notify_all()
-            return 200, {"ver": self.version, "nowMs": 1}
+            return 200, {"ver": self.version, "nowMs": _now_ms()}
 
     def _row(self, table, key, value, version):
         return {
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -362,6 +362,10 @@
             self._raw.nodes = nodes
             self._raw.mark_changed(Content.NODES)
 
+    def set_own_suspects(self, counts: dict[str, int]) -> None:
+        """Record the crash counts of this node, to serve them to peers."""
+        self._store_suspects(self._lifetime, counts)
+
     def merge_suspects(self, lifetime: str, counts: dict[str, int]) -> None:
         """Merge the crash counts of one lifetime of another node.
 
@@ -369,13 +373,18 @@
         """
         if lifetime == self._lifetime:
             return
+        if self._store_suspects(lifetime, counts):
+            self._shared.merge_crash_reports(lifetime, counts)
+
+    def _store_suspects(self, lifetime: str, counts: dict[str, int]) -> bool:
+        """Store counts to serve them to peers; returns whether they changed."""
         if self._raw.suspects.get(lifetime, {}) == counts:
-            return
+            return False
         self._raw.suspects[lifetime] = counts
         while len(self._raw.suspects) > MAX_LIFETIMES:
             self._raw.suspects.pop(next(iter(self._raw.suspects)))
         self._raw.mark_changed(Content.SUSPECTS, lifetime)
-        self._shared.merge_crash_reports(lifetime, counts)
+        return True
 
     def apply_peer_state(self, state: PeerState, received_s: float) -> None:
         """Apply the state of a peer that the store has confirmed recently.
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -343,6 +343,7 @@
         for cause in self.shared.part_crashes.new_causes():
             events.log(events.PART_QUARANTINED, **cause._asdict())
         self._own_suspects = self.shared.own_crash_reports()
+        self._applier.set_own_suspects(self._own_suspects)
         self._update_readiness()
         self.shared.set_node_count(self._node_presence.count())
 
