Report answers for as long as the crashes that they clear

Callers saw: sound parts are refused for up to four minutes on nodes that did not answer them, with no way for an answer to clear them.

Cause: a node stopped reporting an answer after 60 s, while crashes count for 300 s; and of the parts of all crashed prompts it reported answers to the newest 60 only, so that those of the part with the most crashes dropped out first.

Change: answers are reported for the lifetime of crashes, those to the parts with the most crashed servers first; parts with one crash need none, as three are needed for a refusal. Expired crashes are left out everywhere.

--- a/features/part_crashes.feature
+++ b/features/part_crashes.feature
@@ -41,6 +41,16 @@
     And they accept it again when the crashes have expired
     And a node whose reports were malformed changes nothing
 
+  # Guards against answers that drop out of the reports before the crashes that
+  # they clear do.
+  Scenario Outline: A part that another node saw answered after its crashes <case>
+    Then a part that another node saw answered after its crashes <case> is not refused
+
+    Examples:
+      | case                             |
+      | and then nobody sent for 100 s   |
+      | beside those of 50 other prompts |
+
   # Guards against the reports of a relay, which reads the store for the other
   # nodes of its failure domain, not reaching these.
   Scenario: All node processes refuse a part whichever of them saw its crashes
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -269,6 +269,46 @@
         assert node.refused(("f", DEADLY), expired_s) is None
 
 
+def _quiet(nodes, now_s):
+    for step in range(100):
+        _exchange(nodes, now_s + step)
+    return now_s + 100.0
+
+
+def _many_prompts(nodes, now_s):
+    for number in range(50):
+        parts = (f"i{number}", f"j{number}")
+        nodes["n2"].record_crash((f"t{number}", 1), parts, now_s)
+    _exchange(nodes, now_s)
+    _exchange(nodes, now_s + 1.0)
+    return now_s + 4.0
+
+
+ANSWERED_CASES = {
+    "and then nobody sent for 100 s": _quiet,
+    "beside those of 50 other prompts": _many_prompts,
+}
+
+
+@behave.then(
+    "a part that another node saw answered after its crashes {case} is not"
+    " refused"
+)
+def then_answered(context, case):
+    nodes = {f"n{n}": part_crashes.PartCrashes() for n in range(3)}
+    for number in range(4):
+        crashed_s = 1000.0 + number
+        nodes["n0"].record_crash(
+            (f"s{number}", 7), ("f", f"g{number}"), crashed_s
+        )
+        nodes["n1"].record_answer(("f", f"h{number}"), crashed_s + 0.5)
+        _exchange(nodes, crashed_s + 0.5)
+        _exchange(nodes, crashed_s + 0.7)
+    now_s = ANSWERED_CASES[case](nodes, 1004.0)
+    for name, node in nodes.items():
+        assert node.refused(("f", "new"), now_s) is None, name
+
+
 @behave.then("a node whose reports were malformed changes nothing")
 def then_malformed(context):
     node = part_crashes.PartCrashes()
--- a/src/bilberryturn/routing/part_crashes.py
+++ b/src/bilberryturn/routing/part_crashes.py
@@ -11,6 +11,7 @@
 
 import collections
 from collections.abc import Iterable
+import itertools
 from typing import NamedTuple
 
 # Crashes of servers from which a part is refused.
@@ -268,7 +269,7 @@
 
     def own_reports(self, now_s: float) -> dict[str, int]:
         """Return this node's reports, for other nodes."""
-        answered = self._answered()
+        answered = self._answered(now_s)
         reports = {
             f"{_CRASH_PREFIX}{c.server}:{','.join(c.parts)}": _to_ms(c.at_s)
             for c in self._own.values()
@@ -287,15 +288,31 @@
         not change with each answer.
         """
         found: dict[str, float] = {}
-        for part in self._suspected_parts()[-MAX_ANSWER_REPORTS:]:
-            answered_s = self._own_answered.get(part)
-            if answered_s is None or now_s - answered_s >= ANSWER_TTL_S:
-                continue
+        for part in self._parts_to_clear(now_s):
+            answered_s = self._own_answered[part]
             reported_s = self._reported_answers.get(part, 0.0)
             is_due = answered_s - reported_s >= ANSWER_REPORT_INTERVAL_S
             found[part] = answered_s if is_due else reported_s
         return found
 
+    def _parts_to_clear(self, now_s: float) -> list[str]:
+        """Return answered parts that are close to refusal, the closest first.
+
+        An answer is reported for as long as the crashes that it clears.
+        """
+        servers: dict[str, set[str]] = {}
+        for crash in self._all_crashes(now_s):
+            for part in crash.parts:
+                servers.setdefault(part, set()).add(crash.server)
+        parts = [
+            part
+            for part, found in servers.items()
+            if len(found) >= MIN_CRASHES - 1
+            and now_s - self._own_answered.get(part, 0.0) < CRASH_TTL_S
+        ]
+        parts.sort(key=lambda part: len(servers[part]), reverse=True)
+        return parts[:MAX_ANSWER_REPORTS]
+
     def refused(self, parts: Chain, now_s: float) -> Cause | None:
         """Return the cause for which requests with these parts are refused."""
         if self._is_changed or now_s >= self._next_update_s:
@@ -312,12 +329,9 @@
 
     def _update(self, now_s: float) -> None:
         """Derive the causes from the reports."""
-        crashes = [
-            crash
-            for crash in self._all_crashes()
-            if now_s - crash.at_s < CRASH_TTL_S
-        ]
-        causes = find_causes(crashes, self._answered(), now_s)
+        causes = find_causes(
+            self._all_crashes(now_s), self._answered(now_s), now_s
+        )
         found = {cause.part: cause for cause in causes}
         self._new_causes += [
             cause for part, cause in found.items() if part not in self._causes
@@ -326,16 +340,19 @@
         self._is_changed = False
         self._next_update_s = now_s + UPDATE_INTERVAL_S
 
-    def _all_crashes(self) -> Iterable[Crash]:
-        yield from self._own.values()
-        for reports in self._others.values():
-            yield from reports.crashes
+    def _all_crashes(self, now_s: float) -> Iterable[Crash]:
+        """Yield the crashes that all nodes reported and that still count."""
+        nodes = (reports.crashes for reports in self._others.values())
+        for crash in itertools.chain(self._own.values(), *nodes):
+            if now_s - crash.at_s < CRASH_TTL_S:
+                yield crash
 
-    def _answered(self) -> dict[str, float]:
+    def _answered(self, now_s: float) -> dict[str, float]:
         """Return when each suspected part was last answered by any node."""
         answered = {
             part: self._own_answered[part]
-            for part in self._suspected_parts()
+            for crash in self._all_crashes(now_s)
+            for part in crash.parts
             if part in self._own_answered
         }
         for reports in self._others.values():
@@ -343,14 +360,6 @@
                 answered[part] = max(at_s, answered.get(part, 0.0))
         return answered
 
-    def _suspected_parts(self) -> list[str]:
-        """Return the parts of all reported crashes, each once."""
-        return list(
-            dict.fromkeys(
-                part for crash in self._all_crashes() for part in crash.parts
-            )
-        )
-
 
 def is_report(name: str) -> bool:
     """Return whether a name stands for a report, not for a fingerprint."""
