End a stopping node by its own plan whatever signals it gets

Operators saw: a node that got SIGHUP at the end of its stop ended by that signal instead of with status 0.

Cause: the handlers are removed with the event loop, a moment before the process exits; from then on the signals' default actions hold.

Change: all threads but the main one have the handled signals blocked, and the main thread has while the node starts and stops. SIGTERM during a node's start now leads to a planned stop too; it ended the process at once before.

--- a/deploy/edge.py
+++ b/deploy/edge.py
@@ -4,8 +4,11 @@
 import signal
 import sys
 
-# Until the node handles SIGHUP, its default action would end the process.
-signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+# The node unblocks the signals that it handles. Until then their default action
+# would end the process. Threads started meanwhile never receive them.
+signal.pthread_sigmask(
+    signal.SIG_BLOCK, {signal.SIGHUP, signal.SIGINT, signal.SIGTERM}
+)
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "src"))
 
 from bilberryturn.edge import main  # noqa: E402
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -52,3 +52,9 @@
     Given a node process with a grace period of 8 s
     When the node is killed and gets SIGHUP while it starts again
     Then the node becomes ready
+
+  # Guards against handlers that end before the process does.
+  Scenario: A node that gets signals throughout its stop ends as planned
+    Given a node process with a grace period of 4 s
+    When the node gets SIGTERM, then SIGHUP and SIGTERM until it has ended
+    Then the node has ended with status 0
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -253,6 +253,20 @@
     node.signal(signal.SIGHUP)
 
 
+@behave.when(
+    "the node gets SIGTERM, then SIGHUP and SIGTERM until it has ended"
+)
+def when_signalled_throughout(context):
+    node = context.node
+    limit_s = time.monotonic() + READY_LIMIT_S
+    node.signal(signal.SIGTERM)
+    while node.is_running():
+        assert time.monotonic() < limit_s, "the node does not end"
+        node.signal(signal.SIGHUP)
+        node.signal(signal.SIGTERM)
+        time.sleep(0.002)
+
+
 def _node_log(context):
     return context.node.log_path.read_text("utf-8")[-2500:]
 
@@ -271,3 +285,9 @@
 @behave.then("the node becomes ready")
 def then_ready(context):
     _wait_ready(context.node, 2)
+
+
+@behave.then("the node has ended with status {status:d}")
+def then_ended(context, status):
+    assert context.node.process.poll() == status, context.node.process.poll()
+    assert '"node_stopped"' in _node_log(context), _node_log(context)
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -43,6 +43,7 @@
 # Settings that are read only at the start.
 START_ONLY = ("is_first_start",)
 STOP_POLL_INTERVAL_S = 0.05
+HANDLED_SIGNALS = frozenset({signal.SIGHUP, signal.SIGINT, signal.SIGTERM})
 # Part of the grace period reserved for the last writes to the store. Running
 # requests keep five sixths of it.
 MAX_STOP_WRITE_RESERVE_S = 1.2
@@ -92,12 +93,13 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        # Blocked by the start script; a pending one is handled now.
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         executor = concurrent.futures.ThreadPoolExecutor(
             max_workers=6, thread_name_prefix="store"
         )
         jobs = self._start_jobs(loop, executor)
+        # Blocked by the start script, and so in all threads started until now;
+        # those that are pending are handled now.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         await self._listen()
         events.log(
             events.NODE_STARTED,
@@ -106,6 +108,8 @@
         )
         tick_task = loop.create_task(self._tick())
         await self._stop_requested.wait()
+        # The handlers end with the event loop, before the process does.
+        signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
         cut_count = await self._stop(jobs, executor)
         tick_task.cancel()
         events.log(events.NODE_STOPPED, cut=cut_count)
