Wait for a daemon's signals instead of handling them asynchronously

Operators saw: a daemon that got SIGHUP at the end of its stop ended by that signal instead of with status 0.

Cause: SIGHUP wasn't ignored at the interpreter's shutdown as SIGTERM was. Each handler took the lock of an event, which a signal in between finds taken by its own thread.

Change: the signals are blocked in all threads, and the main thread waits for them. One that comes before the daemon serves requests is handled then. The imports before main() still run with the signals' default actions.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -55,6 +55,11 @@
       | a call that runs once |
       | a stream              |
 
+  Scenario: A daemon that gets signals throughout its stop ends as planned
+    Given a cluster of 1 domains with 2 nodes each
+    When a node gets SIGTERM, then SIGHUP and SIGTERM until it is gone
+    Then the node has exited with status 0
+
   # Guards against a request that is passed on behind an announced close, whose
   # caller has left by then.
   Scenario Outline: A request sent <when> a response of a stopping node
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -352,6 +352,19 @@
     assert error["ran"] == "may have run", last
 
 
+@behave.when("a node gets SIGTERM, then SIGHUP and SIGTERM until it is gone")
+def step_signalled_throughout(context):
+    node = context.cluster.nodes[0]
+    node.signal(signal.SIGTERM)
+    limit_s = time.monotonic() + cluster_module.STOP_TIMEOUT_S
+    while node.is_running:
+        assert time.monotonic() < limit_s, "the node does not end"
+        node.signal(signal.SIGHUP)
+        node.signal(signal.SIGTERM)
+        time.sleep(0.002)
+    context.exit_status = node.wait()
+
+
 @behave.when("a node is stopped and a caller sends a request {when} a response")
 def step_stop_between(context, when):
     node = context.cluster.nodes[0]
--- a/src/bilberryturn/daemon/main.py
+++ b/src/bilberryturn/daemon/main.py
@@ -4,7 +4,6 @@
 import logging
 import signal
 import sys
-import threading
 
 import zmq
 
@@ -16,6 +15,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 3
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 def main(arguments: list[str] | None = None) -> int:
@@ -29,6 +29,8 @@
     )
     parser.add_argument("--settings", required=True, help="INI file to read")
     options = parser.parse_args(arguments)
+    # All threads inherit this.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     result = loader.load(options.settings)
     if result.is_error():
         print(checks.format_messages(result.error), file=sys.stderr)
@@ -40,15 +42,6 @@
 
 
 def _run(running_node: node.Node) -> int:
-    wake = threading.Event()
-    pending_signals: list[int] = []
-
-    def on_signal(signal_number, frame) -> None:
-        pending_signals.append(signal_number)
-        wake.set()
-
-    for signal_number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-        signal.signal(signal_number, on_signal)
     try:
         running_node.start()
     except (OSError, zmq.ZMQError) as error:
@@ -59,16 +52,12 @@
         )
         return EXIT_FAILED
     while True:
-        wake.wait()
-        wake.clear()
-        while pending_signals:
-            if pending_signals.pop(0) != signal.SIGHUP:
-                running_node.stop()
-                # A second signal must not end the interpreter's shutdown.
-                signal.signal(signal.SIGTERM, signal.SIG_IGN)
-                signal.signal(signal.SIGINT, signal.SIG_IGN)
-                return EXIT_OK
-            running_node.reload()
+        # Blocked signals interrupt no thread, and don't end the process at the
+        # interpreter's shutdown.
+        if signal.sigwait(HANDLED_SIGNALS) != signal.SIGHUP:
+            running_node.stop()
+            return EXIT_OK
+        running_node.reload()
 
 
 if __name__ == "__main__":
