Count answers that cannot be parsed as violations of the soak

Seen by reading: an answer that is not HTTP ended its caller's thread without a word. And a request sent in the last moments of the 3 s after SIGTERM could count as sent later, as its time was taken after the caller had sent it.

Change: such an answer is a violation; the time just before the last byte is sent decides whether the request was in time.

--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -39,6 +39,9 @@
             except OSError:
                 # The node's process ended or is paused; choose a new node.
                 self._phases.stopping.wait(RETRY_PAUSE_S)
+            except (AssertionError, ValueError) as error:
+                self._checker.add_violation(f"not an answer: {error}")
+                self._close_connection(True)
         self._close_connection(False)
 
     def _run_round(self):
--- a/features/soak/checks.py
+++ b/features/soak/checks.py
@@ -142,7 +142,7 @@
 
 def _excuse_unsent(lost):
     """Return why a node may drop a request that no server has received."""
-    sent_s = lost.sent.last_s
+    sent_s = lost.sent.sent_s
     if lost.is_unread:
         return "unread"
     if lost.closed_s - sent_s <= READ_SLACK_S:
@@ -156,7 +156,7 @@
 
 
 def _describe(lost, record, stop_s):
-    planned, first_s, last_s = lost.sent
+    planned, first_s, last_s, sent_s = lost.sent
     after_stop = "no SIGTERM"
     if stop_s is not None:
         after_stop = (
@@ -165,7 +165,7 @@
         )
     return (
         f"{planned.request}: lost at {lost.node_name}, {after_stop}, kept for"
-        f" {lost.closed_s - last_s:.3f} s, runs"
+        f" {lost.closed_s - sent_s:.3f} s, runs"
         f" {record.runs.get(planned.request, 0)}, duration"
         f" {planned.duration_s:.2f} s, limit {planned.limit_s:.0f} s"
         f"{', never closed' if lost.is_held else ''}"
--- a/features/soak/connections.py
+++ b/features/soak/connections.py
@@ -35,13 +35,15 @@
     """A request that was sent completely.
 
     Attributes:
-        first_s: Monotonic time at which the caller began to send it.
-        last_s: Monotonic time at which its last byte was sent.
+        first_s: Monotonic time just before its first byte was sent.
+        last_s: Monotonic time just before its last byte was sent.
+        sent_s: Monotonic time just after its last byte was sent.
     """
 
     planned: PlannedRequest
     first_s: float
     last_s: float
+    sent_s: float
 
 
 class LostRequest(NamedTuple):
@@ -96,13 +98,15 @@
             for number, piece in enumerate(pieces):
                 if number:
                     time.sleep(pause_s)
+                last_s = time.monotonic()
                 self._socket.sendall(piece)
                 self._last_request = planned.request
         except OSError as error:
             self._was_reset |= isinstance(error, ConnectionResetError)
             self.is_open = False
             return
-        self.pending.append(SentRequest(planned, first_s, time.monotonic()))
+        sent_s = time.monotonic()
+        self.pending.append(SentRequest(planned, first_s, last_s, sent_s))
 
     def read_for(self, duration_s):
         """Read what arrives within a time.
