Stop accepting long requests before the time that excuses their cut is over

A request that is sent 3 s after SIGTERM or later may not be cut. The node counts the 3 s from the moment at which it handles the signal, which may be late, so a request of the last moments could have been accepted and cut.

Change: the node still listens for 3 s, but after 2.8 s it accepts only requests that end before the drain does.

--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -38,6 +38,9 @@
 # New connections are still accepted for this long after SIGTERM: the load
 # balancer polls the readiness once a second and needs two failures.
 LISTEN_AFTER_STOP_S = 3.0
+# Until then all requests are accepted. Shorter than the time for which the
+# node listens, as the signal may be handled late.
+ACCEPT_AFTER_STOP_S = 2.8
 # Settings that a running node can reload; all others need a restart.
 RELOADABLE = ("seeds", "stop_grace_s")
 # Settings that are read only at the start.
@@ -416,8 +419,9 @@
             MAX_STOP_WRITE_RESERVE_S, STOP_WRITE_RESERVE_SHARE * grace_s
         )
         listen_until_s = min(stop_started_s + LISTEN_AFTER_STOP_S, drain_end_s)
+        accept_until_s = min(stop_started_s + ACCEPT_AFTER_STOP_S, drain_end_s)
         self.shared.drain = drain.Drain(
-            stop_started_s, listen_until_s, drain_end_s
+            stop_started_s, accept_until_s, drain_end_s
         )
         self._duty_runner.hand_over()
         self._update_readiness()
