Leave reports out that were taken with a wrong clock

Callers saw: a part goes on crashing servers, as an answer to it seems later than all crashes.

Cause: until a node knows the shared clock, it takes the time from its VM. An answer that it saw with a clock that is ahead clears the crashes of the time by which the clock was ahead, on all nodes. The evidence was not weighed again either until that time.

Change: times in the future are left out, and a clock that goes back does not delay the next update.

Measured: of the new scenario's cases that of a clock 3600 s ahead failed before; both pass.

--- a/features/part_crashes.feature
+++ b/features/part_crashes.feature
@@ -51,6 +51,18 @@
       | and then nobody sent for 100 s   |
       | beside those of 50 other prompts |
 
+  # Guards against times of a node whose clock was wrong before it knew the
+  # shared one, which others would take for later than all crashes.
+  Scenario Outline: A node whose clock was <error_s> s off as it started
+    Given a node whose clock was <error_s> s off as it saw a part answered
+    When three servers crash under the part and the nodes exchange their reports
+    Then all of these nodes refuse the part
+
+    Examples:
+      | error_s |
+      | 3600    |
+      | -3600   |
+
   # Guards against the reports of a relay, which reads the store for the other
   # nodes of its failure domain, not reaching these.
   Scenario: All node processes refuse a part whichever of them saw its crashes
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -309,6 +309,38 @@
         assert node.refused(("f", "new"), now_s) is None, name
 
 
+@behave.given(
+    "a node whose clock was {error_s:d} s off as it saw a part answered"
+)
+def given_wrong_clock(context, error_s):
+    context.nodes = {f"n{n}": part_crashes.PartCrashes() for n in range(3)}
+    for at_s in (990.0, 990.0 + error_s):
+        context.nodes["n0"].record_answer(("f", DEADLY), at_s)
+    # It asks for the first time with that clock, too.
+    context.nodes["n0"].refused(("f",), 990.0 + error_s)
+
+
+@behave.when(
+    "three servers crash under the part and the nodes exchange their reports"
+)
+def when_crashes(context):
+    for number, node in enumerate(context.nodes.values()):
+        crashed_s = 1000.0 + number
+        node.record_crash((f"s{number}", 7), ("f", DEADLY), crashed_s)
+        for other in context.nodes.values():
+            other.record_answer(("f",), crashed_s + 0.5)
+    for now_s in (1003.0, 1004.0, 1005.0):
+        _exchange(context.nodes, now_s)
+
+
+@behave.then("all of these nodes refuse the part")
+def then_all_refuse(context):
+    for name, node in context.nodes.items():
+        assert node.refused(("f", "g"), 1006.0) is None, name
+        cause = node.refused(("f", DEADLY), 1006.0)
+        assert cause is not None and cause.part == DEADLY, name
+
+
 @behave.then("a node whose reports were malformed changes nothing")
 def then_malformed(context):
     node = part_crashes.PartCrashes()
--- a/src/bilberryturn/routing/part_crashes.py
+++ b/src/bilberryturn/routing/part_crashes.py
@@ -32,6 +32,8 @@
 CRASH_TTL_S = 300.0
 # An answer that has been coming for this long shows that its parts are sound.
 SOUND_ANSWER_S = 1.0
+# Reports are at most this much ahead of the shared clock.
+MAX_CLOCK_ERROR_S = 5.0
 # Crashes begin to count, and expire, without a new report.
 UPDATE_INTERVAL_S = 0.5
 MAX_ANSWERED_PARTS = 4096
@@ -224,7 +226,7 @@
         self._causes: dict[str, Cause] = {}
         self._new_causes: list[Cause] = []
         self._is_changed = False
-        self._next_update_s = 0.0
+        self._updated_s = 0.0
 
     def record_crash(
         self, server: Lifetime, parts: Chain, now_s: float
@@ -273,7 +275,7 @@
         reports = {
             f"{_CRASH_PREFIX}{c.server}:{','.join(c.parts)}": _to_ms(c.at_s)
             for c in self._own.values()
-            if now_s - c.at_s < CRASH_TTL_S
+            if _is_current(c.at_s, now_s)
             and any(c.at_s > answered.get(part, 0.0) for part in c.parts)
         }
         self._reported_answers = self._answers_to_report(now_s)
@@ -308,14 +310,16 @@
             part
             for part, found in servers.items()
             if len(found) >= MIN_CRASHES - 1
-            and now_s - self._own_answered.get(part, 0.0) < CRASH_TTL_S
+            and _is_current(self._own_answered.get(part, 0.0), now_s)
         ]
         parts.sort(key=lambda part: len(servers[part]), reverse=True)
         return parts[:MAX_ANSWER_REPORTS]
 
     def refused(self, parts: Chain, now_s: float) -> Cause | None:
         """Return the cause for which requests with these parts are refused."""
-        if self._is_changed or now_s >= self._next_update_s:
+        # The clock may go back as it is synchronized.
+        is_due = abs(now_s - self._updated_s) >= UPDATE_INTERVAL_S
+        if self._is_changed or is_due:
             self._update(now_s)
         for part in parts:
             if part in self._causes:
@@ -338,13 +342,13 @@
         ]
         self._causes = found
         self._is_changed = False
-        self._next_update_s = now_s + UPDATE_INTERVAL_S
+        self._updated_s = now_s
 
     def _all_crashes(self, now_s: float) -> Iterable[Crash]:
         """Yield the crashes that all nodes reported and that still count."""
         nodes = (reports.crashes for reports in self._others.values())
         for crash in itertools.chain(self._own.values(), *nodes):
-            if now_s - crash.at_s < CRASH_TTL_S:
+            if _is_current(crash.at_s, now_s):
                 yield crash
 
     def _answered(self, now_s: float) -> dict[str, float]:
@@ -353,11 +357,12 @@
             part: self._own_answered[part]
             for crash in self._all_crashes(now_s)
             for part in crash.parts
-            if part in self._own_answered
+            if _is_current(self._own_answered.get(part, 0.0), now_s)
         }
         for reports in self._others.values():
             for part, at_s in reports.answered.items():
-                answered[part] = max(at_s, answered.get(part, 0.0))
+                if _is_current(at_s, now_s):
+                    answered[part] = max(at_s, answered.get(part, 0.0))
         return answered
 
 
@@ -366,6 +371,14 @@
     return name.startswith((_CRASH_PREFIX, _ANSWER_PREFIX))
 
 
+def _is_current(at_s: float, now_s: float) -> bool:
+    """Return whether the time of a crash or an answer still counts.
+
+    A time in the future was taken before the node knew the shared clock.
+    """
+    return -MAX_CLOCK_ERROR_S < now_s - at_s < CRASH_TTL_S
+
+
 def _to_ms(at_s: float) -> int:
     return int(at_s * 1000)
 
