Count crashes over reused connections against the prompt too

Callers saw: on routes that reuse connections a part goes on crashing servers; only its crashes over new connections were counted.

Cause: a connection that ends before the answer is no crash if it was reused, as the server may have closed it while it was idle. One request is then sent again. For parts the caution isn't needed: connections are reused for half of the server's idle timeout at most, and three lifetimes of servers have to end.

Change: each connection that the server ends counts against the prompt.

--- a/features/part_crashes.feature
+++ b/features/part_crashes.feature
@@ -14,6 +14,13 @@
       | between other parts            |
       | at the beginning of the prompt |
 
+  # Guards against crashes that go uncounted, as the server's connection had
+  # carried a request before.
+  Scenario: Crashes over connections that are reused count too
+    Given a gateway that has an idle connection to such a server
+    When 5 requests with the part arrive, each after the server has reconnected
+    Then at most 3 requests with the part have reached servers
+
   # Guards against sound parts that are refused, or a cause found late, as the
   # evidence is ambiguous.
   Scenario Outline: Crashes <pattern>
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -54,12 +54,15 @@
                 f"s{number}", server.port
             )
         engine_service = types.Service("app", 100, ENGINE, None)
-        route = gateway_rig.make_route("stream")
+        routes = [
+            gateway_rig.make_route("stream"),
+            gateway_rig.make_route("resumable", attempts=1),
+        ]
         accounts = {
             table.key_hash(gateway_rig.KEY): types.ClientAccount("shop", None)
         }
         route_table = table.RouteTable(
-            1, [route], [engine_service], types.Limits(), accounts
+            1, routes, [engine_service], types.Limits(), accounts
         )
         self.rig = gateway_rig.GatewayRig(self._servers.values(), route_table)
         context.closers.append(self.rig.close)
@@ -117,13 +120,36 @@
         time.sleep(PAUSE_S)
 
 
-def _send(context, parts):
+def _send(context, parts, kind="stream"):
     data = gateway_rig.request_text(
-        "stream", f"p{next(_ids)}", extra=_prompt_headers(parts)
+        kind, f"p{next(_ids)}", extra=_prompt_headers(parts)
     )
     return gateway_rig.send_request(context.servers.rig.port, data)
 
 
+@behave.given("a gateway that has an idle connection to such a server")
+def given_idle(context):
+    context.servers = _CrashingServers(context, 1)
+    _send_sound(context)
+
+
+def _send_sound(context):
+    """Send a sound request, whose connection is then idle."""
+    answer = _send(context, ["f1", "f2", f"b{next(_ids)}"], "resumable")
+    assert (answer.status, answer.is_complete) == (200, True), answer.status
+
+
+@behave.when(
+    "{count:d} requests with the part arrive, each after the server has"
+    " reconnected"
+)
+def when_reconnected(context, count):
+    for number in range(count):
+        _send_sound(context)
+        _send(context, ["f1", "f2", DEADLY, f"a{number}"], "resumable")
+        time.sleep(PAUSE_S)
+
+
 @behave.then("at most {limit:d} requests with the part have reached servers")
 def then_few(context, limit):
     assert context.servers.deadly_count <= limit, context.servers.deadly_count
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -179,7 +179,7 @@
             self._end_attempt(False if is_crash else None)
             if is_crash and not self._delivery.has_started:
                 self._record_crash()
-            if is_crash and error.is_disconnect:
+            if error.was_sent and error.is_disconnect:
                 self._record_prompt_crash()
             return AttemptFailed(error.reason, error.was_sent)
         except TimeoutError:
