--- a/features/part_crashes.feature
+++ b/features/part_crashes.feature
@@ -14,6 +14,13 @@
       | between other parts            |
       | at the beginning of the prompt |
 
+  # Guards against crashes that go uncounted, as the server's connection had
+  # carried a request before.
+  Scenario: Crashes over connections that are reused count too
+    Given a gateway that has an idle connection to such a server
+    When 5 requests with the part arrive, each after the server has reconnected
+    Then at most 3 requests with the part have reached servers
+
   # Guards against sound parts that are refused, or a cause found late, as the
   # evidence is ambiguous.
   Scenario Outline: Crashes <pattern>
@@ -53,6 +60,24 @@
       | and then nobody sent for 100 s   |
       | beside those of 50 other prompts |
 
+  # Guards against times of a node whose clock was wrong before it knew the
+  # shared one, which others would take for later than all crashes.
+  Scenario Outline: A node whose clock was <error_s> s off as it started
+    Given a node whose clock was <error_s> s off as it saw a part answered
+    When three servers crash under the part and the nodes exchange their reports
+    Then all of these nodes refuse the part
+
+    Examples:
+      | error_s |
+      | 3600    |
+      | -3600   |
+
+  # Guards against requests that wait while the evidence is weighed again and
+  # again, as reports of many nodes arrive.
+  Scenario: Reports that keep arriving are weighed a few times a second only
+    Given 100 nodes that report 400 crashes within 2 s
+    Then a node that checks 800 requests meanwhile weighs them at most 30 times
+
   # Guards against the reports of a relay, which reads the store for the other
   # nodes of its failure domain, not reaching these.
   Scenario: All node processes refuse a part whichever of them saw its crashes
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -6,6 +6,7 @@
 import tempfile
 import threading
 import time
+from unittest import mock
 
 import behave
 
@@ -53,12 +54,15 @@
                 f"s{number}", server.port
             )
         engine_service = types.Service("app", 100, ENGINE, None)
-        route = gateway_rig.make_route("stream")
+        routes = [
+            gateway_rig.make_route("stream"),
+            gateway_rig.make_route("resumable", attempts=1),
+        ]
         accounts = {
             table.key_hash(gateway_rig.KEY): types.ClientAccount("shop", None)
         }
         route_table = table.RouteTable(
-            1, [route], [engine_service], types.Limits(), accounts
+            1, routes, [engine_service], types.Limits(), accounts
         )
         self.rig = gateway_rig.GatewayRig(self._servers.values(), route_table)
         context.closers.append(self.rig.close)
@@ -116,13 +120,36 @@
         time.sleep(PAUSE_S)
 
 
-def _send(context, parts):
+def _send(context, parts, kind="stream"):
     data = gateway_rig.request_text(
-        "stream", f"p{next(_ids)}", extra=_prompt_headers(parts)
+        kind, f"p{next(_ids)}", extra=_prompt_headers(parts)
     )
     return gateway_rig.send_request(context.servers.rig.port, data)
 
 
+@behave.given("a gateway that has an idle connection to such a server")
+def given_idle(context):
+    context.servers = _CrashingServers(context, 1)
+    _send_sound(context)
+
+
+def _send_sound(context):
+    """Send a sound request, whose connection is then idle."""
+    answer = _send(context, ["f1", "f2", f"b{next(_ids)}"], "resumable")
+    assert (answer.status, answer.is_complete) == (200, True), answer.status
+
+
+@behave.when(
+    "{count:d} requests with the part arrive, each after the server has"
+    " reconnected"
+)
+def when_reconnected(context, count):
+    for number in range(count):
+        _send_sound(context)
+        _send(context, ["f1", "f2", DEADLY, f"a{number}"], "resumable")
+        time.sleep(PAUSE_S)
+
+
 @behave.then("at most {limit:d} requests with the part have reached servers")
 def then_few(context, limit):
     assert context.servers.deadly_count <= limit, context.servers.deadly_count
@@ -330,6 +357,77 @@
         assert node.refused(("f", "new"), now_s) is None, name
 
 
+@behave.given(
+    "a node whose clock was {error_s:d} s off as it saw a part answered"
+)
+def given_wrong_clock(context, error_s):
+    context.nodes = {f"n{n}": part_crashes.PartCrashes() for n in range(3)}
+    for at_s in (990.0, 990.0 + error_s):
+        context.nodes["n0"].record_answer(("f", DEADLY), at_s)
+    # It asks for the first time with that clock, too.
+    context.nodes["n0"].refused(("f",), 990.0 + error_s)
+
+
+@behave.when(
+    "three servers crash under the part and the nodes exchange their reports"
+)
+def when_crashes(context):
+    for number, node in enumerate(context.nodes.values()):
+        crashed_s = 1000.0 + number
+        node.record_crash(
+            (f"s{number}", 7), ("f", DEADLY), f"r{number}", crashed_s
+        )
+        for other in context.nodes.values():
+            other.record_answer(("f",), crashed_s + 0.5)
+    for now_s in (1003.0, 1004.0, 1005.0):
+        _exchange(context.nodes, now_s)
+
+
+@behave.then("all of these nodes refuse the part")
+def then_all_refuse(context):
+    for name, node in context.nodes.items():
+        assert node.refused(("f", "g"), 1006.0) is None, name
+        cause = node.refused(("f", DEADLY), 1006.0)
+        assert cause is not None and cause.part == DEADLY, name
+
+
+@behave.given(
+    "{nodes:d} nodes that report {crashes:d} crashes within {duration_s:d} s"
+)
+def given_many_reports(context, nodes, crashes, duration_s):
+    rng = random.Random(1)
+    others = [part_crashes.PartCrashes() for _ in range(nodes)]
+    context.reports = []
+    for number in range(crashes):
+        now_s = 1000.0 + number * duration_s / crashes
+        name = rng.randrange(nodes)
+        parts = ("f1", DEADLY if number % 4 == 0 else f"g{number}")
+        others[name].record_crash(
+            (f"s{number // 4}", 1), parts, f"r{number}", now_s
+        )
+        found = others[name].own_reports(now_s)
+        context.reports.append((now_s, f"n{name}", found))
+
+
+@behave.then(
+    "a node that checks {requests:d} requests meanwhile weighs them at most"
+    " {limit:d} times"
+)
+def then_weighed(context, requests, limit):
+    node = part_crashes.PartCrashes()
+    checks = requests // len(context.reports)
+    with mock.patch.object(
+        part_crashes, "find_causes", wraps=part_crashes.find_causes
+    ) as find_causes:
+        for now_s, name, found in context.reports:
+            node.merge(name, found)
+            for _ in range(checks):
+                node.refused(("f1", "x"), now_s)
+    assert find_causes.call_count <= limit, find_causes.call_count
+    last_s = context.reports[-1][0]
+    assert node.refused(("f1", DEADLY), last_s + 1.0).part == DEADLY
+
+
 @behave.then("a node whose reports were malformed changes nothing")
 def then_malformed(context):
     node = part_crashes.PartCrashes()
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -114,6 +114,7 @@
         self._shared = shared
         self._in_flight: choice.InFlightRequest | None = None
         self._connection: upstream.Connection | None = None
+        self._has_response = False
         # Monotonic time of the first event of this attempt.
         self._first_event_s: float | None = None
         self.was_sent = False
@@ -178,7 +179,9 @@
             self._end_attempt(False if is_crash else None)
             if is_crash and not self._delivery.has_started:
                 self._record_crash()
-            if is_crash and error.is_disconnect:
+            # An idle connection that the server has closed gets no response.
+            may_be_stale = was_reused and not self._has_response
+            if error.is_disconnect and error.was_sent and not may_be_stale:
                 self._shared.record_prompt_disconnect(
                     self.lifetime,
                     self._prompt,
@@ -278,6 +281,7 @@
         event = await self._connection.next_event()
         if not isinstance(event, h11.Response):
             raise upstream.UpstreamError("no answer", True)
+        self._has_response = True
         return wire.read_server_response(event.status_code, list(event.headers))
 
     def _is_own(self, head: wire.ServerResponse) -> bool:
