Don't wait in a daemon's stop for requests that it refuses

Operators saw: a stop that lasted as long as callers went on sending requests, up to its deadline, though all of them were refused.

Cause: a refused request was indexed as running until its refusal was made, and the stop waits for a moment without any.

Change: a request that finds the node refusing isn't indexed. The second check stays, for one that is being indexed as the node begins to refuse.

Measured: leaving.feature, 'A request that comes after the node begins to refuse requests': failed before, passes (1 run each).

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -55,6 +55,17 @@
       | a call that runs once |
       | a stream              |
 
+  # Guards against a stop that lasts as long as callers send requests.
+  Scenario Outline: A request that comes <when> the node begins to refuse requests
+    Given the application of a node
+    When a request comes <when> the node begins to refuse requests
+    Then it is refused and <result>
+
+    Examples:
+      | when      | result                              |
+      | after     | the stop has not waited for it      |
+      | just when | the stop has waited for its refusal |
+
   Scenario: A daemon that gets signals throughout its stop ends as planned
     Given a cluster of 1 domains with 2 nodes each
     When a node gets SIGTERM, then SIGHUP and SIGTERM until it is gone
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -5,10 +5,13 @@
 import signal
 import threading
 import time
+import types
 from typing import NamedTuple
 
 import behave
+import werkzeug.test
 
+from bilberryturn import entry
 from bilberryturn import membership
 from bilberryturn_standins import caller
 from bilberryturn_standins import cluster as cluster_module
@@ -352,6 +355,60 @@
     assert error["ran"] == "may have run", last
 
 
+class _ObservedRequests(entry.RunningRequests):
+    """Counts the requests that a stop would wait for.
+
+    Attributes:
+        on_add: Called for each of them.
+    """
+
+    def __init__(self):
+        super().__init__("node", 1)
+        self.added_count = 0
+        self.on_add = None
+
+    def add(self, exchange):
+        super().add(exchange)
+        self.added_count += 1
+        if self.on_add is not None:
+            self.on_add()
+
+
+@behave.given("the application of a node")
+def step_application(context):
+    context.node = types.SimpleNamespace(
+        is_draining=True, is_stopping=False, running=_ObservedRequests()
+    )
+    context.application = entry.Application(context.node)
+
+
+@behave.when("a request comes {when} the node begins to refuse requests")
+def step_come(context, when):
+    def begin():
+        context.node.is_stopping = True
+
+    if when == "after":
+        begin()
+    else:
+        context.node.running.on_add = begin
+    context.response = werkzeug.test.Client(context.application).get(
+        "/services/catalogue/search"
+    )
+
+
+@behave.then("it is refused and the stop has not waited for it")
+def step_refused_unseen(context):
+    assert context.response.json["error"]["code"] == "stopping"
+    assert context.node.running.added_count == 0
+
+
+@behave.then("it is refused and the stop has waited for its refusal")
+def step_refused_seen(context):
+    assert context.response.json["error"]["code"] == "stopping"
+    assert context.node.running.added_count == 1
+    assert context.node.running.count() == 0
+
+
 @behave.when("a node gets SIGTERM, then SIGHUP and SIGTERM until it is gone")
 def step_signalled_throughout(context):
     node = context.cluster.nodes[0]
--- a/src/bilberryturn/entry/application.py
+++ b/src/bilberryturn/entry/application.py
@@ -112,6 +112,9 @@
             key_hash,
             request.environ.get(server.CONNECTION_KEY),
         )
+        if node.is_stopping:
+            # Without an entry in the index, which the stop waits for.
+            return self._refuse(http_exchange, _stopping_error())
         # The key must be looked up after the request has been added to the
         # index. A key withdrawn concurrently is then either missing from the
         # declarations, or the withdrawal finds and cancels the request.
@@ -145,7 +148,7 @@
         """
         node = self._node
         if node.is_stopping:
-            raise exceptions.StoppingError(retry_after_s=STOPPING_RETRY_AFTER_S)
+            raise _stopping_error()
         limit = node.settings.limits.max_concurrent_requests
         if node.running.count() > limit:
             raise exceptions.OverloadedError(
@@ -343,6 +346,10 @@
         return response
 
 
+def _stopping_error() -> exceptions.StoppingError:
+    return exceptions.StoppingError(retry_after_s=STOPPING_RETRY_AFTER_S)
+
+
 def _discard(request: Request, max_bytes: int) -> None:
     """Drain a rejected body so that the caller can read the response."""
     stream = request.environ["wsgi.input"]
