--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -394,9 +394,9 @@
     time.sleep(0.1)
 
     async def stop():
-        context.rig.shared.drain = drain.Drain(
-            time.monotonic(), 0.0, time.monotonic() + 8.0
-        )
+        plan = drain.plan(time.monotonic(), 8.0)
+        # Its deadline decides whether the request is accepted.
+        context.rig.shared.drain = plan._replace(accept_until_s=0.0)
         context.rig.server.stop_listening()
         context.rig.server.close_idle()
 
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -35,22 +35,12 @@
 STORE_CALL_TIMEOUT_S = 1.5
 TICK_INTERVAL_S = 0.25
 SWEEP_INTERVAL_S = 1.0
-# New connections are still accepted for this long after SIGTERM: the load
-# balancer polls the readiness once a second and needs two failures.
-LISTEN_AFTER_STOP_S = 3.0
-# Until then all requests are accepted. Shorter than the time for which the
-# node listens, as the signal may be handled late.
-ACCEPT_AFTER_STOP_S = 2.8
 # Settings that a running node can reload; all others need a restart.
 RELOADABLE = ("seeds", "stop_grace_s")
 # Settings that are read only at the start.
 START_ONLY = ("is_first_start",)
 STOP_POLL_INTERVAL_S = 0.05
 HANDLED_SIGNALS = frozenset({signal.SIGHUP, signal.SIGINT, signal.SIGTERM})
-# Part of the grace period reserved for the last writes to the store. Running
-# requests keep five sixths of it.
-MAX_STOP_WRITE_RESERVE_S = 1.2
-STOP_WRITE_RESERVE_SHARE = 0.15
 
 
 class EdgeNode:
@@ -412,23 +402,14 @@
         Returns:
             The number of requests that were cut.
         """
-        stop_started_s = time.monotonic()
-        grace_s = self._settings.stop_grace_s
-        stop_end_s = stop_started_s + grace_s
-        drain_end_s = stop_end_s - min(
-            MAX_STOP_WRITE_RESERVE_S, STOP_WRITE_RESERVE_SHARE * grace_s
-        )
-        listen_until_s = min(stop_started_s + LISTEN_AFTER_STOP_S, drain_end_s)
-        accept_until_s = min(stop_started_s + ACCEPT_AFTER_STOP_S, drain_end_s)
-        self.shared.drain = drain.Drain(
-            stop_started_s, accept_until_s, drain_end_s
-        )
+        plan = drain.plan(time.monotonic(), self._settings.stop_grace_s)
+        self.shared.drain = plan
         self._duty_runner.hand_over()
         self._update_readiness()
         events.log(events.NODE_STOPPING, running=self._callers.busy_count())
-        await asyncio.sleep(max(0.0, listen_until_s - time.monotonic()))
+        await asyncio.sleep(max(0.0, plan.listen_until_s - time.monotonic()))
         self._callers.stop_listening()
-        while time.monotonic() < drain_end_s:
+        while time.monotonic() < plan.end_s:
             # Connections that were just accepted are set up meanwhile.
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             self._callers.close_idle()
@@ -436,7 +417,7 @@
                 break
         self.shared.usage.close()
         self._stopping.set()
-        remaining_s = stop_end_s - time.monotonic()
+        remaining_s = plan.kill_s - time.monotonic()
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(
             None, concurrent.futures.wait, jobs, max(0.1, remaining_s - 0.3)
