Bound crash reports by their bytes, not by six parts of a prompt

Callers saw: a part with more than five others behind it, before the last, goes on crashing servers.

Cause: only the last six shared parts of a prompt were reported, and names as they came. A name with a colon was also read as another one by other nodes.

Change: up to 16 parts are reported, names other than short plain ones as a digest; a node drops its oldest crash reports beyond 6000 bytes. A part with more than 15 shared ones behind it is still not found.

--- a/features/part_crashes.feature
+++ b/features/part_crashes.feature
@@ -58,6 +58,25 @@
       | and then nobody sent for 100 s   |
       | beside those of 50 other prompts |
 
+  # Guards against long prompts whose first parts no node reports.
+  Scenario: The first of many parts is found
+    Given three crashes of prompts with 15 shared parts that have the first alone in common
+    Then the first part is refused and the others are not
+
+  # Guards against names that callers make up: a row that the store takes no
+  # more would keep the usage counts from being written with it.
+  Scenario Outline: Prompts whose parts have names <names>
+    Given a node that saw 80 crashes of prompts with parts whose names are <names>
+    Then its reports are under 10000 bytes
+    And another node that merges them refuses no part but the first
+
+    Examples:
+      | names          |
+      | of 8 digits    |
+      | of 3000 digits |
+      | with colons    |
+      | not in ASCII   |
+
   # Guards against times of a node whose clock was wrong before it knew the
   # shared one, which others would take for later than all crashes.
   Scenario Outline: A node whose clock was <error_s> s off as it started
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 import behave
+import msgspec
 
 from bilberryturn.routing import part_crashes
 from bilberryturn.routing import table
@@ -336,6 +337,63 @@
         assert node.refused(("f", "new"), now_s) is None, name
 
 
+@behave.given(
+    "three crashes of prompts with {count:d} shared parts that have the first"
+    " alone in common"
+)
+def given_long_prompts(context, count):
+    context.node = part_crashes.PartCrashes()
+    for number in range(3):
+        others = [f"g{number}-{n}" for n in range(count - 1)]
+        crashed_s = 1000.0 + number
+        context.node.record_crash(
+            (f"s{number}", 1), (DEADLY, *others), crashed_s
+        )
+
+
+@behave.then("the first part is refused and the others are not")
+def then_first_refused(context):
+    assert context.node.refused((DEADLY,), 1006.0) is not None
+    assert context.node.refused(("g0-0", "g2-13"), 1006.0) is None
+
+
+NAMES = {
+    "of 8 digits": "{:08x}",
+    "of 3000 digits": "{:03000x}",
+    "with colons": "a:{}:b",
+    "not in ASCII": "\xe9{}",
+}
+
+
+@behave.given(
+    "a node that saw {count:d} crashes of prompts with parts whose names are"
+    " {names}"
+)
+def given_names(context, count, names):
+    context.node = part_crashes.PartCrashes()
+    for number in range(count):
+        others = [NAMES[names].format(number * 100 + n) for n in range(9)]
+        context.node.record_crash(
+            (f"server-{number}", 1_700_000_000_000),
+            (DEADLY, *others),
+            1000.0 + number / 10,
+        )
+
+
+@behave.then("its reports are under {limit:d} bytes")
+def then_size(context, limit):
+    size_bytes = len(msgspec.json.encode(context.node.own_reports(1010.0)))
+    assert size_bytes < limit, size_bytes
+
+
+@behave.then("another node that merges them refuses no part but the first")
+def then_only_first(context):
+    other = part_crashes.PartCrashes()
+    other.merge("n1", context.node.own_reports(1010.0))
+    assert other.refused((DEADLY,), 1010.0) is not None
+    assert [cause.part for cause in other.new_causes()] == [DEADLY]
+
+
 @behave.given(
     "a node whose clock was {error_s:d} s off as it saw a part answered"
 )
--- a/src/bilberryturn/routing/part_crashes.py
+++ b/src/bilberryturn/routing/part_crashes.py
@@ -11,7 +11,9 @@
 
 import collections
 from collections.abc import Iterable
+import hashlib
 import itertools
+import re
 from typing import NamedTuple
 
 # Crashes of servers from which a part is refused.
@@ -41,14 +43,18 @@
 MAX_ANSWERED_PARTS = 4096
 # Bounds on the reports of one node; its row stays under 10 KB.
 MAX_CRASH_REPORTS = 60
+MAX_CRASH_REPORT_BYTES = 6000
 MAX_ANSWER_REPORTS = 60
-MAX_REPORTED_PARTS = 6
+MAX_REPORTED_PARTS = 16
 MAX_NODES = 1000
 # Shared times of answers are this old at most.
 ANSWER_REPORT_INTERVAL_S = 1.0
 
 _CRASH_PREFIX = "crash:"
 _ANSWER_PREFIX = "answered:"
+# Other names, which callers may make up, are replaced by a digest.
+_PLAIN_NAME = re.compile(r"[0-9A-Za-z_.-]{1,32}")
+_DIGEST_BYTES = 8
 
 Chain = tuple[str, ...]
 Lifetime = tuple[str, int]
@@ -234,20 +240,28 @@
         self, server: Lifetime, parts: Chain, now_s: float
     ) -> None:
         """Record a request that its server crashed on before answering it."""
-        chain = parts[-MAX_REPORTED_PARTS:]
+        chain = _short_names(parts[-MAX_REPORTED_PARTS:])
         if not chain:
             return
         name = f"{server[0]}/{server[1]}"
         if (name, chain) in self._own:
             return
         self._own[(name, chain)] = Crash(name, chain, now_s)
-        while len(self._own) > MAX_CRASH_REPORTS:
+        while not self._has_room():
             self._own.popitem(last=False)
         self._is_changed = True
 
+    def _has_room(self) -> bool:
+        """Return whether the crash reports are within their bounds."""
+        size_bytes = sum(len(_crash_name(c)) for c in self._own.values())
+        return (
+            len(self._own) <= MAX_CRASH_REPORTS
+            and size_bytes <= MAX_CRASH_REPORT_BYTES
+        )
+
     def record_answer(self, parts: Chain, now_s: float) -> None:
         """Record an answer that shows that its parts are sound."""
-        for part in parts:
+        for part in _short_names(parts):
             self._own_answered[part] = now_s
             self._own_answered.move_to_end(part)
             self._is_changed = self._is_changed or part in self._causes
@@ -275,7 +289,7 @@
         """Return this node's reports, for other nodes."""
         answered = self._answered(now_s)
         reports = {
-            f"{_CRASH_PREFIX}{c.server}:{','.join(c.parts)}": _to_ms(c.at_s)
+            _crash_name(c): _to_ms(c.at_s)
             for c in self._own.values()
             if _is_current(c.at_s, now_s)
             and any(c.at_s > answered.get(part, 0.0) for part in c.parts)
@@ -325,7 +339,9 @@
         # The clock may go back as it is synchronized.
         if abs(now_s - self._updated_s) >= interval_s:
             self._update(now_s)
-        for part in parts:
+        if not self._causes:
+            return None
+        for part in _short_names(parts):
             if part in self._causes:
                 return self._causes[part]
         return None
@@ -375,6 +391,21 @@
     return name.startswith((_CRASH_PREFIX, _ANSWER_PREFIX))
 
 
+def _short_names(parts: Chain) -> Chain:
+    """Return names of parts that fit into reports."""
+    return tuple(
+        part if _PLAIN_NAME.fullmatch(part) else _digest(part) for part in parts
+    )
+
+
+def _digest(part: str) -> str:
+    return hashlib.blake2b(part.encode(), digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def _crash_name(crash: Crash) -> str:
+    return f"{_CRASH_PREFIX}{crash.server}:{','.join(crash.parts)}"
+
+
 def _is_current(at_s: float, now_s: float) -> bool:
     """Return whether the time of a crash or an answer still counts.
 
