--- a/features/mutants.py
+++ b/features/mutants.py
@@ -332,7 +332,7 @@
         "answers do not clear a part of the crashes around it",
         (
             (
-                "routing/part_crashes.py",
+                "routing/crash_causes.py",
                 "if crash.at_s <= answered.get(part, 0.0):",
                 "if False:",
             ),
@@ -344,7 +344,7 @@
         "the first of several parts is refused instead of the last",
         (
             (
-                "routing/part_crashes.py",
+                "routing/crash_causes.py",
                 "if self._cause(cause.part, rest) is None:",
                 "if False:",
             ),
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -9,7 +9,9 @@
 from unittest import mock
 
 import behave
+import msgspec
 
+from bilberryturn.routing import crash_causes
 from bilberryturn.routing import part_crashes
 from bilberryturn.routing import table
 from bilberryturn.routing import types
@@ -176,7 +178,7 @@
 def _crash(server, at_s, *parts, request=None):
     """Return a crash under a request that isn't repeated, unless named."""
     request = request or f"r-{server}-{'-'.join(parts)}"
-    return part_crashes.Crash(server, parts, request, at_s)
+    return crash_causes.Crash(server, parts, request, at_s)
 
 
 def _series(times_s, *chains):
@@ -268,7 +270,7 @@
 @behave.then("crashes {pattern} are put down to {causes}")
 def then_causes(context, pattern, causes):
     crashes, answered = PATTERNS[pattern]
-    found = part_crashes.find_causes(crashes, answered, NOW_S)
+    found = crash_causes.find_causes(crashes, answered, NOW_S)
     names = sorted(cause.part for cause in found if not cause.is_request)
     expected = [] if causes == "nothing" else sorted(causes.split(", "))
     assert names == expected, found
@@ -357,6 +359,64 @@
         assert node.refused(("f", "new"), now_s) is None, name
 
 
+@behave.given(
+    "three crashes of prompts with {count:d} shared parts that have the first"
+    " alone in common"
+)
+def given_long_prompts(context, count):
+    context.node = part_crashes.PartCrashes()
+    for number in range(3):
+        others = [f"g{number}-{n}" for n in range(count - 1)]
+        crashed_s = 1000.0 + number
+        context.node.record_crash(
+            (f"s{number}", 1), (DEADLY, *others), f"r{number}", crashed_s
+        )
+
+
+@behave.then("the first part is refused and the others are not")
+def then_first_refused(context):
+    assert context.node.refused((DEADLY,), 1006.0) is not None
+    assert context.node.refused(("g0-0", "g2-13"), 1006.0) is None
+
+
+NAMES = {
+    "of 8 digits": "{:08x}",
+    "of 3000 digits": "{:03000x}",
+    "with colons": "a:{}:b",
+    "not in ASCII": "\xe9{}",
+}
+
+
+@behave.given(
+    "a node that saw {count:d} crashes of prompts with parts whose names are"
+    " {names}"
+)
+def given_names(context, count, names):
+    context.node = part_crashes.PartCrashes()
+    for number in range(count):
+        others = [NAMES[names].format(number * 100 + n) for n in range(9)]
+        context.node.record_crash(
+            (f"server-{number}", 1_700_000_000_000),
+            (DEADLY, *others),
+            NAMES[names].format(number),
+            1000.0 + number / 10,
+        )
+
+
+@behave.then("its reports are under {limit:d} bytes")
+def then_size(context, limit):
+    size_bytes = len(msgspec.json.encode(context.node.own_reports(1010.0)))
+    assert size_bytes < limit, size_bytes
+
+
+@behave.then("another node that merges them refuses no part but the first")
+def then_only_first(context):
+    other = part_crashes.PartCrashes()
+    other.merge("n1", context.node.own_reports(1010.0))
+    assert other.refused((DEADLY,), 1010.0) is not None
+    assert [cause.part for cause in other.new_causes()] == [DEADLY]
+
+
 @behave.given(
     "a node whose clock was {error_s:d} s off as it saw a part answered"
 )
@@ -417,7 +477,7 @@
     node = part_crashes.PartCrashes()
     checks = requests // len(context.reports)
     with mock.patch.object(
-        part_crashes, "find_causes", wraps=part_crashes.find_causes
+        crash_causes, "find_causes", wraps=crash_causes.find_causes
     ) as find_causes:
         for now_s, name, found in context.reports:
             node.merge(name, found)
@@ -434,7 +494,7 @@
     names = ("crash:", "crash:::", "crash:s/1:", "answered:", "crash", "x")
     node.merge("n9", {name: 1_000_000 for name in names})
     assert node.refused(("", "f"), 1000.0) is None
-    assert part_crashes.find_causes([], {}, 1000.0) == []
+    assert crash_causes.find_causes([], {}, 1000.0) == []
 
 
 # Node processes
--- a/src/bilberryturn/routing/part_crashes.py
+++ b/src/bilberryturn/routing/part_crashes.py
@@ -11,23 +11,13 @@
 
 import collections
 from collections.abc import Iterable
+import hashlib
 import itertools
+import re
 from typing import NamedTuple
 
-# Crashes of servers from which a part is refused.
-MIN_CRASHES = 3
-# Servers that fail together, such as those of one failure domain, are one
-# incident. Crashes this far apart are different incidents.
-INCIDENT_S = 0.5
-MIN_INCIDENTS = 2
-# A part that was answered before its first crash needs more incidents, unless
-# the answer is older than this.
-MIN_INCIDENTS_IF_ANSWERED = 3
-ANSWER_TTL_S = 60.0
-# Time in which the reports of all nodes become known. Younger crashes count
-# only against a part that no other one follows and that was not answered
-# before: the reports that clear any other part may still be missing.
-REPORT_DELAY_S = 3.0
+from bilberryturn.routing import crash_causes
+
 # After this time a refused part is tried again.
 CRASH_TTL_S = 300.0
 # An answer that has been coming for this long shows that its parts are sound.
@@ -41,182 +31,26 @@
 MAX_ANSWERED_PARTS = 4096
 # Bounds on the reports of one node; its row stays under 10 KB.
 MAX_CRASH_REPORTS = 60
+MAX_CRASH_REPORT_BYTES = 6000
 MAX_ANSWER_REPORTS = 60
-MAX_REPORTED_PARTS = 6
+MAX_REPORTED_PARTS = 16
 MAX_NODES = 1000
 # Shared times of answers are this old at most.
 ANSWER_REPORT_INTERVAL_S = 1.0
 
 _CRASH_PREFIX = "crash:"
 _ANSWER_PREFIX = "answered:"
+# Other names, which callers may make up, are replaced by a digest.
+_PLAIN_NAME = re.compile(r"[0-9A-Za-z_.-]{1,32}")
+_DIGEST_BYTES = 8
 
-Chain = tuple[str, ...]
 Lifetime = tuple[str, int]
 
 
-class Crash(NamedTuple):
-    """A request that was about to be answered when its server crashed.
-
-    Attributes:
-        server: Identifies the lifetime of the server.
-        parts: The last shared parts of the request's prompt, in prefill order.
-        request: Identifies the request across its retries.
-        at_s: Time of the crash on the clock that all nodes share.
-    """
-
-    server: str
-    parts: Chain
-    request: str
-    at_s: float
-
-    @property
-    def suspects(self) -> Chain:
-        """Return what may have caused the crash, the request itself last."""
-        return (*self.parts, self.request)
-
-
-class Cause(NamedTuple):
-    """A part, or a single request, that explains crashes.
-
-    Attributes:
-        part: Identifier of the part, or that of the request.
-        crashes: Number of server lifetimes that it explains.
-        incidents: Number of incidents among them.
-        is_request: Whether it is a single request, which its fingerprint
-            refuses.
-    """
-
-    part: str
-    crashes: int
-    incidents: int
-    is_request: bool
-
-
-class _Evidence:
-    """Crashes by part, without those before the part's last answer."""
-
-    def __init__(
-        self,
-        crashes: Iterable[Crash],
-        answered: dict[str, float],
-        now_s: float,
-    ):
-        self._answered = answered
-        self._now_s = now_s
-        self._times: dict[str, dict[str, float]] = {}
-        self._followers: dict[str, set[str]] = {}
-        self._requests: set[str] = set()
-        for crash in crashes:
-            self._requests.add(crash.request)
-            for position, part in enumerate(crash.suspects):
-                if crash.at_s <= answered.get(part, 0.0):
-                    continue
-                times = self._times.setdefault(part, {})
-                earlier_s = times.get(crash.server, crash.at_s)
-                times[crash.server] = min(earlier_s, crash.at_s)
-                followers = self._followers.setdefault(part, set())
-                followers.update(crash.suspects[position + 1 :])
-
-    def find_cause(self, explained: set[str]) -> Cause | None:
-        """Return the clearest cause of the other crashes, or None.
-
-        Args:
-            explained: Servers whose crash has another cause.
-        """
-        causes = {
-            cause.part: cause
-            for part in self._times
-            if (cause := self._cause(part, explained))
-        }
-        if not causes:
-            return None
-        best = max(causes.values(), key=self._rank)
-        seen: set[str] = set()
-        while best.part not in seen:
-            seen.add(best.part)
-            best = self._better_follower(best, causes, explained) or best
-        return best
-
-    def servers(self, part: str) -> set[str]:
-        """Return the servers that crashed under a part."""
-        return set(self._times[part])
-
-    def _cause(self, part: str, explained: set[str]) -> Cause | None:
-        """Return a part as a cause if its evidence is sufficient."""
-        is_answered = self._was_answered(part)
-        has_follower = bool(self._followers[part] - self._requests)
-        is_delayed = is_answered or has_follower
-        until_s = self._now_s - (REPORT_DELAY_S if is_delayed else 0.0)
-        times_s = sorted(
-            at_s
-            for server, at_s in self._times[part].items()
-            if server not in explained and at_s <= until_s
-        )
-        if len(times_s) < MIN_CRASHES:
-            return None
-        incidents = 0
-        incident_s = -INCIDENT_S
-        for at_s in times_s:
-            if at_s - incident_s >= INCIDENT_S:
-                incidents += 1
-                incident_s = at_s
-        needed = MIN_INCIDENTS_IF_ANSWERED if is_answered else MIN_INCIDENTS
-        if incidents < needed:
-            return None
-        return Cause(part, len(times_s), incidents, part in self._requests)
-
-    def _was_answered(self, part: str) -> bool:
-        """Return whether a part was answered not long before its crashes."""
-        first_s = min(self._times[part].values())
-        return first_s - self._answered.get(part, -ANSWER_TTL_S) < ANSWER_TTL_S
-
-    def _rank(self, cause: Cause) -> tuple[bool, int, str]:
-        """Order causes: a part that was never answered is clearer."""
-        return not self._was_answered(cause.part), cause.crashes, cause.part
-
-    def _better_follower(
-        self, cause: Cause, causes: dict[str, Cause], explained: set[str]
-    ) -> Cause | None:
-        """Return a later part of the same prompts that leaves no other cause.
-
-        Requests without the later part then stay allowed. The last one is the
-        request itself: one that its caller repeats condemns no part.
-        """
-        followers = [
-            causes[part]
-            for part in self._followers[cause.part]
-            if part in causes and part != cause.part
-        ]
-        for follower in sorted(followers, key=self._rank, reverse=True):
-            rest = explained | self.servers(follower.part)
-            if self._cause(cause.part, rest) is None:
-                return follower
-        return None
-
-
-def find_causes(
-    crashes: Iterable[Crash], answered: dict[str, float], now_s: float
-) -> list[Cause]:
-    """Return the parts that crash servers, the clearest first.
-
-    Args:
-        crashes: Reports of all nodes.
-        answered: Time at which each part was last answered.
-        now_s: Present time.
-    """
-    evidence = _Evidence(crashes, answered, now_s)
-    causes: list[Cause] = []
-    explained: set[str] = set()
-    while (cause := evidence.find_cause(explained)) is not None:
-        causes.append(cause)
-        explained |= evidence.servers(cause.part)
-    return causes
-
-
 class _NodeReports(NamedTuple):
     """The decoded reports of one node."""
 
-    crashes: tuple[Crash, ...]
+    crashes: tuple[crash_causes.Crash, ...]
     answered: dict[str, float]
 
 
@@ -230,9 +64,9 @@
     """
 
     def __init__(self):
-        self._own: collections.OrderedDict[tuple[str, Chain], Crash] = (
-            collections.OrderedDict()
-        )
+        self._own: collections.OrderedDict[
+            tuple[str, crash_causes.Chain], crash_causes.Crash
+        ] = collections.OrderedDict()
         self._own_answered: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
@@ -240,13 +74,17 @@
         self._others: collections.OrderedDict[str, _NodeReports] = (
             collections.OrderedDict()
         )
-        self._causes: dict[str, Cause] = {}
-        self._new_causes: list[Cause] = []
+        self._causes: dict[str, crash_causes.Cause] = {}
+        self._new_causes: list[crash_causes.Cause] = []
         self._is_changed = False
         self._updated_s = 0.0
 
     def record_crash(
-        self, server: Lifetime, parts: Chain, request: str, now_s: float
+        self,
+        server: Lifetime,
+        parts: crash_causes.Chain,
+        request: str,
+        now_s: float,
     ) -> None:
         """Record a request that its server crashed on before answering it.
 
@@ -259,15 +97,26 @@
         if not parts:
             return
         name = f"{server[0]}/{server[1]}"
-        crash = Crash(name, parts[-MAX_REPORTED_PARTS:], request, now_s)
+        chain = _short_names(parts[-MAX_REPORTED_PARTS:])
+        crash = crash_causes.Crash(
+            name, chain, *_short_names((request,)), now_s
+        )
         self._own.setdefault((name, crash.suspects), crash)
-        while len(self._own) > MAX_CRASH_REPORTS:
+        while not self._has_room():
             self._own.popitem(last=False)
         self._is_changed = True
 
-    def record_answer(self, parts: Chain, now_s: float) -> None:
+    def _has_room(self) -> bool:
+        """Return whether the crash reports are within their bounds."""
+        size_bytes = sum(len(_crash_name(c)) for c in self._own.values())
+        return (
+            len(self._own) <= MAX_CRASH_REPORTS
+            and size_bytes <= MAX_CRASH_REPORT_BYTES
+        )
+
+    def record_answer(self, parts: crash_causes.Chain, now_s: float) -> None:
         """Record an answer that shows that its parts are sound."""
-        for part in parts:
+        for part in _short_names(parts):
             self._own_answered[part] = now_s
             self._own_answered.move_to_end(part)
             self._is_changed = self._is_changed or part in self._causes
@@ -295,7 +144,7 @@
         """Return this node's reports, for other nodes."""
         answered = self._answered(now_s)
         reports = {
-            f"{_CRASH_PREFIX}{c.server}:{','.join(c.suspects)}": _to_ms(c.at_s)
+            _crash_name(c): _to_ms(c.at_s)
             for c in self._own.values()
             if _is_current(c.at_s, now_s)
             and any(c.at_s > answered.get(part, 0.0) for part in c.parts)
@@ -331,13 +180,15 @@
         parts = [
             part
             for part, found in servers.items()
-            if len(found) >= MIN_CRASHES - 1
+            if len(found) >= crash_causes.MIN_CRASHES - 1
             and _is_current(self._own_answered.get(part, 0.0), now_s)
         ]
         parts.sort(key=lambda part: len(servers[part]), reverse=True)
         return parts[:MAX_ANSWER_REPORTS]
 
-    def refused(self, parts: Chain, now_s: float) -> Cause | None:
+    def refused(
+        self, parts: crash_causes.Chain, now_s: float
+    ) -> crash_causes.Cause | None:
         """Return the cause for which requests with these parts are refused."""
         interval_s = (
             MIN_UPDATE_INTERVAL_S if self._is_changed else UPDATE_INTERVAL_S
@@ -345,19 +196,21 @@
         # The clock may go back as it is synchronized.
         if abs(now_s - self._updated_s) >= interval_s:
             self._update(now_s)
-        for part in parts:
+        if not self._causes:
+            return None
+        for part in _short_names(parts):
             if part in self._causes:
                 return self._causes[part]
         return None
 
-    def new_causes(self) -> list[Cause]:
+    def new_causes(self) -> list[crash_causes.Cause]:
         """Return the causes found since the last call."""
         new, self._new_causes = self._new_causes, []
         return new
 
     def _update(self, now_s: float) -> None:
         """Derive the causes from the reports."""
-        causes = find_causes(
+        causes = crash_causes.find_causes(
             self._all_crashes(now_s), self._answered(now_s), now_s
         )
         found = {c.part: c for c in causes if not c.is_request}
@@ -368,7 +221,7 @@
         self._is_changed = False
         self._updated_s = now_s
 
-    def _all_crashes(self, now_s: float) -> Iterable[Crash]:
+    def _all_crashes(self, now_s: float) -> Iterable[crash_causes.Crash]:
         """Yield the crashes that all nodes reported and that still count."""
         nodes = (reports.crashes for reports in self._others.values())
         for crash in itertools.chain(self._own.values(), *nodes):
@@ -395,6 +248,21 @@
     return name.startswith((_CRASH_PREFIX, _ANSWER_PREFIX))
 
 
+def _short_names(parts: crash_causes.Chain) -> crash_causes.Chain:
+    """Return names of parts that fit into reports."""
+    return tuple(
+        part if _PLAIN_NAME.fullmatch(part) else _digest(part) for part in parts
+    )
+
+
+def _digest(part: str) -> str:
+    return hashlib.blake2b(part.encode(), digest_size=_DIGEST_BYTES).hexdigest()
+
+
+def _crash_name(crash: crash_causes.Crash) -> str:
+    return f"{_CRASH_PREFIX}{crash.server}:{','.join(crash.suspects)}"
+
+
 def _is_current(at_s: float, now_s: float) -> bool:
     """Return whether the time of a crash or an answer still counts.
 
@@ -408,7 +276,7 @@
 
 
 def _decode(reports: dict[str, int]) -> _NodeReports:
-    crashes: list[Crash] = []
+    crashes: list[crash_causes.Crash] = []
     answered: dict[str, float] = {}
     for name, at_ms in reports.items():
         if name.startswith(_ANSWER_PREFIX):
@@ -416,5 +284,7 @@
         elif name.startswith(_CRASH_PREFIX):
             server, _, names = name.removeprefix(_CRASH_PREFIX).rpartition(":")
             *parts, request = names.split(",")
-            crashes.append(Crash(server, tuple(parts), request, at_ms / 1000))
+            crashes.append(
+                crash_causes.Crash(server, tuple(parts), request, at_ms / 1000)
+            )
     return _NodeReports(tuple(crashes), answered)
