Let the soak run 60 nodes without overloading its own process

Cause: for each change the store stand-in scanned all its changes once for each waiting call, and callers sent a refused request's successor at once.

Change: the stand-in begins at the first change that is asked for, and callers wait as long as Retry-After says. The output states the longest step of the fault injector, which shows an overloaded machine.

--- a/features/soak/callers.py
+++ b/features/soak/callers.py
@@ -30,6 +30,7 @@
         self._rng = random.Random(seed)
         self._is_quick = self._rng.random() < QUICK_SHARE
         self._connection = None
+        self._retry_after_s = 0.0
         self._count = 0
 
     def run(self):
@@ -64,6 +65,7 @@
             planned, answer = self._connection.read_answer()
             if answer.head:
                 self._checker.check_answer(planned, answer, time.monotonic())
+            self._retry_after_s = float(answer.header("Retry-After") or 0)
             if not answer.is_complete:
                 return True
         return False
@@ -96,9 +98,10 @@
         self._connection.send(planned, [data[:cut], data[cut:]], pause_s)
 
     def _pause_s(self):
-        return self._rng.choice(
+        pause_s = self._rng.choice(
             (0.0, 0.0, self._rng.uniform(0, 0.005), self._rng.uniform(0, 0.05))
         )
+        return max(pause_s, self._retry_after_s)
 
     def _next_request(self):
         self._count += 1
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -35,13 +35,20 @@
 
 
 class Outcome(NamedTuple):
-    """The outcome of one seed; the nodes' logs are in the folder."""
+    """The outcome of one seed.
+
+    Attributes:
+        folder: Folder with the logs of the nodes.
+        longest_step_s: Longest time between two faults, STEP_S on a machine
+            that is not overloaded.
+    """
 
     checker: checks.InvariantChecker
     faults: list[str]
     folder: pathlib.Path
     is_planned: bool
     stop_grace_s: int
+    longest_step_s: float
 
 
 def run_seed(
@@ -85,7 +92,7 @@
         ]
         for thread in threads:
             thread.start()
-        _repeat(fault_injector.step, duration_s)
+        longest_step_s = _repeat(fault_injector.step, duration_s)
         fault_injector.revert_all()
         phases.calm.set()
         _wait_stopped(testbed)
@@ -104,15 +111,26 @@
         phases.stopping.set()
         testbed.close()
     return Outcome(
-        checker, fault_injector.log, folder, is_planned, testbed.stop_grace_s
+        checker,
+        fault_injector.log,
+        folder,
+        is_planned,
+        testbed.stop_grace_s,
+        longest_step_s,
     )
 
 
 def _repeat(action, duration_s):
-    end_s = time.monotonic() + duration_s
-    while time.monotonic() < end_s:
+    """Repeat an action for a time; returns the longest step."""
+    longest_s = 0.0
+    now_s = time.monotonic()
+    end_s = now_s + duration_s
+    while now_s < end_s:
         action()
         time.sleep(STEP_S)
+        started_s, now_s = now_s, time.monotonic()
+        longest_s = max(longest_s, now_s - started_s)
+    return longest_s
 
 
 def _wait_stopped(testbed):
@@ -201,6 +219,7 @@
         "seed": seed,
         "is_planned": outcome.is_planned,
         "stop_grace_s": outcome.stop_grace_s,
+        "longest_step_s": round(outcome.longest_step_s, 2),
         "good": checker.success_count,
         "statuses": checker.statuses,
         "lost": len(checker.lost),
--- a/features/support/store_standin.py
+++ b/features/support/store_standin.py
@@ -3,8 +3,10 @@
 It follows their published protocol."""
 
 import base64
+import bisect
 import http.server
 import json
+import operator
 import threading
 import time
 import urllib.parse
@@ -112,10 +114,12 @@
             while True:
                 if since < self.history_from:
                     return 410, {}
+                # Versions ascend.
+                first = bisect.bisect_right(
+                    self.changes, since, key=operator.itemgetter(0)
+                )
                 found = [
-                    c
-                    for c in self.changes
-                    if c[0] > since and c[1] == query["table"]
+                    c for c in self.changes[first:] if c[1] == query["table"]
                 ]
                 remaining_s = deadline_s - time.monotonic()
                 if found or remaining_s <= 0:
