--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -26,7 +26,7 @@
 # Pauses between two requests. A part at the beginning of the prompt is refused
 # once the reports of all nodes can have arrived, which takes 3 s.
 PAUSE_S = 0.15
-FIRST_PART_PAUSE_S = 0.75
+LONG_PAUSE_S = 0.75
 # All nodes know within this time that a server has started again.
 RESTART_PAUSE_S = 1.6
 _ids = itertools.count(1)
@@ -121,7 +121,7 @@
         context.deadly_answers.append(_send(context, deadly))
         sound = ["f1", "f2", f"b{number}"]
         context.sound_answers.append(_send(context, sound))
-        time.sleep(FIRST_PART_PAUSE_S if context.is_first else PAUSE_S)
+        time.sleep(LONG_PAUSE_S if context.is_first else PAUSE_S)
 
 
 def _send(context, parts, kind="stream"):
@@ -151,7 +151,7 @@
     for number in range(count):
         _send_sound(context)
         _send(context, ["f1", "f2", DEADLY, f"a{number}"], "resumable")
-        time.sleep(PAUSE_S)
+        time.sleep(LONG_PAUSE_S)
 
 
 @behave.then("at most {limit:d} requests with the part have reached servers")
