Show that a removed entry is taken for a lapse (DRAIN), listed as red

Both scenarios fail on this commit: a node whose calls alone were rejected keeps a removed server for 2 s more, and the 2 s count from the reading that lacks the entry, however long the store has been back.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -30,6 +30,24 @@
     Then the node still uses 600 servers
     And it uses none after the time to restore them
 
+  # Guards against requests to a server whose entry was removed: a node whose
+  # calls alone the store had rejected took the removal for a lapse.
+  Scenario: A server that leaves after an outage of its nodes alone is not used any more
+    Given a relay that has read 600 servers
+    And a node that has the relay's content
+    When the store rejects the calls of both for 9 s while another node reads it
+    And the relay reads 1 s later that the entry of one server is gone
+    And the node polls the relay
+    Then the relay uses 599 servers
+    And the node uses 599 servers
+
+  # Guards against a grace period that starts anew with each reading.
+  Scenario: The time to restore an entry counts from the end of the outage
+    Given a relay that has read 600 servers
+    When the store is back after 9 s and the relay reads 1.5 s later that the entry of one server is gone
+    Then the relay uses 600 servers 1.9 s after the outage
+    And the relay uses 599 servers 2.1 s after the outage
+
   Scenario: A reply that waits for the event loop does not look newer than it is
     Given a relay that has read 600 servers
     And a node that has the relay's content
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -232,6 +232,57 @@
     assert not node_directory.usable("app")
 
 
+@behave.when(
+    "the store rejects the calls of both for {outage_s:d} s while another node"
+    " reads it"
+)
+def when_rejects(context, outage_s):
+    context.outage_end_s = time.monotonic() + outage_s
+    reader = _Peer("reader")
+    for ago_s in range(outage_s, 0, -1):
+        reader.read_servers(context.entries, True)
+        for peer in (context.relay, context.peer):
+            reply = msgspec.structs.replace(
+                reader.reply_to(peer), servers_age_s=0.3
+            )
+            peer.applier.apply_peer_state(reply, context.outage_end_s - ago_s)
+
+
+@behave.when(
+    "the relay reads {later_s:g} s later that the entry of one server is gone"
+)
+def when_gone(context, later_s):
+    read_s = context.outage_end_s + later_s
+    context.relay.read_servers(
+        {"server-7": None},
+        False,
+        after_outage=True,
+        age_s=time.monotonic() - read_s,
+    )
+
+
+@behave.when(
+    "the store is back after {outage_s:d} s and the relay reads {later_s:g} s"
+    " later that the entry of one server is gone"
+)
+def when_back(context, outage_s, later_s):
+    context.outage_end_s = time.monotonic() + outage_s
+    context.relay.read_servers({}, False, True, -outage_s)
+    when_gone(context, later_s)
+
+
+@behave.then("the relay uses {count:d} servers")
+def then_relay_uses(context, count):
+    usable = context.relay.shared.directory.usable("app")
+    assert len(usable) == count, len(usable)
+
+
+@behave.then("the relay uses {count:d} servers {later_s:g} s after the outage")
+def then_relay_uses_later(context, count, later_s):
+    context.relay.shared.directory.expire(context.outage_end_s + later_s)
+    then_relay_uses(context, count)
+
+
 @behave.when(
     "a reply waits 3 s for the node's event loop while a server leaves"
 )
