Don't take a departure for a lapse after an outage of one node (DRAIN)

Cause: a missing entry counts as lapsed, and its server stays in use for 2 s, within 3 s of an outage. A node concluded from its own rejected calls that the store had been away, and relays passed it on; the store had served the servers and all other nodes. A server that reports no departure is only missed.

Change: entries can have lapsed only if nobody confirmed them to this node for two heartbeats; the time to restore them counts from the end of the outage.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -492,6 +492,18 @@
         "relays",
         "Entries that lapsed",
     ),
+    Mutant(
+        "a node's own outage counts as one of the servers",
+        (
+            (
+                "edge/feeds.py",
+                "if after_outage and unconfirmed_s >= self._min_lapse_s:",
+                "if after_outage:",
+            ),
+        ),
+        "relays",
+        "outage of its nodes alone",
+    ),
     Mutant(
         "the age of a reply counts from when it is applied",
         (
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -80,6 +80,9 @@
 
 
 def _apply_event(servers, server, item, now_s):
+    restore_until_s = (
+        now_s + directory.RESTORE_GRACE_S if "outage" in item else None
+    )
     if item == "ready":
         newest = server._replace(sequence=int(now_s * 10))
         servers.report(newest, now_s)
@@ -93,9 +96,9 @@
     elif item == "an older draining":
         servers.report(server._replace(sequence=9, is_leaving=True), now_s)
     elif item.startswith("removed"):
-        servers.remove("s", now_s, "outage" in item)
+        servers.remove("s", restore_until_s)
     elif item.startswith("a snapshot"):
-        servers.replace_all([], now_s, "outage" in item)
+        servers.replace_all([], now_s, restore_until_s)
     elif item.endswith(" s"):
         now_s += float(item[:-2])
     else:
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 import enum
+import math
 import secrets
 import time
 from typing import NamedTuple
@@ -18,6 +19,8 @@
 from bilberryturn.platform import operator_config
 from bilberryturn.platform import rows
 from bilberryturn.platform import server_entries
+from bilberryturn.platform import settings_file
+from bilberryturn.routing import directory as server_directory
 from bilberryturn.routing import types
 
 # Node lifetimes whose crash counts are retained.
@@ -206,6 +209,7 @@
         raw: RawState,
         lifetime: str,
         deliver_nodes: Callable[[dict[str, str]], None] | None = None,
+        heartbeat_s: float = settings_file.DEFAULT_HEARTBEAT_S,
     ):
         """Initialize the applier.
 
@@ -214,7 +218,13 @@
             raw: State that this node serves to its peers.
             lifetime: Identifies this node and its start.
             deliver_nodes: Receives the known nodes from a peer.
+            heartbeat_s: Interval in which servers write their entries.
         """
+        # Entries cannot have expired in a shorter outage.
+        self._min_lapse_s = server_directory.MISSED_HEARTBEATS * heartbeat_s
+        # Monotonic time of the first confirmation of the entries after an
+        # outage of the store.
+        self._outage_end_s = -math.inf
         self._deliver_nodes = deliver_nodes
         # Revision of the peer whose content this node has; "" if it has read
         # the store since, which requests the whole content next time.
@@ -332,9 +342,10 @@
             )
         self._raw.after_outage = after_outage
         self._mark_changed_entries(content)
+        restore_until_s = self._restore_until_s(confirmed_s, after_outage)
         directory = self._shared.directory
         if is_snapshot:
-            changes = directory.replace_all(decoded, now_s, after_outage)
+            changes = directory.replace_all(decoded, now_s, restore_until_s)
             self._raw.servers = {
                 key: value for key, value in changed.items() if value
             }
@@ -345,9 +356,24 @@
                     self._raw.servers[server_id] = value
                     continue
                 self._raw.servers.pop(server_id, None)
-                changes.append(directory.remove(server_id, now_s, after_outage))
+                changes.append(directory.remove(server_id, restore_until_s))
         self._record_changes(changes, confirmed_s)
 
+    def _restore_until_s(
+        self, confirmed_s: float, after_outage: bool
+    ) -> float | None:
+        """Return until when servers may restore entries that are missing.
+
+        None if they have left: the store may have rejected only the calls of
+        this node or its relay. If other nodes confirmed the entries meanwhile,
+        the store was there for the servers too.
+        """
+        unconfirmed_s = confirmed_s - self._raw.servers_confirmed_s
+        if after_outage and unconfirmed_s >= self._min_lapse_s:
+            self._outage_end_s = confirmed_s
+        until_s = self._outage_end_s + server_directory.RESTORE_GRACE_S
+        return until_s if confirmed_s < until_s else None
+
     def _mark_changed_entries(
         self, content: dict[str, types.BackendServer | bytes]
     ) -> None:
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -81,6 +81,7 @@
             self._raw,
             self._lifetime,
             lambda nodes: self._node_presence.take_nodes(nodes),
+            settings.heartbeat_s,
         )
         self._callers = caller_server.CallerServer(self.shared)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
--- a/src/bilberryturn/platform/settings_file.py
+++ b/src/bilberryturn/platform/settings_file.py
@@ -9,6 +9,8 @@
 
 from bilberryturn import checks
 
+DEFAULT_HEARTBEAT_S = 1.2
+
 
 class Address(NamedTuple):
     """IP address and port of a TCP endpoint."""
@@ -30,6 +32,7 @@
             or None.
         stop_grace_s: Time from SIGTERM until the process is killed.
         settle_s: Time without faults after which all bounds hold again.
+        heartbeat_s: Interval in which servers write their entries.
         drain_s: Time within which a leaving server must stop receiving new
             requests.
         lease_s: Time within which a duty must not alternate between two
@@ -56,6 +59,7 @@
     duty_names: tuple[str, ...]
     stop_grace_s: float
     settle_s: float
+    heartbeat_s: float
     drain_s: float
     config_s: float
     lease_s: float
@@ -179,6 +183,8 @@
         ),
         stop_grace_s=reader.number("bounds.graceS", 8.0),
         settle_s=reader.number("bounds.stableMs", 4000) / 1000,
+        heartbeat_s=reader.number("heartbeatMs", DEFAULT_HEARTBEAT_S * 1000)
+        / 1000,
         drain_s=reader.number("bounds.drainMs", 2500) / 1000,
         config_s=reader.number("bounds.configMs", 2500) / 1000,
         lease_s=reader.number("bounds.leaseMs", 3000) / 1000,
--- a/src/bilberryturn/routing/directory.py
+++ b/src/bilberryturn/routing/directory.py
@@ -12,6 +12,9 @@
 # The users specify that a live server restores an expired entry within about
 # this time after the store is reachable again.
 RESTORE_GRACE_S = 2.0
+# An entry expires after three missed heartbeats, the first of which may have
+# been due as the store went away.
+MISSED_HEARTBEATS = 2
 # Tombstones of leaving lifetimes are kept longer than any report of them can be
 # delayed.
 TOMBSTONE_S = 30.0
@@ -42,7 +45,8 @@
     def __init__(self):
         self._servers: dict[str, types.BackendServer] = {}
         self._tombstones: dict[tuple[str, int], float] = {}
-        self._lapsed: dict[str, float] = {}
+        # Monotonic time until which a server may restore its lapsed entry.
+        self._restore_until_s: dict[str, float] = {}
         self._departures: dict[tuple[str, int], Departure] = {}
 
     def departure(self, lifetime: tuple[str, int]) -> Departure | None:
@@ -69,7 +73,7 @@
         self, server: types.BackendServer, now_s: float
     ) -> Change | None:
         """Apply one report; out-of-order reports are ignored."""
-        self._lapsed.pop(server.server_id, None)
+        self._restore_until_s.pop(server.server_id, None)
         known = self._servers.get(server.server_id)
         if known is not None and (server.started_ms, server.sequence) < (
             known.started_ms,
@@ -96,35 +100,43 @@
         return None
 
     def remove(
-        self, server_id: str, now_s: float, after_outage: bool
+        self, server_id: str, restore_until_s: float | None
     ) -> Change | None:
         """Apply the removal of an entry.
 
         Args:
             server_id: Server whose entry was removed.
-            now_s: Present time in seconds.
-            after_outage: Whether the store has just become reachable again;
-                the server then has RESTORE_GRACE_S to restore its entry.
+            restore_until_s: Monotonic time until which the server may restore
+                an entry that lapsed while the store was away; None if it has
+                left.
         """
         if server_id not in self._servers:
             return None
-        if after_outage:
-            self._lapsed.setdefault(server_id, now_s)
-            return Change(server_id, "lapsed")
-        return self._drop(server_id)
+        if restore_until_s is None:
+            return self._drop(server_id)
+        if server_id in self._restore_until_s:
+            return None
+        self._restore_until_s[server_id] = restore_until_s
+        return Change(server_id, "lapsed")
 
     def replace_all(
         self,
         servers: list[types.BackendServer],
         now_s: float,
-        after_outage: bool,
+        restore_until_s: float | None,
     ) -> list[Change]:
-        """Replace all entries by a snapshot."""
+        """Replace all entries by a snapshot.
+
+        Args:
+            servers: The servers of the snapshot.
+            now_s: Present time in seconds.
+            restore_until_s: As for remove, for the servers it lacks.
+        """
         present = {server.server_id for server in servers}
         changes = [self.report(server, now_s) for server in servers]
         for server_id in list(self._servers):
             if server_id not in present:
-                changes.append(self.remove(server_id, now_s, after_outage))
+                changes.append(self.remove(server_id, restore_until_s))
         return [change for change in changes if change is not None]
 
     def expire(self, now_s: float) -> list[Change]:
@@ -135,12 +147,12 @@
                 self._departures.pop(key, None)
         overdue = [
             server_id
-            for server_id, lapsed_s in self._lapsed.items()
-            if now_s - lapsed_s >= RESTORE_GRACE_S
+            for server_id, restore_until_s in self._restore_until_s.items()
+            if now_s >= restore_until_s
         ]
         return [self._drop(server_id) for server_id in overdue]
 
     def _drop(self, server_id: str) -> Change:
-        self._lapsed.pop(server_id, None)
+        self._restore_until_s.pop(server_id, None)
         del self._servers[server_id]
         return Change(server_id, "gone")
