--- a/features/relays.feature
+++ b/features/relays.feature
@@ -88,3 +88,16 @@
     And a node that has the relay's content
     When the node reports 2 crashes of a request and polls the relay
     Then the node accepts the request until it has crashed a third server
+
+  # Guards against a configuration that is late as the link of a relay is full.
+  Scenario: A configuration of 1,200 routes reaches all nodes of a relay in time
+    Given a relay that has read a configuration of 1200 routes
+    Then over a link of 10 Mbit/s all nodes of the relay have it within 4 s
+    And a node that has it from another relay gets it at no cost
+
+  # Guards against waits behind a relay that add up to more than the bound.
+  Scenario: A node whose peers stop to answer reads a new configuration in time
+    Given a stand-in of the users' store
+    And 5 nodes that rank behind 9 peers and poll them
+    When the peers stop to answer and the operator writes version 9
+    Then the nodes have version 9 in force within 4 s
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -5,6 +5,7 @@
 import json
 import random
 import socket
+import string
 import threading
 import time
 
@@ -12,6 +13,7 @@
 import msgspec
 
 from bilberryturn import leases
+from bilberryturn import rendezvous
 from bilberryturn.edge import duties
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers
@@ -65,11 +67,14 @@
             followers.Reading([change], True, False, time.monotonic())
         )
 
+    def state_for(self, peer):
+        """Return what a poll of a peer returns."""
+        return self.raw.state(peer.applier.peer_revision, True)
+
     def reply_to(self, peer):
         """Return the reply to a poll of a peer, as it is on the wire."""
-        state = self.raw.state(peer.applier.peer_revision, True)
         return msgspec.json.decode(
-            msgspec.json.encode(state), type=feeds.PeerState
+            msgspec.json.encode(self.state_for(peer)), type=feeds.PeerState
         )
 
     def content(self):
@@ -560,3 +565,164 @@
     assert not suspects.is_refused("request", time.monotonic())
     suspects.record_crash("request", time.monotonic())
     assert suspects.is_refused("request", time.monotonic())
+
+
+def _many_routes(rng, count):
+    """Return routes with the fields and names of the users' operator."""
+
+    def name(length):
+        letters = string.ascii_lowercase + string.digits
+        return "".join(rng.choices(letters, k=length))
+
+    return [
+        {
+            "name": f"r-{name(7)}",
+            "host": f"{name(6)}.example",
+            "prefix": f"/{name(7)}/",
+            "type": rng.choice(("stream", "safe", "unsafe")),
+            "timeoutMs": rng.choice((2000, 6000, 12000)),
+            "targetLatencyMs": rng.choice((524, 845, 2063)),
+            "priority": rng.randrange(3),
+            "service": rng.choice(("huvo11a", "wuno96b")),
+            "attempts": rng.randrange(1, 4),
+            "public": False,
+            "sticky": True,
+            "resumable": False,
+            "itlTargetMs": rng.choice((0, 300, 800)),
+        }
+        for _ in range(count)
+    ]
+
+
+@behave.given("a relay that has read a configuration of {count:d} routes")
+def given_many_routes(context, count):
+    config = platform_data.make_config(8)
+    config["routes"] += _many_routes(random.Random(29), count)
+    change = rows.Change(rows.CONFIG_KEY, 8, json.dumps(config).encode())
+    context.relay = _Peer("relay")
+    context.relay.read_servers({}, True)
+    context.relay.applier.on_config_read(
+        followers.Reading([change], True, False, time.monotonic())
+    )
+    context.peer = _Peer("node")
+
+
+@behave.then(
+    "over a link of {link_mbps:d} Mbit/s all nodes of the relay have it within"
+    " {bound_s:d} s"
+)
+def then_link(context, link_mbps, bound_s):
+    times = intervals.from_bounds(bound_s, bound_s, 5.0)
+    reply = msgspec.json.encode(context.relay.state_for(context.peer))
+    total_bits = 8 * len(reply) * relays.NODES_PER_RELAY
+    sending_s = total_bits / (link_mbps * 1e6)
+    assert times.max_relay_poll_s + sending_s <= bound_s, (
+        len(reply),
+        sending_s,
+    )
+    when_polls(context)
+    assert context.peer.content()[0] == 8
+
+
+@behave.then("a node that has it from another relay gets it at no cost")
+def then_known(context):
+    context.peer.applier.peer_revision = "another.1"
+    state = context.relay.state_for(context.peer)
+    assert state.is_complete and state.config is None
+    when_polls(context)
+    assert context.peer.applier.peer_revision == context.relay.raw.revision
+
+
+@behave.given("{count:d} nodes that rank behind {peers:d} peers and poll them")
+def given_ranked(context, count, peers):
+    context.are_silent = threading.Event()
+    context.closers.append(context.are_silent.set)
+    reader = _Peer("relay")
+    lock = threading.Lock()
+    stopping = threading.Event()
+    context.closers.append(stopping.set)
+
+    def answer(peer, head, body, number):
+        if context.are_silent.is_set():
+            stopping.wait(60)
+            return "close"
+        with lock:
+            reader.read_config(7)
+            reader.read_servers({"good": platform_data.make_entry()}, True)
+            reply = msgspec.json.encode(reader.raw.state("", True))
+        peer.send(f"HTTP/1.1 200 OK\r\nContent-Length: {len(reply)}\r\n\r\n")
+        peer.send(reply)
+        return None
+
+    addresses = set()
+    for _ in range(peers):
+        server = scripted.ScriptedServer(answer)
+        context.closers.append(server.close)
+        addresses.add(f"127.0.0.1:{server.port}")
+    last = (
+        own
+        for number in itertools.count(1)
+        if rendezvous.rank(addresses | {own := f"10.0.0.{number}:1"}, "east")[
+            -1
+        ]
+        == own
+    )
+    context.ranked = [
+        _start_ranked(context, own, addresses, stopping)
+        for own in itertools.islice(last, count)
+    ]
+    platform_data.wait_for(
+        lambda: all(p.shared.table is not None for p in context.ranked),
+        10,
+        lambda: [p.content() for p in context.ranked],
+    )
+
+
+def _start_ranked(context, own, addresses, stopping):
+    """Start the parts of a node that read the store; returns its content."""
+    peer = _Peer(own)
+    applier = peer.applier
+    loop = asyncio.new_event_loop()
+    threading.Thread(target=loop.run_forever, daemon=True).start()
+    context.closers.append(lambda: loop.call_soon_threadsafe(loop.stop))
+    times = intervals.from_bounds(4.0, 4.0, 5.0)
+    followed = [
+        followers.Follower(
+            table, context.standin.address, wait_s, pause_s, "",
+            followers.on_loop(loop, deliver),
+        )
+        for table, wait_s, pause_s, deliver in (
+            (rows.SERVER_TABLE, 0.0, times.server_poll_s,
+             applier.on_servers_read),
+            (rows.OPERATOR_TABLE, times.config_wait_s, 0.0,
+             applier.on_config_read),
+        )
+    ]  # fmt: skip
+    peers_known = threading.Event()
+    peers_known.set()
+    client = relays.RelayClient(
+        own, own, "east", "", times, lambda: list(addresses), list, dict, dict,
+        shared_clock.SharedClock(), followed, lambda: applier.peer_revision,
+        followers.on_loop(loop, applier.apply_peer_state), peers_known,
+        relays.RESTART_WAITS,
+    )  # fmt: skip
+    for job in (*followed, client):
+        threading.Thread(target=job.run, args=(stopping,), daemon=True).start()
+    return peer
+
+
+@behave.when(
+    "the peers stop to answer and the operator writes version {version:d}"
+)
+def when_silent(context, version):
+    context.are_silent.set()
+    context.standin.put("op", "config", platform_data.make_config(version))
+
+
+@behave.then("the nodes have version {version:d} in force within {bound_s:d} s")
+def then_in_force(context, version, bound_s):
+    platform_data.wait_for(
+        lambda: all(p.shared.table.version == version for p in context.ranked),
+        bound_s,
+        lambda: [p.content() for p in context.ranked],
+    )
