Don't wait for a relay that fails while the store can be reached (CONFIG)

Cause: a node behind a relay whose polls fail read the servers for 1.5 s, polled again, and began to read the configuration with the next reading of the servers after that. The 1.5 s are meant for the time after an outage of the store, when the relay is current again before its followers.

Ruled out: a busy processor (below 7 in 100 in the record).

Change: the node waits only after an outage of the store as it sees it, and the other tables are read as soon as the first has been, not at its next reading.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -504,6 +504,18 @@
         "relays",
         "outage of its nodes alone",
     ),
+    Mutant(
+        "a node waits for a relay that fails while the store can be reached",
+        (
+            (
+                "edge/relays.py",
+                "            and first.outage.is_within(RETURN_WAIT_S)",
+                "            and (first.reached_for_s() or 0.0) < RETURN_WAIT_S",
+            ),
+        ),
+        "relays",
+        "peers stop to answer",
+    ),
     Mutant(
         "the age of a reply counts from when it is applied",
         (
--- a/src/bilberryturn/edge/followers.py
+++ b/src/bilberryturn/edge/followers.py
@@ -82,6 +82,12 @@
             return 0.0
         return time.monotonic() - self._failing_since_s
 
+    def is_within(self, duration_s: float) -> bool:
+        """Return whether calls fail, or did until that time ago."""
+        if self._failing_since_s is not None:
+            return True
+        return time.monotonic() - self._recovered_s < duration_s
+
     def is_recent(self) -> bool:
         """Return whether an outage has ended recently."""
         return time.monotonic() - self._recovered_s < intervals.FRESH_S
@@ -123,8 +129,7 @@
         self.outage = OutageTracker(f"store/{table}")
         self.active = threading.Event()
         self.active.set()
-        # Followers that are active only while the calls of this one succeed.
-        self.dependents: tuple[Follower, ...] = ()
+        self._dependents: tuple[Follower, ...] = ()
         self._reached_since_s: float | None = None
 
     def reached_for_s(self) -> float | None:
@@ -137,6 +142,14 @@
             return None
         return time.monotonic() - since_s
 
+    def set_dependents(self, dependents: tuple["Follower", ...]) -> None:
+        """Set followers that are active only while this one's calls succeed."""
+        self._dependents = dependents
+        if self.reached_for_s() is None:
+            return
+        for dependent in dependents:
+            dependent.activate()
+
     def activate(self) -> None:
         """Start to call the store; has no effect on an active follower."""
         if not self.active.is_set():
@@ -146,7 +159,7 @@
     def pause(self) -> None:
         """Stop calling the store, dependents included."""
         self.active.clear()
-        for dependent in self.dependents:
+        for dependent in self._dependents:
             dependent.pause()
 
     def run(self, stopping: threading.Event) -> None:
@@ -189,7 +202,7 @@
                 self._reached_since_s = time.monotonic()
             self._backoff_s = INITIAL_BACKOFF_S
             if self.active.is_set():
-                for dependent in self.dependents:
+                for dependent in self._dependents:
                     dependent.activate()
             self._since = result.ok.version
             self._deliver(
@@ -210,7 +223,7 @@
             return 0.0
         self.outage.record_failure(error)
         self._reached_since_s = None
-        for dependent in self.dependents:
+        for dependent in self._dependents:
             dependent.pause()
         pause_s = self._backoff_s * random.uniform(0.7, 1.3)
         self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -241,20 +241,24 @@
             return
         first, *others = self._followers
         if not reads_store:
-            first.dependents = ()
+            first.set_dependents(())
             for follower in self._followers:
                 follower.pause()
             return
         self._relay = ""
         first.activate()
         if is_relay:
-            first.dependents = ()
+            first.set_dependents(())
             for follower in others:
                 follower.activate()
             return
-        waits = self._is_last and self._has_had_relay
-        if not waits or (first.reached_for_s() or 0.0) >= RETURN_WAIT_S:
-            first.dependents = tuple(others)
+        # A relay that fails while the store can be reached is not waited for.
+        waits = (
+            self._is_last
+            and self._has_had_relay
+            and first.outage.is_within(RETURN_WAIT_S)
+        )
+        first.set_dependents(() if waits else tuple(others))
 
     def _is_store_unreachable(self) -> bool:
         return any(
