Send a large configuration compressed, and to no node that has it (CONFIG)

Cause: a relay sent the whole configuration in Base64 to each node that polls it. 1,200 routes are 0.37 MB; 16 nodes filled the relay's link of 10 Mbit/s for 5 s, while each poll times out after 0.5 s and begins anew at the next peer.

Change: a request says which configuration its node has, by digest, and that it accepts a compressed one; the relay compresses it once. Nodes of the version before are answered as before.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -510,12 +510,30 @@
             (
                 "edge/relays.py",
                 "            and first.outage.is_within(RETURN_WAIT_S)",
-                "            and (first.reached_for_s() or 0.0) < RETURN_WAIT_S",
+                "            and (first.reached_for_s() or 0) < RETURN_WAIT_S",
+            ),
+            (
+                "edge/followers.py",
+                "        if self.reached_for_s() is None:\n            return\n"
+                "        for",
+                "        return\n        for",
             ),
         ),
         "relays",
         "peers stop to answer",
     ),
+    Mutant(
+        "a configuration is not compressed",
+        (
+            (
+                "edge/feeds.py",
+                "if not self.config or not known.accepts_compressed:",
+                "if True:",
+            ),
+        ),
+        "relays",
+        "of 1,200 routes",
+    ),
     Mutant(
         "the age of a reply counts from when it is applied",
         (
--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -74,7 +74,7 @@
             lambda: self.shared.suspects.own_counts(time.monotonic()),
             shared_clock.SharedClock(),
             self.followers,
-            lambda: self.applier.peer_revision,
+            self.applier.known,
             followers.on_loop(self.loop, self.applier.apply_peer_state),
             peers_known,
             relays.RESTART_WAITS,
@@ -88,9 +88,7 @@
     def _answer(self, path, body):
         request = msgspec.json.decode(body, type=relays.StateRequest)
         self.applier.merge_suspects(request.lifetime, request.suspects)
-        state = msgspec.json.encode(
-            self.raw.state(request.revision, request.accepts_changes)
-        )
+        state = msgspec.json.encode(self.raw.state(request.known()))
         return internal_server.Reply(200, state)
 
     @property
@@ -260,7 +258,7 @@
         read_s = time.monotonic() - self.age_s
         self.raw.config_confirmed_s = self.raw.servers_confirmed_s = read_s
         self.raw.config_read_s = self.raw.servers_read_s = read_s
-        return self.raw.state(known_revision)
+        return self.raw.state(feeds.Known(known_revision))
 
 
 @behave.given("a node that reads only from a relay")
@@ -278,7 +276,7 @@
     )
     context.client = relays.RelayClient(
         "n1", "127.0.0.1:1", "east", "", TIMES, list, list, dict, dict,
-        shared_clock.SharedClock(), [], lambda: applier.peer_revision,
+        shared_clock.SharedClock(), [], applier.known,
         applier.apply_peer_state, threading.Event(), relays.RESTART_WAITS,
     )  # fmt: skip
 
@@ -310,7 +308,7 @@
 
 @behave.then("its relayed state is {expected}")
 def then_relayed_state(context, expected):
-    state = context.node.raw.state(context.known_revision)
+    state = context.node.raw.state(feeds.Known(context.known_revision))
     assert (state.servers is not None) == (expected == "new"), state
     seqs = [json.loads(v)["seq"] for v in context.node.raw.servers.values()]
     assert seqs in ([2], []), seqs
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -69,7 +69,7 @@
 
     def state_for(self, peer):
         """Return what a poll of a peer returns."""
-        return self.raw.state(peer.applier.peer_revision, True)
+        return self.raw.state(peer.applier.known())
 
     def reply_to(self, peer):
         """Return the reply to a poll of a peer, as it is on the wire."""
@@ -193,7 +193,9 @@
 
 @behave.then("a poll for the changes is under {limit:d} bytes")
 def then_small(context, limit):
-    state = context.relay.raw.state(context.known_revision, True)
+    state = context.relay.raw.state(
+        feeds.Known(context.known_revision, accepts_changes=True)
+    )
     size_bytes = len(msgspec.json.encode(state))
     assert size_bytes < limit, size_bytes
 
@@ -210,7 +212,7 @@
         ),
         "does not accept changes": (context.known_revision, False),
     }[knows]
-    state = raw.state(revision, accepts_changes)
+    state = raw.state(feeds.Known(revision, accepts_changes=accepts_changes))
     assert state.is_complete
     assert len(state.servers) == SERVERS and state.config
 
@@ -336,7 +338,7 @@
         relay = relays.RelayClient(
             f"n{number}", address, "east", "", TIMES,
             node_presence.domain_peers, node_presence.peers, dict, dict, clock,
-            [self.follower, config_follower], lambda: applier.peer_revision,
+            [self.follower, config_follower], applier.known,
             followers.on_loop(self.loop, applier.apply_peer_state),
             node_presence.first_read, relays.FIRST_START_WAITS,
         )  # fmt: skip
@@ -353,7 +355,7 @@
 
     def _answer(self, path, body):
         request = msgspec.json.decode(body, type=relays.StateRequest)
-        state = self.peer.raw.state(request.revision, request.accepts_changes)
+        state = self.peer.raw.state(request.known())
         return internal_server.Reply(200, msgspec.json.encode(state))
 
     def has_read_store(self):
@@ -399,7 +401,7 @@
     unread = _Peer("relay")
 
     def answer(peer, head, body, number):
-        reply = msgspec.json.encode(unread.raw.state("", True))
+        reply = msgspec.json.encode(unread.raw.state(feeds.Known("")))
         peer.send(f"HTTP/1.1 200 OK\r\nContent-Length: {len(reply)}\r\n\r\n")
         peer.send(reply)
 
@@ -428,7 +430,7 @@
     context.client = relays.RelayClient(
         "n1", own, "east", "", TIMES,
         lambda: [context.relay_address], list, dict, dict,
-        shared_clock.SharedClock(), [], str,
+        shared_clock.SharedClock(), [], lambda: feeds.Known(""),
         lambda *_: stopping.set(), peers_known, waits,
     )  # fmt: skip
     context.client.run(stopping)
@@ -479,7 +481,7 @@
     context.client = relays.RelayClient(
         "n1", own, "east", "", TIMES,
         lambda: [context.relay_address], list, dict, dict,
-        shared_clock.SharedClock(), followed, lambda: applier.peer_revision,
+        shared_clock.SharedClock(), followed, applier.known,
         followers.on_loop(loop, applier.apply_peer_state), peers_known,
         relays.RESTART_WAITS,
     )  # fmt: skip
@@ -627,6 +629,7 @@
 @behave.then("a node that has it from another relay gets it at no cost")
 def then_known(context):
     context.peer.applier.peer_revision = "another.1"
+    context.relay.read_servers({}, False)
     state = context.relay.state_for(context.peer)
     assert state.is_complete and state.config is None
     when_polls(context)
@@ -649,7 +652,7 @@
         with lock:
             reader.read_config(7)
             reader.read_servers({"good": platform_data.make_entry()}, True)
-            reply = msgspec.json.encode(reader.raw.state("", True))
+            reply = msgspec.json.encode(reader.raw.state(feeds.Known("")))
         peer.send(f"HTTP/1.1 200 OK\r\nContent-Length: {len(reply)}\r\n\r\n")
         peer.send(reply)
         return None
@@ -661,11 +664,8 @@
         addresses.add(f"127.0.0.1:{server.port}")
     last = (
         own
-        for number in itertools.count(1)
-        if rendezvous.rank(addresses | {own := f"10.0.0.{number}:1"}, "east")[
-            -1
-        ]
-        == own
+        for own in (f"10.0.0.{number}:1" for number in itertools.count(1))
+        if rendezvous.rank(addresses | {own}, "east")[-1] == own
     )
     context.ranked = [
         _start_ranked(context, own, addresses, stopping)
@@ -702,7 +702,7 @@
     peers_known.set()
     client = relays.RelayClient(
         own, own, "east", "", times, lambda: list(addresses), list, dict, dict,
-        shared_clock.SharedClock(), followed, lambda: applier.peer_revision,
+        shared_clock.SharedClock(), followed, applier.known,
         followers.on_loop(loop, applier.apply_peer_state), peers_known,
         relays.RESTART_WAITS,
     )  # fmt: skip
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -4,10 +4,12 @@
 import collections
 from collections.abc import Callable
 import enum
+import hashlib
 import math
 import secrets
 import time
 from typing import NamedTuple
+import zlib
 
 import msgspec
 
@@ -23,6 +25,7 @@
 from bilberryturn.routing import directory as server_directory
 from bilberryturn.routing import types
 
+CONFIG_DIGEST_BYTES = 12
 # Node lifetimes whose crash counts are retained.
 MAX_LIFETIMES = 1000
 # Changes retained for peers that know an earlier revision. More than the
@@ -39,6 +42,8 @@
             servers.
         config: The operator's configuration as stored, in Base64; None if
             the peer already has it.
+        is_config_compressed: Whether the configuration was compressed (zlib)
+            before it was encoded.
         servers: Entry of each server as stored, in Base64; None for a removed
             one. None as a whole if the peer already has all entries.
         config_age_s: Seconds since the store confirmed the configuration.
@@ -74,6 +79,25 @@
     nodes: dict[str, str] | None = None
     store_s: float | None = None
     utc_offset_s: float | None = None
+    is_config_compressed: bool = False
+
+
+class Known(NamedTuple):
+    """What a peer that polls this node has already, and what it accepts.
+
+    Attributes:
+        revision: Revision of this node's content that the peer has; "" if
+            none.
+        config_digest: Digest of the peer's configuration; "" if none.
+        accepts_changes: Whether it accepts the changes since its revision in
+            place of the whole content.
+        accepts_compressed: Whether it accepts a compressed configuration.
+    """
+
+    revision: str
+    config_digest: str = ""
+    accepts_changes: bool = False
+    accepts_compressed: bool = False
 
 
 class Content(enum.Enum):
@@ -98,6 +122,9 @@
 
     def __init__(self):
         self.config = b""
+        self.config_digest = ""
+        # Created for the first peer that needs it.
+        self._compressed_config: bytes | None = None
         self.servers: dict[str, bytes] = {}
         self.nodes: dict[str, str] = {}
         self.after_outage = False
@@ -122,16 +149,17 @@
         self._change_count += 1
         self._changes.append(_Change(self._change_count, content, key))
 
-    def state(
-        self, known_revision: str, accepts_changes: bool = False
-    ) -> PeerState:
-        """Return the state, without content that a peer already has.
-
-        Args:
-            known_revision: Revision that the peer has; "" if none.
-            accepts_changes: Whether the peer accepts the changes since that
-                revision in place of the whole content.
-        """
+    def set_config(self, value: bytes) -> None:
+        """Set the configuration, as stored."""
+        self.config = value
+        self.config_digest = hashlib.blake2b(
+            value, digest_size=CONFIG_DIGEST_BYTES
+        ).hexdigest()
+        self._compressed_config = None
+        self.mark_changed(Content.CONFIG)
+
+    def state(self, known: Known) -> PeerState:
+        """Return the state, without content that a peer already has."""
         now_s = time.monotonic()
         state = PeerState(
             self.revision,
@@ -143,12 +171,12 @@
             now_s - self.servers_read_s,
             after_outage=self.after_outage,
         )
-        if known_revision == self.revision:
+        if known.revision == self.revision:
             return state
-        changes = self._changes_since(known_revision)
-        if changes is None or not accepts_changes:
-            return self._with_everything(state)
-        return self._with_changes(state, changes)
+        changes = self._changes_since(known.revision)
+        if changes is None or not known.accepts_changes:
+            return self._with_everything(state, known)
+        return self._with_changes(state, changes, known)
 
     def _changes_since(self, revision: str) -> list[_Change] | None:
         """Return the changes since a revision; None if it is not known."""
@@ -160,29 +188,44 @@
             return None
         return [c for c in self._changes if c.number > int(number)]
 
-    def _with_everything(self, state: PeerState) -> PeerState:
+    def _with_config(self, state: PeerState, known: Known) -> PeerState:
+        """Add the configuration unless the peer has it from another node.
+
+        A large one would fill the link of a node that many others poll.
+        """
+        if known.config_digest and known.config_digest == self.config_digest:
+            return state
+        if not self.config or not known.accepts_compressed:
+            return msgspec.structs.replace(
+                state, config=base64.b64encode(self.config).decode()
+            )
+        if self._compressed_config is None:
+            self._compressed_config = zlib.compress(self.config)
         return msgspec.structs.replace(
             state,
-            config=base64.b64encode(self.config).decode(),
+            config=base64.b64encode(self._compressed_config).decode(),
+            is_config_compressed=True,
+        )
+
+    def _with_everything(self, state: PeerState, known: Known) -> PeerState:
+        return msgspec.structs.replace(
+            self._with_config(state, known),
             servers={key: self._entry(key) for key in self.servers},
             suspects=dict(self.suspects),
             nodes=dict(self.nodes),
         )
 
     def _with_changes(
-        self, state: PeerState, changes: list[_Change]
+        self, state: PeerState, changes: list[_Change], known: Known
     ) -> PeerState:
         keys: dict[Content, set[str]] = {kind: set() for kind in Content}
         for change in changes:
             keys[change.content].add(change.key)
+        if keys[Content.CONFIG]:
+            state = self._with_config(state, known)
         return msgspec.structs.replace(
             state,
             is_complete=False,
-            config=(
-                base64.b64encode(self.config).decode()
-                if keys[Content.CONFIG]
-                else None
-            ),
             servers=(
                 {key: self._entry(key) for key in keys[Content.SERVER]}
                 if keys[Content.SERVER]
@@ -237,6 +280,15 @@
         # stored.
         self._entry_content: dict[str, types.BackendServer | bytes] = {}
 
+    def known(self) -> Known:
+        """Return what this node has of its peers' content."""
+        return Known(
+            self.peer_revision,
+            self._raw.config_digest,
+            accepts_changes=True,
+            accepts_compressed=True,
+        )
+
     def on_config_read(self, reading: followers.Reading) -> None:
         """Apply a reading of the operator's table."""
         # The store may have held the call (long poll), so that the reading is
@@ -288,8 +340,7 @@
         previous = shared.table.version if shared.table else None
         if previous is not None and table.version < previous:
             return
-        self._raw.config = value
-        self._raw.mark_changed(Content.CONFIG)
+        self._raw.set_config(value)
         shared.table = table
         metrics.set_gauge(metrics.CONFIG_VERSION, {}, float(table.version))
         events.log(
@@ -439,7 +490,7 @@
             return state.config is None
         self.confirm_config(received_s - state.config_age_s)
         if state.config is not None:
-            self.apply_config(base64.b64decode(state.config), "peer")
+            self.apply_config(_decode_config(state), "peer")
         return True
 
     def _apply_peer_servers(self, state: PeerState, received_s: float) -> bool:
@@ -483,3 +534,9 @@
                     server=change.server_id,
                     change=change.kind,
                 )
+
+
+def _decode_config(state: PeerState) -> bytes:
+    """Return the configuration of a peer's state, as stored."""
+    value = base64.b64decode(state.config)
+    return zlib.decompress(value) if state.is_config_compressed else value
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -175,7 +175,7 @@
             lambda: self._own_suspects,
             self._clock,
             followers,
-            lambda: self._applier.peer_revision,
+            self._applier.known,
             store_followers.on_loop(loop, self._applier.apply_peer_state),
             node_presence.first_read,
             (
@@ -309,7 +309,7 @@
         self._applier.merge_suspects(request.lifetime, request.suspects)
         self._clock_samples.record(request.lifetime, request.clock_offset_s)
         state = msgspec.structs.replace(
-            self._raw.state(request.revision, request.accepts_changes),
+            self._raw.state(request.known()),
             store_s=self._clock.store_s(),
             utc_offset_s=self._clock.utc_offset_s,
         )
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -80,6 +80,10 @@
             unknown.
         accepts_changes: Whether the node accepts the changes since its
             revision in place of the whole content.
+        config_digest: Digest of the configuration that the node has; "" if
+            none.
+        accepts_compressed: Whether the node accepts a compressed
+            configuration.
     """
 
     lifetime: _Lifetime
@@ -88,6 +92,17 @@
     suspects: dict[str, int]
     clock_offset_s: float | None = None
     accepts_changes: bool = False
+    config_digest: str = ""
+    accepts_compressed: bool = False
+
+    def known(self) -> feeds.Known:
+        """Return what the node has already and accepts."""
+        return feeds.Known(
+            self.revision,
+            self.config_digest,
+            self.accepts_changes,
+            self.accepts_compressed,
+        )
 
 
 class RelayClient:
@@ -113,7 +128,7 @@
         suspects: Callable[[], dict[str, int]],
         clock: shared_clock.SharedClock,
         followers: list[store_followers.Follower],
-        revision: Callable[[], str],
+        known: Callable[[], feeds.Known],
         deliver: Callable[[feeds.PeerState, float], None],
         peers_known: threading.Event,
         start_waits: StartWaits,
@@ -133,8 +148,7 @@
             suspects: Returns this node's crash counts.
             clock: Clock that takes the time from each reply.
             followers: Followers of the store's tables.
-            revision: Returns the revision of a peer whose content this node
-                has; "" if none.
+            known: Returns what this node has of its peers' content.
             deliver: Receives the state from each reply and the monotonic time
                 at which it was received.
             peers_known: Set once the addresses of other nodes have been read
@@ -152,7 +166,7 @@
         self._suspects = suspects
         self._clock = clock
         self._followers = followers
-        self._known_revision = revision
+        self._known = known
         self._deliver = deliver
         self._peers_known = peers_known
         self._start_waits = start_waits
@@ -288,13 +302,16 @@
                 self._intervals.relay_timeout_s,
                 self._source_ip,
             )
+        known = self._known()
         request = StateRequest(
             self._lifetime,
-            self._known_revision(),
+            known.revision,
             self._usage(),
             self._suspects(),
             self._clock.local_offset_s(),
-            accepts_changes=True,
+            known.accepts_changes,
+            known.config_digest,
+            known.accepts_compressed,
         )
         sent_s = time.monotonic()
         sent_boottime_s = leases.boottime_s()
