Share the limit that a server names among all nodes (LIMIT)

Cause: Server-Limit was read nowhere, so that each node sent what it liked.

Weighed: an equal share of the limit for each node (one request in a minute from each of 69 nodes, idle where no caller comes); shares by measured demand on the relays (seconds late, and relays change); few nodes that serve a limited server (idle if their callers don't need it).

Change: what an answer names is known to all nodes by the reports that crashes use (once per change, not per answer). A request to a limited server needs a permit of the node that ranks first by hash in the server's failure domain; a node that gets none is told when to ask again, by the number of nodes that ask. Requests of a lower tier leave a permit in reserve for higher ones. An issuer that has just started hands out none for the first interval; if it does not answer, the next one is asked. Answers without the header end the limit for all.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -13,6 +13,30 @@
       | s3      | 1     |
       | s3, s4  | 2     |
 
+  # The pattern: requests a second of which one server in need takes a hundredth,
+  # arriving at many nodes, most of them at a few.
+  Scenario Outline: <nodes> nodes with uneven traffic share the limits of <limited> of <servers> servers
+    Given <nodes> nodes in <domains> failure domains before <servers> servers, <limited> of which take <limit> requests a second
+    When <rate> requests a second arrive for 60 s, half of them at a tenth of the nodes, and a node restarts each 5 s
+    Then no limited server gets more than half more than its limit and 5 requests in any 4 s
+    And the limited servers get at least 3 quarters of what they take
+    And no node is asked for more than 15 permits a second
+
+    Examples:
+      | nodes | domains | servers | limited | limit | rate |
+      | 9     | 3       | 6       | 1       | 1.0   | 22   |
+      | 9     | 3       | 6       | 6       | 1.0   | 22   |
+      | 89    | 6       | 45      | 2       | 1.0   | 170  |
+      | 89    | 6       | 45      | 40      | 0.7   | 170  |
+      | 195   | 6       | 123     | 1       | 0.5   | 500  |
+      | 195   | 6       | 123     | 110     | 2.0   | 500  |
+
+  Scenario: Requests of a higher tier get the permits before those of a lower one
+    Given an issuer of a server that takes 1 request a second
+    When 4 nodes ask for requests of both tiers all the time for 60 s
+    Then the higher tier gets at least 48 of at most 62 permits
+    And the lower tier gets a permit in any 20 s
+
   # Guards against requests to a server whose answers say that it leaves, before
   # its entry does.
   Scenario Outline: A server that says in <answer> that it leaves gets no more requests
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -11,6 +11,7 @@
 
 import behave
 
+from bilberryturn.routing import permits
 from bilberryturn_standins import ports
 from soak import testbed as testbed_module
 from support import gateway_rig
@@ -125,11 +126,7 @@
         times_s = context.servers.arrivals[server]
         allowed = LIMIT_RATIO * limit * WINDOW_S + LIMIT_SLACK
         settled = [t for t in times_s if t >= times_s[0] + SETTLE_S]
-        most = max(
-            sum(start_s <= t < start_s + WINDOW_S for t in settled)
-            for start_s in settled or [0.0]
-        )
-        assert most <= allowed, (server, most, context.statuses)
+        assert _most(settled) <= allowed, (server, _most(settled), allowed)
 
 
 @behave.then("each of {limited} gets at least half of its limit")
@@ -142,6 +139,180 @@
         assert found >= 0.5 * limit * duration_s, (server, found, duration_s)
 
 
+# Many nodes without a network
+
+
+class _Fleet:
+    """Nodes that share permits, in virtual time.
+
+    Attributes:
+        arrivals: Times at which requests reached the limited servers.
+        asked: Requests for permits by the node that issues them.
+    """
+
+    def __init__(self, nodes, domains, servers, limited, limit):
+        self.rng = random.Random(29)
+        self.limit = limit
+        self.nodes = [f"10.{n % domains}.0.{n}:1" for n in range(nodes)]
+        self.servers = {
+            f"s{n}": f"10.{n % domains}." if n < limited else None
+            for n in range(servers)
+        }
+        self.arrivals = {s: [] for s, d in self.servers.items() if d}
+        self.asked = collections.Counter()
+        self.issuers = {node: permits.Issuer() for node in self.nodes}
+        self.waits = {
+            node: permits.Waits(random.Random(n))
+            for n, node in enumerate(self.nodes)
+        }
+        self.order = {
+            server: permits.issuers(
+                server, [n for n in self.nodes if n.startswith(domain)]
+            )
+            for server, domain in self.servers.items()
+            if domain
+        }
+
+    def restart(self, node):
+        self.issuers[node] = permits.Issuer()
+        self.waits[node] = permits.Waits(random.Random(1))
+
+    def send(self, node, now_s):
+        """Send one request as a node does, to the best server it may."""
+        servers = sorted(
+            self.servers,
+            key=lambda s: (
+                not node.startswith(self.servers[s] or "-"),
+                self.rng.random(),
+            ),
+        )
+        for server in servers[: 1 + 3]:
+            if self.servers[server] is None:
+                return
+            lifetime = (server, 0)
+            if self.waits[node].remaining_s(lifetime, 0, now_s) > 0:
+                continue
+            issuing_node = self.order[server][0]
+            self.asked[issuing_node] += 1
+            issuer = self.issuers[issuing_node]
+            ask = permits.Ask(lifetime, self.limit, 0, node)
+            wait_s = issuer.grant(ask, now_s)
+            if not wait_s:
+                self.arrivals[server].append(now_s)
+                return
+            self.waits[node].record(lifetime, 0, wait_s, now_s)
+
+
+@behave.given(
+    "{nodes:d} nodes in {domains:d} failure domains before {servers:d} servers,"
+    " {limited:d} of which take {limit:g} requests a second"
+)
+def given_fleet(context, nodes, domains, servers, limited, limit):
+    context.fleet = _Fleet(nodes, domains, servers, limited, limit)
+
+
+@behave.when(
+    "{rate:d} requests a second arrive for {duration_s:d} s, half of them at a"
+    " tenth of the nodes, and a node restarts each {each_s:d} s"
+)
+def when_arrive(context, rate, duration_s, each_s):
+    fleet = context.fleet
+    context.duration_s = duration_s
+    busy = fleet.nodes[: max(1, len(fleet.nodes) // 10)]
+    restart_s = each_s
+    now_s = 0.0
+    while now_s < duration_s:
+        now_s += fleet.rng.expovariate(rate)
+        if now_s >= restart_s:
+            restart_s += each_s
+            fleet.restart(fleet.rng.choice(fleet.nodes))
+        nodes = busy if fleet.rng.random() < 0.5 else fleet.nodes
+        fleet.send(fleet.rng.choice(nodes), now_s)
+
+
+@behave.then(
+    "no limited server gets more than half more than its limit and 5 requests"
+    " in any 4 s"
+)
+def then_none_more(context):
+    fleet = context.fleet
+    allowed = LIMIT_RATIO * fleet.limit * WINDOW_S + LIMIT_SLACK
+    for server, times_s in fleet.arrivals.items():
+        assert _most(times_s) <= allowed, (server, _most(times_s), allowed)
+
+
+def _most(times_s):
+    """Return the most requests in any window."""
+    return max(
+        (
+            sum(start_s <= t < start_s + WINDOW_S for t in times_s)
+            for start_s in times_s
+        ),
+        default=0,
+    )
+
+
+@behave.then(
+    "the limited servers get at least {quarters:d} quarters of what they take"
+)
+def then_not_idle(context, quarters):
+    fleet = context.fleet
+    found = sum(len(times_s) for times_s in fleet.arrivals.values())
+    taken = len(fleet.arrivals) * fleet.limit * context.duration_s
+    assert found >= quarters / 4 * taken, (found, taken)
+
+
+@behave.then("no node is asked for more than {count:d} permits a second")
+def then_asked(context, count):
+    # At 1 ms each, the processor time that control may cost a node.
+    most = max(context.fleet.asked.values())
+    assert most <= count * context.duration_s, most
+
+
+@behave.given("an issuer of a server that takes {limit:g} request a second")
+def given_issuer(context, limit):
+    context.issuer = permits.Issuer()
+    context.limit = limit
+
+
+@behave.when(
+    "{count:d} nodes ask for requests of both tiers all the time for"
+    " {duration_s:d} s"
+)
+def when_both_tiers(context, count, duration_s):
+    rng = random.Random(29)
+    context.granted = {0: [], 1: []}
+    waits = permits.Waits(rng)
+    for tick in range(duration_s * 20):
+        now_s = tick / 20
+        for node, tier in itertools.product(range(count), (1, 0)):
+            lifetime = (f"s{node}", 0)
+            if waits.remaining_s(lifetime, tier, now_s) > 0:
+                continue
+            ask = permits.Ask(("s", 0), context.limit, tier, f"n{node}")
+            wait_s = context.issuer.grant(ask, now_s)
+            if wait_s:
+                waits.record(lifetime, tier, wait_s, now_s)
+            else:
+                context.granted[tier].append(now_s)
+    context.duration_s = duration_s
+
+
+@behave.then(
+    "the higher tier gets at least {least:d} of at most {most:d} permits"
+)
+def then_higher(context, least, most):
+    higher, lower = (len(context.granted[tier]) for tier in (0, 1))
+    assert higher >= least and higher + lower <= most, (higher, lower)
+
+
+@behave.then("the lower tier gets a permit in any {time_s:d} s")
+def then_lower(context, time_s):
+    times_s = [0.0, *context.granted[1], context.duration_s]
+    longest_s = max(b - a for a, b in itertools.pairwise(times_s))
+    assert longest_s <= time_s, times_s
+
+
 # One gateway
 
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -557,7 +557,7 @@
     shared = context.peer.shared
     for _ in range(count):
         shared.suspects.record_crash("request", time.monotonic())
-    context.relay.applier.merge_suspects("node", shared.own_crash_reports())
+    context.relay.applier.merge_suspects("node", shared.own_reports())
     when_polls(context)
 
 
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -451,7 +451,7 @@
         if lifetime == self._lifetime:
             return
         if self._store_suspects(lifetime, counts):
-            self._shared.merge_crash_reports(lifetime, counts)
+            self._shared.merge_reports(lifetime, counts)
 
     def _store_suspects(self, lifetime: str, counts: dict[str, int]) -> bool:
         """Store counts to serve them to peers; returns whether they changed."""
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -23,6 +23,7 @@
 from bilberryturn.edge import usage_windows
 from bilberryturn.gateway import drain
 from bilberryturn.gateway import internal_server
+from bilberryturn.gateway import permits
 from bilberryturn.gateway import server as caller_server
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
@@ -75,6 +76,10 @@
             self._pool,
             self._clock.now_s,
             settings.drain_s,
+            permits.Peers(
+                str(settings.peers or ""),
+                lambda domain: self._node_presence.addresses(domain),
+            ),
         )
         self._applier = feeds.Applier(
             self.shared,
@@ -260,7 +265,7 @@
         )
         await self._metrics_server.start(settings.ip, METRICS_PORT)
         self._peer_server = internal_server.InternalServer(
-            self._handle_state_request
+            self._handle_peer_request
         )
         if settings.peers is not None:
             await self._peer_server.start(
@@ -294,9 +299,17 @@
         body, _ = metrics.render()
         return internal_server.Reply(200, body, "text/plain; version=0.0.4")
 
-    def _handle_state_request(
+    def _handle_peer_request(
         self, path: str, body: bytes
     ) -> internal_server.Reply:
+        if path != permits.PATH:
+            return self._handle_state_request(body)
+        reply = self.shared.permits.issue(body)
+        if reply is None:
+            return internal_server.Reply(400)
+        return internal_server.Reply(200, reply, "application/json")
+
+    def _handle_state_request(self, body: bytes) -> internal_server.Reply:
         try:
             request = msgspec.json.decode(body, type=relays.StateRequest)
         except msgspec.DecodeError as error:
@@ -342,7 +355,7 @@
         self.shared.evacuation.step(now_s)
         for cause in self.shared.part_crashes.new_causes():
             events.log(events.PART_QUARANTINED, **cause._asdict())
-        self._own_suspects = self.shared.own_crash_reports()
+        self._own_suspects = self.shared.own_reports()
         self._applier.set_own_suspects(self._own_suspects)
         self._update_readiness()
         self.shared.set_node_count(self._node_presence.count())
@@ -353,7 +366,7 @@
         self._pool.close_stale(
             {s.lifetime for s in servers if not s.is_leaving}
         )
-        self.shared.load_balancer.retain({s.lifetime for s in servers})
+        self.shared.retain_servers({s.lifetime for s in servers})
 
     def _update_readiness(self) -> None:
         is_ready = (
--- a/src/bilberryturn/edge/presence.py
+++ b/src/bilberryturn/edge/presence.py
@@ -88,6 +88,16 @@
                 if _domain_of(key) == own
             ]
 
+    def addresses(self, domain: str) -> list[str]:
+        """Return the addresses of the nodes of a failure domain.
+
+        All known nodes if it has none.
+        """
+        with self._lock:
+            nodes = {**self._nodes, self._key: self.own_address}
+        found = [a for key, a in nodes.items() if _domain_of(key) == domain]
+        return found or list(nodes.values())
+
     def peers(self) -> list[str]:
         """Return the addresses of other nodes, seeds included."""
         with self._lock:
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -226,11 +226,13 @@
             return
         shared, request = self._shared, self._request
         now_s = time.monotonic()
+        # A move needs no permit, so it spares the servers that limit requests.
+        limited = {server_id for server_id, _ in shared.server_limits.limited()}
         chosen = shared.load_balancer.choose(
             request.requirements,
             shared.directory.usable(request.service.name),
             now_s,
-            frozenset({self._chosen.server.server_id}),
+            frozenset({self._chosen.server.server_id} | limited),
         )
         if chosen is None:
             return
@@ -259,6 +261,8 @@
             # It belongs to an earlier request on this connection.
             await self._connection.skip_response()
             head = await self._read_head()
+        if self._is_own(head):
+            self._shared.observe_limit(self._chosen.server, head.limit_per_s)
         if head.is_not_run:
             return NotRun(head.retry_after_s)
         if not self._is_own(head):
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -17,6 +17,8 @@
 MIN_ATTEMPT_S = 0.05
 # Sent as Retry-After if no server can take the request.
 RETRY_AFTER_S = 0.3
+# Limited servers that are tried for one request before it goes to others.
+MAX_PERMITS_ASKED = 3
 
 
 class Exchange:
@@ -169,14 +171,28 @@
     def _has_attempts_left(self) -> bool:
         return self._sent_count < self._request.route.attempts
 
-    def _choose(self) -> choice.Choice | None:
-        shared = self._shared
-        return shared.load_balancer.choose(
-            self._request.requirements,
-            shared.directory.usable(self._request.service.name),
-            time.monotonic(),
-            frozenset(self._excluded),
-        )
+    async def _choose(self) -> choice.Choice | None:
+        """Return a server that takes the request now, if any."""
+        shared, request = self._shared, self._request
+        not_permitted: set[str] = set()
+        while True:
+            now_s = time.monotonic()
+            unavailable = shared.unavailable(request.priority, now_s)
+            if len(not_permitted) >= MAX_PERMITS_ASKED:
+                unavailable.update(
+                    lifetime[0] for lifetime in shared.server_limits.limited()
+                )
+            chosen = shared.load_balancer.choose(
+                request.requirements,
+                shared.directory.usable(request.service.name),
+                now_s,
+                frozenset(self._excluded | unavailable | not_permitted),
+            )
+            if chosen is None:
+                return None
+            if await shared.permits.acquire(chosen.server, request.priority):
+                return chosen
+            not_permitted.add(chosen.server.server_id)
 
     async def _attempt(
         self, moved: moves.MovedRun | None
@@ -187,7 +203,7 @@
             moved: The moved run to go on with, if any.
         """
         shared = self._shared
-        chosen = moved.chosen if moved else self._choose()
+        chosen = moved.chosen if moved else await self._choose()
         if chosen is None:
             return None
         self._chosen = chosen
@@ -229,7 +245,12 @@
             return self._refuse(
                 outcomes.no_valid_response(self._last_failure or "failed")
             )
-        return self._refuse(outcomes.no_server(retry_after_s or RETRY_AFTER_S))
+        wait_s = self._shared.retry_after_s(
+            self._request.service.name, self._request.priority, time.monotonic()
+        )
+        return self._refuse(
+            outcomes.no_server(wait_s or retry_after_s or RETRY_AFTER_S)
+        )
 
     def _deliver(self, response: attempts.Response) -> tuple[int, str]:
         self._caller.send_response(
--- a/src/bilberryturn/gateway/moves.py
+++ b/src/bilberryturn/gateway/moves.py
@@ -6,13 +6,10 @@
 stream goes on there behind the last event that the caller has.
 """
 
-import asyncio
 import time
 from typing import NamedTuple
 from typing import Protocol
 
-import h11
-
 from bilberryturn import events
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import upstream
@@ -99,12 +96,11 @@
     """Stop a run and copy it to another engine; returns None if it failed."""
     started_s = time.monotonic()
     try:
-        async with asyncio.timeout(MOVE_TIMEOUT_S):
-            moved = await _request_move(
-                pool, source, request_id, chosen.server.address
-            )
-            error = None if moved else "refused"
-    except (upstream.UpstreamError, TimeoutError) as failure:
+        moved = await _request_move(
+            pool, source, request_id, chosen.server.address
+        )
+        error = None if moved else "refused"
+    except upstream.UpstreamError as failure:
         moved, error = None, f"{type(failure).__name__}: {failure}"
     events.log(
         events.RUN_MOVED if moved else events.RUN_NOT_MOVED,
@@ -125,27 +121,14 @@
     request_id: str,
     destination: str,
 ) -> run_moves.Moved | None:
-    connection = await pool.acquire(source, MOVE_TIMEOUT_S, False)
-    try:
-        body = run_moves.encode(request_id, destination)
-        connection.send(
+    reply = await pool.call(
+        source.address,
+        upstream.Call(
             run_moves.METHOD,
             run_moves.TARGET,
-            [
-                (b"host", source.address.encode()),
-                (b"content-type", b"application/json"),
-                (b"content-length", str(len(body)).encode()),
-            ],
-            body,
-        )
-        head = await connection.next_event()
-        if not isinstance(head, h11.Response):
-            raise upstream.UpstreamError("no answer", True)
-        data = b""
-        while isinstance(event := await connection.next_event(), h11.Data):
-            data += event.data
-            if len(data) > response_limits.MAX_HEAD_BYTES:
-                raise upstream.UpstreamError("answer too large", True)
-        return run_moves.decode(head.status_code, data)
-    finally:
-        connection.close()
+            run_moves.encode(request_id, destination),
+        ),
+        MOVE_TIMEOUT_S,
+        response_limits.MAX_HEAD_BYTES,
+    )
+    return run_moves.decode(reply.status, reply.body)
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -7,14 +7,17 @@
 
 import msgspec
 
+from bilberryturn import events
 from bilberryturn import metrics
 from bilberryturn.gateway import drain
 from bilberryturn.gateway import moves
+from bilberryturn.gateway import permits
 from bilberryturn.gateway import upstream
 from bilberryturn.routing import budget
 from bilberryturn.routing import choice
 from bilberryturn.routing import directory
 from bilberryturn.routing import part_crashes
+from bilberryturn.routing import server_limits
 from bilberryturn.routing import suspects
 from bilberryturn.routing import table as route_tables
 from bilberryturn.routing import types
@@ -142,6 +145,7 @@
         pool: upstream.ConnectionPool,
         time_of_day: Callable[[], float] = time.time,
         drain_s: float = DEFAULT_DRAIN_S,
+        peers: permits.Peers = permits.NO_PEERS,
     ):
         self.failure_domain = failure_domain
         self.table: route_tables.RouteTable | None = None
@@ -150,6 +154,8 @@
         self.load_balancer = choice.LoadBalancer()
         self.suspects = suspects.CrashCounter()
         self.part_crashes = part_crashes.PartCrashes()
+        self.server_limits = server_limits.ServerLimits()
+        self.permits = permits.Permits(self.server_limits, pool, peers)
         self.time_of_day = time_of_day
         self.usage = UsageCounts(usage_window_s, time_of_day)
         self.pool = pool
@@ -194,6 +200,52 @@
         for retry_budget in self._budgets.values():
             retry_budget.resize(self._retry_limits.node_slack(node_count))
 
+    def unavailable(self, priority: int, now_s: float) -> set[str]:
+        """Return the servers to which no request of a priority can be sent.
+
+        Args:
+            priority: Priority of the request; 0 is the highest.
+            now_s: Present monotonic time.
+        """
+        return {
+            lifetime[0]
+            for lifetime in self.server_limits.limited()
+            if self.permits.wait_s(lifetime, priority, now_s) > 0
+        }
+
+    def retry_after_s(
+        self, service: str, priority: int, now_s: float
+    ) -> float | None:
+        """Return when a server that takes none now may take a request.
+
+        None if there is no such server.
+        """
+        waits_s = [
+            self.permits.wait_s(server.lifetime, priority, now_s)
+            for server in self.directory.usable(service)
+        ]
+        return min((w for w in waits_s if w > 0), default=None)
+
+    def observe_limit(
+        self, server: types.BackendServer, limit_per_s: float | None
+    ) -> None:
+        """Record the limit that an answer of a server names, if any."""
+        has_changed = self.server_limits.observe(
+            server.lifetime, limit_per_s, self.time_of_day()
+        )
+        if has_changed:
+            events.log(
+                events.SERVER_LIMIT_CHANGED,
+                server=server.server_id,
+                limit_per_s=limit_per_s,
+            )
+
+    def retain_servers(self, live: set[tuple[str, int]]) -> None:
+        """Drop what is known of server lifetimes that have ended."""
+        self.load_balancer.retain(live)
+        self.server_limits.retain(live)
+        self.permits.retain(live)
+
     def record_prompt_disconnect(
         self,
         server: part_crashes.Lifetime,
@@ -238,19 +290,22 @@
         )
         return cause is not None
 
-    def merge_crash_reports(self, node: str, reports: dict[str, int]) -> None:
-        """Merge the crash reports of another node's lifetime."""
+    def merge_reports(self, node: str, reports: dict[str, int]) -> None:
+        """Merge the reports of another node on crashes and limits."""
         now_s = time.monotonic()
         self.part_crashes.merge(node, reports)
+        self.server_limits.merge(reports)
         for name, count in reports.items():
-            if not part_crashes.is_report(name):
-                self.suspects.merge(name, node, count, now_s)
+            if part_crashes.is_report(name) or server_limits.is_report(name):
+                continue
+            self.suspects.merge(name, node, count, now_s)
 
-    def own_crash_reports(self) -> dict[str, int]:
-        """Return the crash reports of this node, for other nodes."""
+    def own_reports(self) -> dict[str, int]:
+        """Return the reports of this node, for other nodes."""
         return {
             **self.suspects.own_counts(time.monotonic()),
             **self.part_crashes.own_reports(self.time_of_day()),
+            **self.server_limits.own_reports(),
         }
 
     def config_age_s(self) -> float | None:
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -8,6 +8,7 @@
 import collections
 import socket
 import time
+from typing import NamedTuple
 
 import h11
 
@@ -43,6 +44,21 @@
         self.is_disconnect = is_disconnect
 
 
+class Call(NamedTuple):
+    """A short call whose body is JSON."""
+
+    method: bytes
+    target: bytes
+    body: bytes
+
+
+class Reply(NamedTuple):
+    """Status and body of the response to a call."""
+
+    status: int
+    body: bytes
+
+
 class Connection:
     """A connection to a backend server.
 
@@ -213,11 +229,43 @@
             kept = self._take_idle(key)
             if kept is not None:
                 return kept
+        return await self._connect(key, server.host, server.port, timeout_s)
+
+    async def call(
+        self, address: str, call: Call, timeout_s: float, max_body_bytes: int
+    ) -> Reply:
+        """Make a call on a connection of its own.
+
+        Args:
+            address: HOST:PORT.
+            call: What to send.
+            timeout_s: Timeout of the whole call.
+            max_body_bytes: Limit on the body of the response.
+
+        Raises:
+            UpstreamError: No valid response came in time.
+        """
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._connect(
+                    (address, 0), host, int(port), timeout_s
+                )
+                try:
+                    return await _exchange(
+                        connection, address, call, max_body_bytes
+                    )
+                finally:
+                    connection.close()
+        except TimeoutError as error:
+            raise UpstreamError("no answer in time", True) from error
+
+    async def _connect(
+        self, key: tuple[str, int], host: str, port: int, timeout_s: float
+    ) -> Connection:
         try:
             reader, writer = await asyncio.wait_for(
-                asyncio.open_connection(
-                    server.host, server.port, local_addr=self._source
-                ),
+                asyncio.open_connection(host, port, local_addr=self._source),
                 timeout_s,
             )
         except (OSError, TimeoutError) as error:
@@ -288,3 +336,27 @@
                 self._idle[key] = kept
             else:
                 del self._idle[key]
+
+
+async def _exchange(
+    connection: Connection, address: str, call: Call, max_body_bytes: int
+) -> Reply:
+    connection.send(
+        call.method,
+        call.target,
+        [
+            (b"host", address.encode()),
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(call.body)).encode()),
+        ],
+        call.body,
+    )
+    head = await connection.next_event()
+    if not isinstance(head, h11.Response):
+        raise UpstreamError("no answer", True)
+    body = b""
+    while isinstance(event := await connection.next_event(), h11.Data):
+        body += event.data
+        if len(body) > max_body_bytes:
+            raise UpstreamError("answer too large", True)
+    return Reply(head.status_code, body)
--- a/src/bilberryturn/platform/wire.py
+++ b/src/bilberryturn/platform/wire.py
@@ -18,6 +18,8 @@
 SEAL = b"x-bilberryturn-server-seal"
 CLIENT_ACCOUNT = b"x-bilberryturn-tenant"
 EXPECTED_SERVER = b"x-bilberryturn-expect-instance"
+# Requests a second that a server in need takes from all nodes together.
+SERVER_LIMIT = b"server-limit"
 NOT_RUN = b"x-bilberryturn-not-run"
 URGENCY = b"x-bilberryturn-request-urgency"
 LAST_EVENT_ID = b"last-event-id"
@@ -172,6 +174,8 @@
         has_framing: Whether the body has a length or chunks; otherwise it ends
             with its connection, also if the server crashed.
         idle_timeout_s: How long the server keeps an idle connection open.
+        limit_per_s: Requests a second that the server takes from all nodes
+            together, or None if it names no limit.
         headers: Headers to forward to the caller.
     """
 
@@ -184,6 +188,7 @@
     has_framing: bool
     idle_timeout_s: float | None
     retry_after_s: float | None
+    limit_per_s: float | None
     headers: Headers
 
 
@@ -203,6 +208,7 @@
         or b"transfer-encoding" in values,
         idle_timeout_s=_keep_alive_s(values.get(b"keep-alive")),
         retry_after_s=_bounded_float(values.get(b"retry-after")),
+        limit_per_s=_bounded_float(values.get(SERVER_LIMIT)),
         headers=[pair for pair in headers if pair[0] not in _HOP_BY_HOP],
     )
 
