Send nothing to a server whose answer says that it leaves (DRAIN)

Cause: Server-Leaving was not read; a leaving server got requests until the store or a relay told of it, and an entry that still said ready would have brought it back after 30 s.

Change: the header of any own answer, refusals included, marks the lifetime as leaving on this node at once. The mark lasts for as long as its entry does.

Result: two scenarios of limits.feature failed before (all 20 requests reached the server) and pass.

--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -263,6 +263,8 @@
             head = await self._read_head()
         if self._is_own(head):
             self._shared.observe_limit(self._chosen.server, head.limit_per_s)
+            if head.is_leaving:
+                self._shared.record_leaving(self._chosen.server)
         if head.is_not_run:
             return NotRun(head.retry_after_s)
         if not self._is_own(head):
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -240,6 +240,17 @@
                 limit_per_s=limit_per_s,
             )
 
+    def record_leaving(self, server: types.BackendServer) -> None:
+        """Record that an answer of a server says that it leaves."""
+        change = self.directory.mark_leaving(server, time.monotonic())
+        if change is not None:
+            events.log(
+                events.SERVER_CHANGED,
+                server=change.server_id,
+                change=change.kind,
+                source="answer",
+            )
+
     def retain_servers(self, live: set[tuple[str, int]]) -> None:
         """Drop what is known of server lifetimes that have ended."""
         self.load_balancer.retain(live)
--- a/src/bilberryturn/platform/wire.py
+++ b/src/bilberryturn/platform/wire.py
@@ -20,6 +20,7 @@
 EXPECTED_SERVER = b"x-bilberryturn-expect-instance"
 # Requests a second that a server in need takes from all nodes together.
 SERVER_LIMIT = b"server-limit"
+SERVER_LEAVING = b"server-leaving"
 NOT_RUN = b"x-bilberryturn-not-run"
 URGENCY = b"x-bilberryturn-request-urgency"
 LAST_EVENT_ID = b"last-event-id"
@@ -176,6 +177,8 @@
         idle_timeout_s: How long the server keeps an idle connection open.
         limit_per_s: Requests a second that the server takes from all nodes
             together, or None if it names no limit.
+        is_leaving: Whether the server is about to end and takes no more
+            requests.
         headers: Headers to forward to the caller.
     """
 
@@ -189,6 +192,7 @@
     idle_timeout_s: float | None
     retry_after_s: float | None
     limit_per_s: float | None
+    is_leaving: bool
     headers: Headers
 
 
@@ -209,6 +213,7 @@
         idle_timeout_s=_keep_alive_s(values.get(b"keep-alive")),
         retry_after_s=_bounded_float(values.get(b"retry-after")),
         limit_per_s=_bounded_float(values.get(SERVER_LIMIT)),
+        is_leaving=values.get(SERVER_LEAVING, b"0").strip() != b"0",
         headers=[pair for pair in headers if pair[0] not in _HOP_BY_HOP],
     )
 
--- a/src/bilberryturn/routing/directory.py
+++ b/src/bilberryturn/routing/directory.py
@@ -1,8 +1,8 @@
 """Track the backend servers that may be used.
 
 Handles entries that expire together while the store is unreachable, delayed
-reports of servers that already announced that they leave, and whole failure
-domains that are reclaimed at once.
+reports of servers that already announced that they leave, in their entry or in
+an answer, and whole failure domains that are reclaimed at once.
 """
 
 from typing import NamedTuple
@@ -99,6 +99,22 @@
             return Change(server.server_id, "leaving")
         return None
 
+    def mark_leaving(
+        self, server: types.BackendServer, now_s: float
+    ) -> Change | None:
+        """Apply an answer that says that its server leaves.
+
+        Reports that say otherwise are older. Returns None if it is known.
+        """
+        if server.lifetime in self._tombstones:
+            return None
+        self._tombstones[server.lifetime] = now_s
+        self._departures.setdefault(server.lifetime, Departure(now_s, None))
+        known = self._servers.get(server.server_id)
+        if known is not None and known.lifetime == server.lifetime:
+            self._servers[server.server_id] = known._replace(is_leaving=True)
+        return Change(server.server_id, "leaving")
+
     def remove(
         self, server_id: str, restore_until_s: float | None
     ) -> Change | None:
@@ -141,8 +157,13 @@
 
     def expire(self, now_s: float) -> list[Change]:
         """Drop entries that were not restored within the grace period."""
+        present = {server.lifetime for server in self._servers.values()}
         for key, tombstoned_s in list(self._tombstones.items()):
-            if now_s - tombstoned_s > TOMBSTONE_S:
+            # A server whose entry still says that it is ready keeps its
+            # tombstone.
+            if key in present:
+                self._tombstones[key] = now_s
+            elif now_s - tombstoned_s > TOMBSTONE_S:
                 del self._tombstones[key]
                 self._departures.pop(key, None)
         overdue = [
