--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -18,6 +18,8 @@
 from bilberryturn.routing import suspects
 from bilberryturn.routing import types
 
+# Status of a server that takes no request for the time of its Retry-After.
+UNAVAILABLE = 503
 # Connecting takes milliseconds unless the server is unreachable.
 CONNECT_TIMEOUT_S = 0.35
 # Time after the deadline in which a server may still respond that it timed out.
@@ -227,12 +229,16 @@
         shared, request = self._shared, self._request
         now_s = time.monotonic()
         # A move needs no permit, so it spares the servers that limit requests.
-        limited = {server_id for server_id, _ in shared.server_limits.limited()}
+        excluded = {
+            self._chosen.server.server_id,
+            *(server_id for server_id, _ in shared.server_limits.limited()),
+            *shared.unavailable(request.priority, now_s),
+        }
         chosen = shared.load_balancer.choose(
             request.requirements,
             shared.directory.usable(request.service.name),
             now_s,
-            frozenset({self._chosen.server.server_id} | limited),
+            frozenset(excluded),
         )
         if chosen is None:
             return
@@ -265,6 +271,8 @@
             self._shared.observe_limit(self._chosen.server, head.limit_per_s)
             if head.is_leaving:
                 self._shared.record_leaving(self._chosen.server)
+            if head.status == UNAVAILABLE and head.retry_after_s:
+                self._shared.pause(self._chosen.server, head.retry_after_s)
         if head.is_not_run:
             return NotRun(head.retry_after_s)
         if not self._is_own(head):
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -156,6 +156,8 @@
         self.part_crashes = part_crashes.PartCrashes()
         self.server_limits = server_limits.ServerLimits()
         self.permits = permits.Permits(self.server_limits, pool, peers)
+        # Monotonic time until which a server wants no request of this node.
+        self._paused_until_s: dict[tuple[str, int], float] = {}
         self.time_of_day = time_of_day
         self.usage = UsageCounts(usage_window_s, time_of_day)
         self.pool = pool
@@ -207,12 +209,23 @@
             priority: Priority of the request; 0 is the highest.
             now_s: Present monotonic time.
         """
+        lifetimes = [*self._paused_until_s, *self.server_limits.limited()]
         return {
             lifetime[0]
-            for lifetime in self.server_limits.limited()
-            if self.permits.wait_s(lifetime, priority, now_s) > 0
+            for lifetime in lifetimes
+            if self._wait_s(lifetime, priority, now_s) > 0
         }
 
+    def _wait_s(
+        self, lifetime: tuple[str, int], priority: int, now_s: float
+    ) -> float:
+        """Return for how long no request can be sent to a server."""
+        paused_s = self._paused_until_s.get(lifetime, now_s) - now_s
+        permit_s = 0.0
+        if self.server_limits.limit_per_s(lifetime) is not None:
+            permit_s = self.permits.wait_s(lifetime, priority, now_s)
+        return max(0.0, paused_s, permit_s)
+
     def retry_after_s(
         self, service: str, priority: int, now_s: float
     ) -> float | None:
@@ -221,7 +234,7 @@
         None if there is no such server.
         """
         waits_s = [
-            self.permits.wait_s(server.lifetime, priority, now_s)
+            self._wait_s(server.lifetime, priority, now_s)
             for server in self.directory.usable(service)
         ]
         return min((w for w in waits_s if w > 0), default=None)
@@ -240,6 +253,12 @@
                 limit_per_s=limit_per_s,
             )
 
+    def pause(self, server: types.BackendServer, duration_s: float) -> None:
+        """Send nothing to a server for the time that its refusal states."""
+        until_s = time.monotonic() + duration_s
+        known_s = self._paused_until_s.get(server.lifetime, 0.0)
+        self._paused_until_s[server.lifetime] = max(known_s, until_s)
+
     def record_leaving(self, server: types.BackendServer) -> None:
         """Record that an answer of a server says that it leaves."""
         change = self.directory.mark_leaving(server, time.monotonic())
@@ -256,6 +275,12 @@
         self.load_balancer.retain(live)
         self.server_limits.retain(live)
         self.permits.retain(live)
+        now_s = time.monotonic()
+        self._paused_until_s = {
+            lifetime: until_s
+            for lifetime, until_s in self._paused_until_s.items()
+            if lifetime in live and until_s > now_s
+        }
 
     def record_prompt_disconnect(
         self,
