Ignore a server's entry that is nested too deeply or has odd numbers

Shown first: with an entry whose port has 5,000 digits or digits that int doesn't accept, a node that started found no server at all, and later changes in the same reading were lost; so it was with too deep a nesting (the decoder raises another error than for malformed JSON).

Change: entries have bounds; whatever other programs write is decoded by one function whose only error is DecodeError.

--- a/features/beliefs.feature
+++ b/features/beliefs.feature
@@ -19,6 +19,27 @@
       | has an unknown state       |
       | has a port of 0            |
       | has text as number         |
+      | is nested too deeply       |
+      | has too large a number     |
+      | has a port out of range    |
+      | has a port of other digits |
+      | has a port of 5000 digits  |
+      | has a name as host         |
+
+  # Guards against nodes that follow no servers as one entry can't be decoded.
+  Scenario Outline: A node that starts beside an entry that <fault> finds the others
+    Given a stand-in of the users' store
+    When an entry that <fault> is written
+    And a node starts that reads the store
+    Then the feeds list only the valid servers
+
+    Examples:
+      | fault                      |
+      | is nested too deeply       |
+      | has too large a number     |
+      | has a port out of range    |
+      | has a port of other digits |
+      | has a port of 5000 digits  |
 
   Scenario Outline: A configuration row that is <what> does not replace version 7
     Given a node's feeds on a stand-in of the users' store
--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -152,6 +152,19 @@
     "has an unknown state": platform_data.make_entry(state="odd"),
     "has a port of 0": platform_data.make_entry(addr="10.0.0.1:0"),
     "has text as number": platform_data.make_entry(seq="one"),
+    "is nested too deeply": b'{"extra": %s%s, %s'
+    % (
+        b"[" * 20_000,
+        b"]" * 20_000,
+        json.dumps(platform_data.make_entry()).encode()[1:],
+    ),
+    "has too large a number": platform_data.make_entry(slots=10**25),
+    "has a port out of range": platform_data.make_entry(addr="10.0.0.1:65536"),
+    "has a port of other digits": platform_data.make_entry(addr="10.0.0.1:8²"),
+    "has a port of 5000 digits": platform_data.make_entry(
+        addr="10.0.0.1:" + "8" * 5000
+    ),
+    "has a name as host": platform_data.make_entry(addr="h.example:80"),
 }
 
 
@@ -166,6 +179,12 @@
     )
 
 
+@behave.when("a node starts that reads the store")
+def when_starts(context):
+    context.node = _Node(context.standin.address, [], "n1")
+    context.closers.append(context.node.close)
+
+
 @behave.then("the feeds list only the valid servers")
 def then_only_good(context):
     platform_data.wait_for(
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -18,6 +18,7 @@
 from bilberryturn.edge import followers
 from bilberryturn.edge import intervals
 from bilberryturn.gateway import shared_state
+from bilberryturn.platform import decoding
 from bilberryturn.platform import operator_config
 from bilberryturn.platform import rows
 from bilberryturn.platform import server_entries
@@ -317,7 +318,7 @@
         self.peer_revision = ""
         for lifetime, value in reading.values().items():
             try:
-                counts = msgspec.json.decode(
+                counts = decoding.decode_json(
                     value or b"{}", type=dict[str, int]
                 )
             except msgspec.DecodeError as error:
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -27,6 +27,7 @@
 from bilberryturn.gateway import server as caller_server
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
+from bilberryturn.platform import decoding
 from bilberryturn.platform import duty_calls
 from bilberryturn.platform import http
 from bilberryturn.platform import rows
@@ -311,7 +312,7 @@
 
     def _handle_state_request(self, body: bytes) -> internal_server.Reply:
         try:
-            request = msgspec.json.decode(body, type=relays.StateRequest)
+            request = decoding.decode_json(body, type=relays.StateRequest)
         except msgspec.DecodeError as error:
             events.log(
                 events.FRAME_REFUSED, member="unknown", problem=str(error)
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -24,6 +24,7 @@
 from bilberryturn.edge import intervals
 from bilberryturn.edge import shared_clock
 from bilberryturn.gateway import shared_state
+from bilberryturn.platform import decoding
 from bilberryturn.platform import http
 
 # Nodes that one relay serves.
@@ -324,7 +325,7 @@
             return False
         self._unreachable_until_s.pop(address, None)
         try:
-            state = msgspec.json.decode(result.ok.body, type=feeds.PeerState)
+            state = decoding.decode_json(result.ok.body, type=feeds.PeerState)
         except msgspec.DecodeError as error:
             events.log(events.FRAME_REFUSED, member=address, problem=str(error))
             return False
--- a/src/bilberryturn/gateway/permits.py
+++ b/src/bilberryturn/gateway/permits.py
@@ -9,6 +9,7 @@
 from bilberryturn import events
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import upstream
+from bilberryturn.platform import decoding
 from bilberryturn.routing import permits
 from bilberryturn.routing import server_limits
 from bilberryturn.routing import types
@@ -108,8 +109,8 @@
     def issue(self, body: bytes) -> bytes | None:
         """Return the reply to a node; None if its request is malformed."""
         try:
-            request = msgspec.json.decode(body, type=PermitRequest)
-        except (msgspec.DecodeError, RecursionError) as error:
+            request = decoding.decode_json(body, type=PermitRequest)
+        except msgspec.DecodeError as error:
             events.log(
                 events.FRAME_REFUSED, member="unknown", problem=str(error)
             )
@@ -188,4 +189,4 @@
         )
         if reply.status != 200:
             raise upstream.UpstreamError(f"status {reply.status}", True)
-        return msgspec.json.decode(reply.body, type=PermitReply).wait_s
+        return decoding.decode_json(reply.body, type=PermitReply).wait_s
--- a/src/bilberryturn/platform/http.py
+++ b/src/bilberryturn/platform/http.py
@@ -13,6 +13,7 @@
 import msgspec
 import pycurl
 
+from bilberryturn.platform import decoding
 from bilberryturn.platform import exceptions
 
 # Larger than any response that the platform's pages allow.
@@ -49,7 +50,7 @@
 
     def json(self) -> Any:
         """Return the decoded JSON body."""
-        return msgspec.json.decode(self.body)
+        return decoding.decode_json(self.body)
 
 
 class HttpClient:
--- a/src/bilberryturn/platform/operator_config.py
+++ b/src/bilberryturn/platform/operator_config.py
@@ -3,6 +3,7 @@
 import expression
 import msgspec
 
+from bilberryturn.platform import decoding
 from bilberryturn.platform import exceptions
 from bilberryturn.routing import table
 from bilberryturn.routing import types
@@ -84,7 +85,7 @@
 ) -> expression.Result[table.RouteTable, exceptions.PlatformError]:
     """Return the route table of an encoded operator configuration."""
     try:
-        config = msgspec.json.decode(value, type=_Config, strict=False)
+        config = decoding.decode_json(value, type=_Config, strict=False)
     except msgspec.DecodeError as error:
         return expression.Error(
             exceptions.PlatformFormatError("configuration", str(error))
--- a/src/bilberryturn/platform/rows.py
+++ b/src/bilberryturn/platform/rows.py
@@ -15,6 +15,7 @@
 import expression
 import msgspec
 
+from bilberryturn.platform import decoding
 from bilberryturn.platform import exceptions
 from bilberryturn.platform import http
 from bilberryturn.platform import tables
@@ -162,7 +163,9 @@
                 exceptions.PlatformRefusedError("store", response.status)
             )
         try:
-            return expression.Ok(msgspec.json.decode(response.body, type=_Rows))
+            return expression.Ok(
+                decoding.decode_json(response.body, type=_Rows)
+            )
         except msgspec.DecodeError as error:
             return expression.Error(
                 exceptions.PlatformFormatError("answer", str(error))
@@ -243,7 +246,7 @@
                 exceptions.PlatformRefusedError("store", response.status)
             )
         try:
-            committed = msgspec.json.decode(response.body, type=_Committed)
+            committed = decoding.decode_json(response.body, type=_Committed)
         except msgspec.DecodeError as error:
             return expression.Error(
                 exceptions.PlatformFormatError("answer", str(error))
@@ -286,6 +289,6 @@
     if value is None:
         return None
     try:
-        return msgspec.json.decode(value)
+        return decoding.decode_json(value)
     except msgspec.DecodeError:
         return None
--- a/src/bilberryturn/platform/run_moves.py
+++ b/src/bilberryturn/platform/run_moves.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from bilberryturn.platform import decoding
+
 METHOD = b"POST"
 TARGET = b"/kv-move"
 
@@ -44,7 +46,7 @@
     if status != 200:
         return None
     try:
-        return Moved(msgspec.json.decode(body, type=_Moved).result_handle)
+        return Moved(decoding.decode_json(body, type=_Moved).result_handle)
     except msgspec.DecodeError:
         return None
 
--- a/src/bilberryturn/platform/server_entries.py
+++ b/src/bilberryturn/platform/server_entries.py
@@ -1,8 +1,12 @@
 """Decode the entries with which backend servers register themselves."""
 
+import ipaddress
+from typing import Annotated
+
 import expression
 import msgspec
 
+from bilberryturn.platform import decoding
 from bilberryturn.platform import exceptions
 from bilberryturn.routing import types
 
@@ -10,17 +14,22 @@
 _DRAINING = "draining"
 
 
+# More than any server has; the store also holds entries of other writers.
+_MAX_SLOTS = 1_000_000
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _Entry(msgspec.Struct, rename="camel"):
     service: str
     addr: str
     zone: str
     state: str
-    seq: int
-    slots: int = 1
+    seq: _Count
+    slots: Annotated[int, msgspec.Meta(le=_MAX_SLOTS)] = 1
     # Whether the platform may reclaim the server at any time.
     spot: bool = False
     # Start time of the server process in Unix milliseconds.
-    born: int = 0
+    born: _Count = 0
     # Time until a server that is taken away ends.
     leaves_ms: float | None = msgspec.field(default=None, name="leaves_ms")
 
@@ -38,14 +47,14 @@
         The server, or PlatformFormatError for an entry to be skipped.
     """
     try:
-        entry = msgspec.json.decode(value, type=_Entry)
+        entry = decoding.decode_json(value, type=_Entry)
     except msgspec.DecodeError as error:
         return _malformed(str(error))
     if entry.state not in (_READY, _DRAINING):
         return _malformed(f"state {entry.state!r} is unknown")
     host, _, port = entry.addr.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        return _malformed(f"address {entry.addr!r} is not HOST:PORT")
+    if not _is_ip_address(host) or not _is_port(port):
+        return _malformed(f"address {entry.addr[:100]!r} is not IP:PORT")
     return expression.Ok(
         types.BackendServer(
             server_id=server_id,
@@ -65,6 +74,20 @@
     )
 
 
+def _is_ip_address(text: str) -> bool:
+    try:
+        ipaddress.ip_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _is_port(text: str) -> bool:
+    # isdigit alone accepts digits that int does not.
+    is_number = text.isascii() and text.isdigit() and len(text) <= 5
+    return is_number and 0 < int(text) < 65536
+
+
 def _malformed(reason: str) -> expression.Result:
     return expression.Error(
         exceptions.PlatformFormatError("server entry", reason)
