Don't take a copy of an earlier refusal for an answer (REFUSED, TWICE)

Shown first: a server that writes an earlier refusal twice on a kept connection made the gateway run the request a second time elsewhere; one refusal without a request's identifier did as well. Only one late copy was skipped, and a refusal was believed before it was looked at whose it was.

Change: all copies of earlier answers are skipped, up to a bound; a refusal counts if it names the request, or names none on a connection without an earlier one.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -112,3 +112,23 @@
     Given a stand-in of the users' store with one server
     When applying the first reading raises an error
     Then the follower reads all rows again and applies them
+
+  # Guards against callers that are told "not run" of a request that runs, or a
+  # second run of it, as an earlier refusal comes once more.
+  Scenario Outline: An earlier refusal <copy> comes on a kept connection
+    Given a gateway before a server that writes an earlier refusal <copy> before its second answer
+    When its caller sends 2 <kind> requests one after another
+    Then none of them is refused
+    And no request that was answered there ran elsewhere
+
+    Examples:
+      | copy                   | kind      |
+      | once more              | safe      |
+      | twice more             | safe      |
+      | twice more             | resumable |
+      | five times             | safe      |
+
+  Scenario: A refusal that names no request comes on a kept connection
+    Given a gateway before a server that writes an earlier refusal without an id before its second answer
+    When its caller sends 2 safe requests one after another
+    Then none of them is refused
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -756,3 +756,158 @@
     )
     assert context.readings[1].is_snapshot
     assert "good" in context.readings[1].values()
+
+
+# Earlier refusals, and errors in the middle of a stream
+
+
+@behave.given(
+    "a gateway before a server that writes an earlier refusal {copy} before its"
+    " second answer"
+)
+def given_refusal_copy(context, copy):
+    count = {
+        "once more": 1,
+        "twice more": 2,
+        "five times": 5,
+        "without an id": 1,
+    }[copy]
+    request_id = (
+        ""
+        if copy == "without an id"
+        else "X-Bilberryturn-Attempt-Id: earlier\r\n"
+    )
+    refusal = (
+        f"HTTP/1.1 503 Service Unavailable\r\n{request_id}{scripted.SEAL}"
+        "X-Bilberryturn-Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    context.runs = []
+
+    def script(peer, head, body, number):
+        context.runs.append(scripted.header(head, "X-Bilberryturn-Attempt-Id"))
+        if number == 2:
+            peer.send(refusal * count)
+        if "/resumable/" not in head:
+            peer.answer(head, WHOLE)
+            return
+        peer.start_stream(head)
+        peer.chunk(scripted.event(1))
+        peer.chunk(b"")
+
+    _start_gateway(context, script, count=2)
+
+    # Both requests go to the server that keeps the first one's connection.
+    async def leave_one():
+        servers = context.rig.shared.directory
+        entry = servers.find("s1")._replace(failure_domain="far")
+        servers.report(entry._replace(sequence=2), time.monotonic())
+
+    context.rig.call(leave_one)
+
+
+@behave.when("its caller sends {count:d} {kind:w} requests one after another")
+def when_kind_in_turn(context, count, kind):
+    context.answers = [
+        gateway_rig.send_request(
+            context.rig.port,
+            gateway_rig.request_text(kind, f"e{next(_ids)}"),
+        )
+        for _ in range(count)
+    ]
+
+
+@behave.then("none of them is refused")
+def then_not_refused(context):
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [200] * len(statuses), statuses
+
+
+@behave.then("no request that was answered there ran elsewhere")
+def then_ran_once(context):
+    assert len(context.runs) == len(set(context.runs)), context.runs
+
+
+def _answer_200(content_type, body):
+    def answer(peer, head):
+        peer.answer(head, body, extra=content_type)
+
+    return answer
+
+
+def _answer_status(status, extra=""):
+    def answer(peer, head):
+        peer.answer(head, b"error: it failed\n\n", status, extra)
+
+    return answer
+
+
+def _stream(*chunks):
+    def answer(peer, head):
+        peer.start_stream(head)
+        for chunk in chunks:
+            peer.chunk(chunk)
+        peer.chunk(b"")
+
+    return answer
+
+
+EVENT_STREAM = "Content-Type: text/event-stream\r\n"
+NEXT_ANSWERS = {
+    "answers with status 500": _answer_status("500 Internal Server Error"),
+    "answers with status 400": _answer_status("400 Bad Request"),
+    "refuses the request": _answer_status(
+        "503 Service Unavailable", "X-Bilberryturn-Not-Run: 1\r\n"
+    ),
+    "answers 200 with an error in JSON": _answer_200(
+        "Content-Type: application/json\r\n", b'{"error": "it failed"}\n\n'
+    ),
+    "answers 200 with an error in lines": _answer_200(
+        "Content-Type: text/plain\r\n", b"error: it failed\n\n"
+    ),
+    "answers 200 without a body": _answer_200("", b""),
+    "begins with the first event again": _stream(
+        scripted.event(1), scripted.event(2), scripted.event(3)
+    ),
+    "writes an error's head into the stream": _stream(
+        b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\n{}\n\n"
+    ),
+    "writes an error's text into the stream": _stream(
+        b'{"error": "it failed"}\n\n'
+    ),
+    "has nothing left to send": _stream(),
+}
+
+
+@behave.given(
+    "a gateway before servers of which one breaks off a stream and the next"
+    " {answers}"
+)
+def given_breaks_off(context, answers):
+    def script(peer, head, body, number):
+        if scripted.header(head, "Last-Event-Id") is not None:
+            NEXT_ANSWERS[answers](peer, head)
+            return None
+        peer.start_stream(head)
+        peer.chunk(scripted.event(1))
+        peer.chunk(scripted.event(2))
+        time.sleep(0.1)
+        return "close"
+
+    _start_gateway(context, script, count=2)
+
+
+@behave.when("a caller requests the resumable stream")
+def when_resumable(context):
+    context.answer = gateway_rig.send_request(
+        context.rig.port,
+        gateway_rig.request_text("resumable", f"e{next(_ids)}"),
+    )
+
+
+@behave.then(
+    "the caller has exactly the events before, in a stream that is {state:w}"
+)
+def then_events_before(context, state):
+    expected = scripted.event(1) + scripted.event(2)
+    assert context.answer.body == expected, context.answer.body
+    assert context.answer.is_complete == (state == "complete")
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -261,19 +261,14 @@
 
     async def _receive(self) -> AttemptResult:
         """Read a response and return it, or forward it as a stream."""
-        head = await self._read_head()
-        is_late_copy = bool(head.request_id) and not self._is_own(head)
-        if self._connection.is_reused and is_late_copy:
-            # It belongs to an earlier request on this connection.
-            await self._connection.skip_response()
-            head = await self._read_head()
+        head = await self._read_own_head()
         if self._is_own(head):
             self._shared.observe_limit(self._chosen.server, head.limit_per_s)
             if head.is_leaving:
                 self._shared.record_leaving(self._chosen.server)
             if head.status == UNAVAILABLE and head.retry_after_s:
                 self._shared.pause(self._chosen.server, head.retry_after_s)
-        if head.is_not_run:
+        if head.is_not_run and self._is_own_refusal(head):
             return NotRun(head.retry_after_s)
         if not self._is_own(head):
             raise upstream.UpstreamError("answer to another request", True)
@@ -298,6 +293,26 @@
         self._has_response = True
         return wire.read_server_response(event.status_code, list(event.headers))
 
+    async def _read_own_head(self) -> wire.ServerResponse:
+        """Read a head, behind the copies of answers to earlier requests."""
+        for _ in range(response_limits.MAX_LATE_COPIES):
+            head = await self._read_head()
+            is_late_copy = bool(head.request_id) and not self._is_own(head)
+            if not self._connection.is_reused or not is_late_copy:
+                return head
+            await self._connection.skip_response()
+        raise upstream.UpstreamError("too many late copies", True)
+
+    def _is_own_refusal(self, head: wire.ServerResponse) -> bool:
+        """Return whether a refusal belongs to the request that was sent.
+
+        One that names no request may be a copy of an earlier one, unless the
+        connection had no earlier request.
+        """
+        if self._is_own(head):
+            return True
+        return not head.request_id and not self._connection.is_reused
+
     def _is_own(self, head: wire.ServerResponse) -> bool:
         """Return whether a response belongs to the request that was sent."""
         return head.request_id == self._request.incoming.headers.request_id
--- a/src/bilberryturn/gateway/response_limits.py
+++ b/src/bilberryturn/gateway/response_limits.py
@@ -8,6 +8,8 @@
 MAX_HEAD_BYTES = 64 * 1024
 # Informational responses (1xx) before the final one.
 MAX_INFORMATIONAL_RESPONSES = 8
+# Answers to earlier requests before the one to the request that was sent.
+MAX_LATE_COPIES = 16
 # One event of a stream.
 MAX_EVENT_BYTES = 1024 * 1024
 # Body of a response that is buffered until it is complete. Eight such responses
