Forward nothing but events that follow into a resumed stream (ORDER, MIXED)

Change: a resumed answer must be an event stream, its first event must come after the last one that the caller has, and lines that are no fields end the stream as broken. A resumed stream without an event and without framing isn't complete.

--- a/features/operators.feature
+++ b/features/operators.feature
@@ -132,3 +132,27 @@
     Given a gateway before a server that writes an earlier refusal without an id before its second answer
     When its caller sends 2 safe requests one after another
     Then none of them is refused
+
+  # Guards against an error's text in the middle of a stream, and against a broken
+  # stream that ends as if it were complete.
+  Scenario Outline: A stream broke off and the next server <answers>
+    Given a gateway before servers of which one breaks off a stream and the next <answers>
+    When a caller requests the resumable stream
+    Then the caller has exactly the events before, in a stream that is incomplete
+
+    Examples:
+      | answers                                  |
+      | answers with status 500                  |
+      | answers with status 400                  |
+      | refuses the request                      |
+      | answers 200 with an error in JSON        |
+      | answers 200 with an error in lines       |
+      | answers 200 without a body               |
+      | begins with the first event again        |
+      | writes an error's head into the stream   |
+      | writes an error's text into the stream   |
+
+  Scenario: A stream that broke off before its end is completed by the next server
+    Given a gateway before servers of which one breaks off a stream and the next has nothing left to send
+    When a caller requests the resumable stream
+    Then the caller has exactly the events before, in a stream that is complete
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -333,6 +333,8 @@
 
     async def _stream(self, head: wire.ServerResponse) -> AttemptResult:
         """Forward complete events as they arrive."""
+        if self._delivery.has_started and not head.is_event_stream:
+            raise upstream.UpstreamError("resumption is no stream", True)
         while True:
             event = await self._connection.next_event()
             if isinstance(event, h11.EndOfMessage):
@@ -340,7 +342,7 @@
             if not isinstance(event, h11.Data):
                 raise upstream.UpstreamError("stream cut short", True)
             await self._forward(head, bytes(event.data))
-        is_empty = not self._delivery.has_started
+        is_empty = self._first_event_s is None
         if self._delivery.has_partial_event or (
             is_empty and not head.has_framing
         ):
@@ -358,7 +360,7 @@
     async def _forward(self, head: wire.ServerResponse, data: bytes) -> None:
         try:
             has_sent_event = await self._delivery.forward(head, data)
-        except events_stream.EventTooLargeError as error:
+        except events_stream.StreamError as error:
             raise upstream.UpstreamError(str(error), True) from error
         if has_sent_event and self._first_event_s is None:
             self._first_event_s = time.monotonic()
--- a/src/bilberryturn/gateway/delivery.py
+++ b/src/bilberryturn/gateway/delivery.py
@@ -85,8 +85,8 @@
         return round(time.monotonic() - self.first_chunk_s, 3)
 
     def begin_attempt(self) -> None:
-        """Discard an incomplete event that an earlier attempt left."""
-        self._splitter.discard_partial()
+        """Prepare for another server's answer, which may resume a stream."""
+        self._splitter.begin_attempt()
 
     async def forward(self, head: wire.ServerResponse, data: bytes) -> bool:
         """Forward the complete events of a stream.
@@ -97,10 +97,15 @@
 
         Returns:
             Whether a complete event was sent.
+
+        Raises:
+            events_stream.StreamError: The bytes are not what may come next.
         """
         complete_events = self._splitter.feed(data)
         if not complete_events:
             return False
+        if head.is_event_stream:
+            events_stream.check(complete_events)
         if not self.has_started:
             self.first_chunk_s = time.monotonic()
             self.count_request()
--- a/src/bilberryturn/platform/wire.py
+++ b/src/bilberryturn/platform/wire.py
@@ -179,6 +179,7 @@
             together, or None if it names no limit.
         is_leaving: Whether the server is about to end and takes no more
             requests.
+        is_event_stream: Whether the body consists of server-sent events.
         headers: Headers to forward to the caller.
     """
 
@@ -193,6 +194,7 @@
     retry_after_s: float | None
     limit_per_s: float | None
     is_leaving: bool
+    is_event_stream: bool
     headers: Headers
 
 
@@ -200,6 +202,7 @@
     """Decode the head of a backend server's response."""
     values = dict(headers)
     connection = values.get(b"connection", b"").lower()
+    media_type, _, _ = values.get(b"content-type", b"").partition(b";")
     encoding = values.get(b"content-encoding", b"").strip().lower()
     return ServerResponse(
         status=status,
@@ -214,6 +217,7 @@
         retry_after_s=_bounded_float(values.get(b"retry-after")),
         limit_per_s=_bounded_float(values.get(SERVER_LIMIT)),
         is_leaving=values.get(SERVER_LEAVING, b"0").strip() != b"0",
+        is_event_stream=media_type.strip().lower() == b"text/event-stream",
         headers=[pair for pair in headers if pair[0] not in _HOP_BY_HOP],
     )
 
