--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -489,9 +489,18 @@
         # A peer that has no configuration yet returns an empty one.
         if state.config_age_s >= intervals.FRESH_S or state.config == "":
             return state.config is None
-        self.confirm_config(received_s - state.config_age_s)
+        value = None
         if state.config is not None:
-            self.apply_config(_decode_config(state), "peer")
+            try:
+                value = _decode_config(state)
+            except (ValueError, zlib.error) as error:
+                events.log(
+                    events.FRAME_REFUSED, member="relay", problem=str(error)
+                )
+                return False
+        self.confirm_config(received_s - state.config_age_s)
+        if value is not None:
+            self.apply_config(value, "peer")
         return True
 
     def _apply_peer_servers(self, state: PeerState, received_s: float) -> bool:
