--- a/features/mutants.py
+++ b/features/mutants.py
@@ -526,7 +526,7 @@
         "a configuration is not compressed",
         (
             (
-                "edge/feeds.py",
+                "edge/peer_state.py",
                 "if not self.config or not known.accepts_compressed:",
                 "if True:",
             ),
--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -14,6 +14,7 @@
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers
 from bilberryturn.edge import intervals
+from bilberryturn.edge import peer_state
 from bilberryturn.edge import relays
 from bilberryturn.edge import shared_clock
 from bilberryturn.gateway import internal_server
@@ -40,7 +41,7 @@
             5.0,
             upstream.ConnectionPool(),
         )
-        self.raw = feeds.RawState()
+        self.raw = peer_state.RawState()
         self.applier = feeds.Applier(self.shared, self.raw, name)
         self.server = internal_server.InternalServer(self._answer)
         with socket.create_server(("127.0.0.1", 0)) as probe:
@@ -255,7 +256,7 @@
     """
 
     def __init__(self):
-        self.raw = feeds.RawState()
+        self.raw = peer_state.RawState()
         self.raw.config = json.dumps(platform_data.make_config(9)).encode()
         self.raw.servers = {
             "good": json.dumps(platform_data.make_entry()).encode()
@@ -277,7 +278,7 @@
         read_s = time.monotonic() - self.age_s
         self.raw.config_confirmed_s = self.raw.servers_confirmed_s = read_s
         self.raw.config_read_s = self.raw.servers_read_s = read_s
-        return self.raw.state(feeds.Known(known_revision))
+        return self.raw.state(peer_state.Known(known_revision))
 
 
 @behave.given("a node that reads only from a relay")
@@ -291,7 +292,7 @@
         upstream.ConnectionPool(),
     )
     applier = context.applier = feeds.Applier(
-        context.shared, feeds.RawState(), "n1"
+        context.shared, peer_state.RawState(), "n1"
     )
     context.client = relays.RelayClient(
         "n1", "127.0.0.1:1", "east", "", TIMES, list, list, dict, dict,
@@ -327,7 +328,7 @@
 
 @behave.then("its relayed state is {expected}")
 def then_relayed_state(context, expected):
-    state = context.node.raw.state(feeds.Known(context.known_revision))
+    state = context.node.raw.state(peer_state.Known(context.known_revision))
     assert (state.servers is not None) == (expected == "new"), state
     seqs = [json.loads(v)["seq"] for v in context.node.raw.servers.values()]
     assert seqs in ([2], []), seqs
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -14,6 +14,7 @@
 
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers
+from bilberryturn.edge import peer_state
 from bilberryturn.edge import relays
 from bilberryturn.gateway import drain
 from bilberryturn.gateway import events_stream
@@ -586,7 +587,7 @@
         5.0,
         upstream.ConnectionPool(),
     )
-    context.applier = feeds.Applier(context.shared, feeds.RawState(), "n1")
+    context.applier = feeds.Applier(context.shared, peer_state.RawState(), "n1")
     context.follower = followers.Follower(
         rows.SERVER_TABLE, context.standin.address, 0.0, 0.01, "",
         followers.on_loop(context.rig.loop, context.applier.on_servers_read),
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -18,6 +18,7 @@
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers
 from bilberryturn.edge import intervals
+from bilberryturn.edge import peer_state
 from bilberryturn.edge import presence
 from bilberryturn.edge import relays
 from bilberryturn.edge import shared_clock
@@ -45,7 +46,7 @@
             5.0,
             upstream.ConnectionPool(),
         )
-        self.raw = feeds.RawState()
+        self.raw = peer_state.RawState()
         self.applier = feeds.Applier(self.shared, self.raw, name)
 
     def read_servers(self, changed, is_snapshot, after_outage=False, age_s=0.0):
@@ -74,7 +75,7 @@
     def reply_to(self, peer):
         """Return the reply to a poll of a peer, as it is on the wire."""
         return msgspec.json.decode(
-            msgspec.json.encode(self.state_for(peer)), type=feeds.PeerState
+            msgspec.json.encode(self.state_for(peer)), type=peer_state.PeerState
         )
 
     def content(self):
@@ -194,7 +195,7 @@
 @behave.then("a poll for the changes is under {limit:d} bytes")
 def then_small(context, limit):
     state = context.relay.raw.state(
-        feeds.Known(context.known_revision, accepts_changes=True)
+        peer_state.Known(context.known_revision, accepts_changes=True)
     )
     size_bytes = len(msgspec.json.encode(state))
     assert size_bytes < limit, size_bytes
@@ -212,7 +213,9 @@
         ),
         "does not accept changes": (context.known_revision, False),
     }[knows]
-    state = raw.state(feeds.Known(revision, accepts_changes=accepts_changes))
+    state = raw.state(
+        peer_state.Known(revision, accepts_changes=accepts_changes)
+    )
     assert state.is_complete
     assert len(state.servers) == SERVERS and state.config
 
@@ -401,7 +404,7 @@
     unread = _Peer("relay")
 
     def answer(peer, head, body, number):
-        reply = msgspec.json.encode(unread.raw.state(feeds.Known("")))
+        reply = msgspec.json.encode(unread.raw.state(peer_state.Known("")))
         peer.send(f"HTTP/1.1 200 OK\r\nContent-Length: {len(reply)}\r\n\r\n")
         peer.send(reply)
 
@@ -430,7 +433,7 @@
     context.client = relays.RelayClient(
         "n1", own, "east", "", TIMES,
         lambda: [context.relay_address], list, dict, dict,
-        shared_clock.SharedClock(), [], lambda: feeds.Known(""),
+        shared_clock.SharedClock(), [], lambda: peer_state.Known(""),
         lambda *_: stopping.set(), peers_known, waits,
     )  # fmt: skip
     context.client.run(stopping)
@@ -652,7 +655,7 @@
         with lock:
             reader.read_config(7)
             reader.read_servers({"good": platform_data.make_entry()}, True)
-            reply = msgspec.json.encode(reader.raw.state(feeds.Known("")))
+            reply = msgspec.json.encode(reader.raw.state(peer_state.Known("")))
         peer.send(f"HTTP/1.1 200 OK\r\nContent-Length: {len(reply)}\r\n\r\n")
         peer.send(reply)
         return None
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -17,6 +17,7 @@
 from bilberryturn.edge import followers as store_followers
 from bilberryturn.edge import intervals
 from bilberryturn.edge import orders
+from bilberryturn.edge import peer_state
 from bilberryturn.edge import presence
 from bilberryturn.edge import relays
 from bilberryturn.edge import shared_clock
@@ -54,7 +55,7 @@
         self._stopping = threading.Event()
         self._stop_requested = asyncio.Event()
         self._is_ready = False
-        self._raw = feeds.RawState()
+        self._raw = peer_state.RawState()
         self._own_suspects: dict[str, int] = {}
         self._lifetime = f"{settings.name}@{secrets.token_hex(6)}"
         self._clock = shared_clock.SharedClock()
--- /dev/null
+++ b/src/bilberryturn/edge/peer_state.py
@@ -0,0 +1,238 @@
+"""Serve the state received from the store to peers, and only what they lack."""
+
+import base64
+import collections
+import enum
+import hashlib
+import secrets
+import time
+from typing import NamedTuple
+import zlib
+
+import msgspec
+
+CONFIG_DIGEST_BYTES = 12
+# Changes retained for peers that know an earlier revision. More than the
+# restart of all servers of the largest deployment causes between two polls.
+MAX_CHANGES = 2000
+
+
+class PeerState(msgspec.Struct):
+    """Platform state that a node returns to a peer.
+
+    Attributes:
+        revision: Changes with the configuration, the content of the entries,
+            the known nodes and the crash counts; not with mere heartbeats of
+            servers.
+        config: The operator's configuration as stored, in Base64; None if
+            the peer already has it.
+        is_config_compressed: Whether the configuration was compressed (zlib)
+            before it was encoded.
+        servers: Entry of each server as stored, in Base64; None for a removed
+            one. None as a whole if the peer already has all entries.
+        config_age_s: Seconds since the store confirmed the configuration.
+        servers_age_s: Seconds since the store confirmed the entries.
+        config_read_age_s: Seconds since the node itself last read the
+            configuration from the store.
+        servers_read_age_s: Seconds since the node itself last read the
+            entries from the store.
+        suspects: Crash counts by fingerprint for each lifetime of a node;
+            None if the peer already has them.
+        is_complete: Whether servers and suspects hold everything, and not
+            only what changed since the peer's revision.
+        after_outage: Whether the store was unreachable until shortly before
+            the node read the entries; servers may then restore theirs.
+        nodes: Address of each known node by key; None if the peer already has
+            them.
+        store_s: The store's steady clock when the node responded; None if
+            unknown.
+        utc_offset_s: The shared time of day minus the store's clock; None if
+            unknown.
+    """
+
+    revision: str
+    config: str | None
+    servers: dict[str, str | None] | None
+    config_age_s: float
+    servers_age_s: float
+    config_read_age_s: float
+    servers_read_age_s: float
+    suspects: dict[str, dict[str, int]] | None = None
+    is_complete: bool = True
+    after_outage: bool = False
+    nodes: dict[str, str] | None = None
+    store_s: float | None = None
+    utc_offset_s: float | None = None
+    is_config_compressed: bool = False
+
+
+class Known(NamedTuple):
+    """What a peer that polls this node has already, and what it accepts.
+
+    Attributes:
+        revision: Revision of this node's content that the peer has; "" if
+            none.
+        config_digest: Digest of the peer's configuration; "" if none.
+        accepts_changes: Whether it accepts the changes since its revision in
+            place of the whole content.
+        accepts_compressed: Whether it accepts a compressed configuration.
+    """
+
+    revision: str
+    config_digest: str = ""
+    accepts_changes: bool = False
+    accepts_compressed: bool = False
+
+
+class Content(enum.Enum):
+    """Kinds of content that a node passes on to its peers."""
+
+    CONFIG = enum.auto()
+    SERVER = enum.auto()
+    SUSPECTS = enum.auto()
+    NODES = enum.auto()
+
+
+class _Change(NamedTuple):
+    """One change of the content; the key names a server or a lifetime."""
+
+    number: int
+    content: Content
+    key: str
+
+
+class RawState:
+    """Caches the state as stored, to serve it to peers."""
+
+    def __init__(self):
+        self.config = b""
+        self.config_digest = ""
+        # Created for the first peer that needs it.
+        self._compressed_config: bytes | None = None
+        self.servers: dict[str, bytes] = {}
+        self.nodes: dict[str, str] = {}
+        self.after_outage = False
+        self.config_confirmed_s = -1e9
+        self.servers_confirmed_s = -1e9
+        self.config_read_s = -1e9
+        self.servers_read_s = -1e9
+        self.suspects: dict[str, dict[str, int]] = {}
+        self._lifetime = secrets.token_hex(4)
+        self._change_count = 0
+        self._changes: collections.deque[_Change] = collections.deque(
+            maxlen=MAX_CHANGES
+        )
+
+    @property
+    def revision(self) -> str:
+        """Return the revision of the present content."""
+        return f"{self._lifetime}.{self._change_count}"
+
+    def mark_changed(self, content: Content, key: str = "") -> None:
+        """Start a new revision after a change of the content."""
+        self._change_count += 1
+        self._changes.append(_Change(self._change_count, content, key))
+
+    def set_config(self, value: bytes) -> None:
+        """Set the configuration, as stored."""
+        self.config = value
+        self.config_digest = hashlib.blake2b(
+            value, digest_size=CONFIG_DIGEST_BYTES
+        ).hexdigest()
+        self._compressed_config = None
+        self.mark_changed(Content.CONFIG)
+
+    def state(self, known: Known) -> PeerState:
+        """Return the state, without content that a peer already has."""
+        now_s = time.monotonic()
+        state = PeerState(
+            self.revision,
+            None,
+            None,
+            now_s - self.config_confirmed_s,
+            now_s - self.servers_confirmed_s,
+            now_s - self.config_read_s,
+            now_s - self.servers_read_s,
+            after_outage=self.after_outage,
+        )
+        if known.revision == self.revision:
+            return state
+        changes = self._changes_since(known.revision)
+        if changes is None or not known.accepts_changes:
+            return self._with_everything(state, known)
+        return self._with_changes(state, changes, known)
+
+    def _changes_since(self, revision: str) -> list[_Change] | None:
+        """Return the changes since a revision; None if it is not known."""
+        lifetime, _, number = revision.partition(".")
+        if lifetime != self._lifetime or not number.isdigit():
+            return None
+        first = self._change_count - len(self._changes)
+        if not first <= int(number) <= self._change_count:
+            return None
+        return [c for c in self._changes if c.number > int(number)]
+
+    def _with_config(self, state: PeerState, known: Known) -> PeerState:
+        """Add the configuration unless the peer has it from another node.
+
+        A large one would fill the link of a node that many others poll.
+        """
+        if known.config_digest and known.config_digest == self.config_digest:
+            return state
+        if not self.config or not known.accepts_compressed:
+            return msgspec.structs.replace(
+                state, config=base64.b64encode(self.config).decode()
+            )
+        if self._compressed_config is None:
+            self._compressed_config = zlib.compress(self.config)
+        return msgspec.structs.replace(
+            state,
+            config=base64.b64encode(self._compressed_config).decode(),
+            is_config_compressed=True,
+        )
+
+    def _with_everything(self, state: PeerState, known: Known) -> PeerState:
+        return msgspec.structs.replace(
+            self._with_config(state, known),
+            servers={key: self._entry(key) for key in self.servers},
+            suspects=dict(self.suspects),
+            nodes=dict(self.nodes),
+        )
+
+    def _with_changes(
+        self, state: PeerState, changes: list[_Change], known: Known
+    ) -> PeerState:
+        keys: dict[Content, set[str]] = {kind: set() for kind in Content}
+        for change in changes:
+            keys[change.content].add(change.key)
+        if keys[Content.CONFIG]:
+            state = self._with_config(state, known)
+        return msgspec.structs.replace(
+            state,
+            is_complete=False,
+            servers=(
+                {key: self._entry(key) for key in keys[Content.SERVER]}
+                if keys[Content.SERVER]
+                else None
+            ),
+            suspects={
+                lifetime: self.suspects.get(lifetime, {})
+                for lifetime in keys[Content.SUSPECTS]
+            },
+            nodes=dict(self.nodes) if keys[Content.NODES] else None,
+        )
+
+    def _entry(self, server_id: str) -> str | None:
+        value = self.servers.get(server_id)
+        return None if value is None else base64.b64encode(value).decode()
+
+
+def decode_config(state: PeerState) -> bytes:
+    """Return the configuration of a peer's state, as stored.
+
+    Raises:
+        ValueError: It is not valid Base64.
+        zlib.error: It cannot be decompressed.
+    """
+    value = base64.b64decode(state.config)
+    return zlib.decompress(value) if state.is_config_compressed else value
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -19,9 +19,9 @@
 from bilberryturn import events
 from bilberryturn import leases
 from bilberryturn import rendezvous
-from bilberryturn.edge import feeds
 from bilberryturn.edge import followers as store_followers
 from bilberryturn.edge import intervals
+from bilberryturn.edge import peer_state
 from bilberryturn.edge import shared_clock
 from bilberryturn.gateway import shared_state
 from bilberryturn.platform import decoding
@@ -96,9 +96,9 @@
     config_digest: str = ""
     accepts_compressed: bool = False
 
-    def known(self) -> feeds.Known:
+    def known(self) -> peer_state.Known:
         """Return what the node has already and accepts."""
-        return feeds.Known(
+        return peer_state.Known(
             self.revision,
             self.config_digest,
             self.accepts_changes,
@@ -129,8 +129,8 @@
         suspects: Callable[[], dict[str, int]],
         clock: shared_clock.SharedClock,
         followers: list[store_followers.Follower],
-        known: Callable[[], feeds.Known],
-        deliver: Callable[[feeds.PeerState, float], None],
+        known: Callable[[], peer_state.Known],
+        deliver: Callable[[peer_state.PeerState, float], None],
         peers_known: threading.Event,
         start_waits: StartWaits,
     ):
@@ -325,7 +325,9 @@
             return False
         self._unreachable_until_s.pop(address, None)
         try:
-            state = decoding.decode_json(result.ok.body, type=feeds.PeerState)
+            state = decoding.decode_json(
+                result.ok.body, type=peer_state.PeerState
+            )
         except msgspec.DecodeError as error:
             events.log(events.FRAME_REFUSED, member=address, problem=str(error))
             return False
@@ -346,7 +348,7 @@
         self._deliver(state, received_s)
         return is_current
 
-    def _record_time(self, state: feeds.PeerState, sent_s: float) -> None:
+    def _record_time(self, state: peer_state.PeerState, sent_s: float) -> None:
         if state.store_s is not None:
             self._clock.record_store_time(
                 state.store_s, sent_s, leases.boottime_s()
@@ -354,7 +356,7 @@
         if state.utc_offset_s is not None:
             self._clock.set_utc_offset(state.utc_offset_s)
 
-    def _is_current(self, state: feeds.PeerState) -> bool:
+    def _is_current(self, state: peer_state.PeerState) -> bool:
         """Return whether a relay has recently read the store itself.
 
         State that it only received from a peer does not count: otherwise two
@@ -366,7 +368,9 @@
         )
 
 
-def _with_elapsed(state: feeds.PeerState, elapsed_s: float) -> feeds.PeerState:
+def _with_elapsed(
+    state: peer_state.PeerState, elapsed_s: float
+) -> peer_state.PeerState:
     """Return a state whose ages include the whole duration of its request.
 
     Content must never appear newer than it is, and it is unknown at which
