--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -306,7 +306,7 @@
     ) -> internal_server.Reply:
         if path != permits.PATH:
             return self._handle_state_request(body)
-        reply = self.shared.permits.issue(body)
+        reply = self.shared.availability.permits.issue(body)
         if reply is None:
             return internal_server.Reply(400)
         return internal_server.Reply(200, reply, "application/json")
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -18,8 +18,6 @@
 from bilberryturn.routing import suspects
 from bilberryturn.routing import types
 
-# Status of a server that takes no request for the time of its Retry-After.
-UNAVAILABLE = 503
 # Connecting takes milliseconds unless the server is unreachable.
 CONNECT_TIMEOUT_S = 0.35
 # Time after the deadline in which a server may still respond that it timed out.
@@ -231,8 +229,8 @@
         # A move needs no permit, so it spares the servers that limit requests.
         excluded = {
             self._chosen.server.server_id,
-            *(server_id for server_id, _ in shared.server_limits.limited()),
-            *shared.unavailable(request.priority, now_s),
+            *shared.availability.limited(),
+            *shared.availability.unavailable(request.priority, now_s),
         }
         chosen = shared.load_balancer.choose(
             request.requirements,
@@ -263,11 +261,7 @@
         """Read a response and return it, or forward it as a stream."""
         head = await self._read_own_head()
         if self._is_own(head):
-            self._shared.observe_limit(self._chosen.server, head.limit_per_s)
-            if head.is_leaving:
-                self._shared.record_leaving(self._chosen.server)
-            if head.status == UNAVAILABLE and head.retry_after_s:
-                self._shared.pause(self._chosen.server, head.retry_after_s)
+            self._shared.availability.observe(self._chosen.server, head)
         if head.is_not_run and self._is_own_refusal(head):
             return NotRun(head.retry_after_s)
         if not self._is_own(head):
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -177,11 +177,11 @@
         not_permitted: set[str] = set()
         while True:
             now_s = time.monotonic()
-            unavailable = shared.unavailable(request.priority, now_s)
+            unavailable = shared.availability.unavailable(
+                request.priority, now_s
+            )
             if len(not_permitted) >= MAX_PERMITS_ASKED:
-                unavailable.update(
-                    lifetime[0] for lifetime in shared.server_limits.limited()
-                )
+                unavailable |= shared.availability.limited()
             chosen = shared.load_balancer.choose(
                 request.requirements,
                 shared.directory.usable(request.service.name),
@@ -190,7 +190,10 @@
             )
             if chosen is None:
                 return None
-            if await shared.permits.acquire(chosen.server, request.priority):
+            is_permitted = await shared.availability.permits.acquire(
+                chosen.server, request.priority
+            )
+            if is_permitted:
                 return chosen
             not_permitted.add(chosen.server.server_id)
 
@@ -245,7 +248,7 @@
             return self._refuse(
                 outcomes.no_valid_response(self._last_failure or "failed")
             )
-        wait_s = self._shared.retry_after_s(
+        wait_s = self._shared.availability.retry_after_s(
             self._request.service.name, self._request.priority, time.monotonic()
         )
         return self._refuse(
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from bilberryturn import events
 from bilberryturn import metrics
+from bilberryturn.gateway import availability
 from bilberryturn.gateway import drain
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import permits
@@ -154,10 +154,9 @@
         self.load_balancer = choice.LoadBalancer()
         self.suspects = suspects.CrashCounter()
         self.part_crashes = part_crashes.PartCrashes()
-        self.server_limits = server_limits.ServerLimits()
-        self.permits = permits.Permits(self.server_limits, pool, peers)
-        # Monotonic time until which a server wants no request of this node.
-        self._paused_until_s: dict[tuple[str, int], float] = {}
+        self.availability = availability.Availability(
+            self.directory, pool, peers, time_of_day
+        )
         self.time_of_day = time_of_day
         self.usage = UsageCounts(usage_window_s, time_of_day)
         self.pool = pool
@@ -202,85 +201,10 @@
         for retry_budget in self._budgets.values():
             retry_budget.resize(self._retry_limits.node_slack(node_count))
 
-    def unavailable(self, priority: int, now_s: float) -> set[str]:
-        """Return the servers to which no request of a priority can be sent.
-
-        Args:
-            priority: Priority of the request; 0 is the highest.
-            now_s: Present monotonic time.
-        """
-        lifetimes = [*self._paused_until_s, *self.server_limits.limited()]
-        return {
-            lifetime[0]
-            for lifetime in lifetimes
-            if self._wait_s(lifetime, priority, now_s) > 0
-        }
-
-    def _wait_s(
-        self, lifetime: tuple[str, int], priority: int, now_s: float
-    ) -> float:
-        """Return for how long no request can be sent to a server."""
-        paused_s = self._paused_until_s.get(lifetime, now_s) - now_s
-        permit_s = 0.0
-        if self.server_limits.limit_per_s(lifetime) is not None:
-            permit_s = self.permits.wait_s(lifetime, priority, now_s)
-        return max(0.0, paused_s, permit_s)
-
-    def retry_after_s(
-        self, service: str, priority: int, now_s: float
-    ) -> float | None:
-        """Return when a server that takes none now may take a request.
-
-        None if there is no such server.
-        """
-        waits_s = [
-            self._wait_s(server.lifetime, priority, now_s)
-            for server in self.directory.usable(service)
-        ]
-        return min((w for w in waits_s if w > 0), default=None)
-
-    def observe_limit(
-        self, server: types.BackendServer, limit_per_s: float | None
-    ) -> None:
-        """Record the limit that an answer of a server names, if any."""
-        has_changed = self.server_limits.observe(
-            server.lifetime, limit_per_s, self.time_of_day()
-        )
-        if has_changed:
-            events.log(
-                events.SERVER_LIMIT_CHANGED,
-                server=server.server_id,
-                limit_per_s=limit_per_s,
-            )
-
-    def pause(self, server: types.BackendServer, duration_s: float) -> None:
-        """Send nothing to a server for the time that its refusal states."""
-        until_s = time.monotonic() + duration_s
-        known_s = self._paused_until_s.get(server.lifetime, 0.0)
-        self._paused_until_s[server.lifetime] = max(known_s, until_s)
-
-    def record_leaving(self, server: types.BackendServer) -> None:
-        """Record that an answer of a server says that it leaves."""
-        change = self.directory.mark_leaving(server, time.monotonic())
-        if change is not None:
-            events.log(
-                events.SERVER_CHANGED,
-                server=change.server_id,
-                change=change.kind,
-                source="answer",
-            )
-
     def retain_servers(self, live: set[tuple[str, int]]) -> None:
         """Drop what is known of server lifetimes that have ended."""
         self.load_balancer.retain(live)
-        self.server_limits.retain(live)
-        self.permits.retain(live)
-        now_s = time.monotonic()
-        self._paused_until_s = {
-            lifetime: until_s
-            for lifetime, until_s in self._paused_until_s.items()
-            if lifetime in live and until_s > now_s
-        }
+        self.availability.retain(live)
 
     def record_prompt_disconnect(
         self,
@@ -330,7 +254,7 @@
         """Merge the reports of another node on crashes and limits."""
         now_s = time.monotonic()
         self.part_crashes.merge(node, reports)
-        self.server_limits.merge(reports)
+        self.availability.limits.merge(reports)
         for name, count in reports.items():
             if part_crashes.is_report(name) or server_limits.is_report(name):
                 continue
@@ -341,7 +265,7 @@
         return {
             **self.suspects.own_counts(time.monotonic()),
             **self.part_crashes.own_reports(self.time_of_day()),
-            **self.server_limits.own_reports(),
+            **self.availability.limits.own_reports(),
         }
 
     def config_age_s(self) -> float | None:
