--- a/features/mutants.py
+++ b/features/mutants.py
@@ -677,8 +677,8 @@
         (
             (
                 "gateway/attempts.py",
-                "if self._connection.is_reused and is_late_copy:",
-                "if False:",
+                "if not self._connection.is_reused or not is_late_copy:",
+                "if True:",
             ),
         ),
         "operators",
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import time
-from typing import NamedTuple
 
 import h11
 
 from bilberryturn import events
+from bilberryturn.gateway import attempt_types
 from bilberryturn.gateway import delivery
 from bilberryturn.gateway import events_stream
 from bilberryturn.gateway import moves
@@ -27,60 +27,6 @@
 ATTEMPT_TIMEOUT_SHARE = 0.45
 
 
-class RoutedRequest(NamedTuple):
-    """A request with its route, service and account.
-
-    Attributes:
-        priority: Priority that is sent to the server; 0 is the highest.
-        fingerprint: Identifies the request across its retries, to find one that
-            crashes servers.
-        deadline_s: Monotonic time at which the caller stops waiting.
-    """
-
-    incoming: delivery.IncomingRequest
-    route: types.Route
-    service: types.Service
-    account: types.ClientAccount | None
-    priority: int
-    requirements: choice.Requirements
-    fingerprint: str
-    deadline_s: float
-
-
-class Response(NamedTuple):
-    """A complete response of a server."""
-
-    head: wire.ServerResponse
-    body: bytes
-
-
-class NotRun(NamedTuple):
-    """Result of an attempt that the server reports as not run."""
-
-    retry_after_s: float | None
-
-
-class AttemptFailed(NamedTuple):
-    """Result of an attempt that failed.
-
-    Attributes:
-        reason: Short cause for logs.
-        was_sent: Whether the server may have run the request.
-    """
-
-    reason: str
-    was_sent: bool
-
-
-class StreamCompleted(NamedTuple):
-    """Result of an attempt whose stream was forwarded to its end."""
-
-
-AttemptResult = (
-    Response | NotRun | AttemptFailed | StreamCompleted | moves.MovedRun
-)
-
-
 class Attempt:
     """Sends a request once, with a reservation and a connection of its own.
 
@@ -90,7 +36,7 @@
 
     def __init__(
         self,
-        request: RoutedRequest,
+        request: attempt_types.RoutedRequest,
         chosen: choice.Choice,
         caller_delivery: delivery.Delivery,
         shared: shared_state.SharedState,
@@ -119,7 +65,7 @@
         self._first_event_s: float | None = None
         self.was_sent = False
 
-    async def run(self, may_try_another: bool) -> AttemptResult:
+    async def run(self, may_try_another: bool) -> attempt_types.AttemptResult:
         """Send the request, then release its reservation and connection.
 
         Args:
@@ -140,13 +86,13 @@
                     self._move_reservation, None, time.monotonic()
                 )
             self._end_attempt(None)
-        if isinstance(result, AttemptFailed):
+        if isinstance(result, attempt_types.AttemptFailed):
             self._log(result.reason)
-        elif isinstance(result, NotRun):
+        elif isinstance(result, attempt_types.NotRun):
             self._log("not run")
         return result
 
-    async def _run(self, may_try_another: bool) -> AttemptResult:
+    async def _run(self, may_try_another: bool) -> attempt_types.AttemptResult:
         request = self._request
         try:
             self._connection = await self._shared.pool.acquire(
@@ -156,7 +102,7 @@
             )
         except upstream.UpstreamError as error:
             self._end_attempt(False)
-            return AttemptFailed(error.reason, False)
+            return attempt_types.AttemptFailed(error.reason, False)
         was_reused = self._connection.is_reused
         remaining_s = request.deadline_s - time.monotonic()
         try:
@@ -188,10 +134,10 @@
                     self._request.fingerprint,
                     self._first_event_s,
                 )
-            return AttemptFailed(error.reason, error.was_sent)
+            return attempt_types.AttemptFailed(error.reason, error.was_sent)
         except TimeoutError:
             self._end_attempt(False)
-            return AttemptFailed("no answer in time", True)
+            return attempt_types.AttemptFailed("no answer in time", True)
 
     def _timeout_s(self, remaining_s: float, may_try_another: bool) -> float:
         """Return the timeout of the complete response."""
@@ -257,13 +203,13 @@
             )
         )
 
-    async def _receive(self) -> AttemptResult:
+    async def _receive(self) -> attempt_types.AttemptResult:
         """Read a response and return it, or forward it as a stream."""
         head = await self._read_own_head()
         if self._is_own(head):
             self._shared.availability.observe(self._chosen.server, head)
         if head.is_not_run and self._is_own_refusal(head):
-            return NotRun(head.retry_after_s)
+            return attempt_types.NotRun(head.retry_after_s)
         if not self._is_own(head):
             raise upstream.UpstreamError("answer to another request", True)
         if head.is_encoded or not head.is_sealed and head.status < 300:
@@ -278,7 +224,7 @@
         if head.status < 300:
             self._shared.record_prompt_answer(self._prompt)
         self._end_attempt(head.status < 500, head)
-        return Response(head, body)
+        return attempt_types.Response(head, body)
 
     async def _read_head(self) -> wire.ServerResponse:
         event = await self._connection.next_event()
@@ -325,7 +271,9 @@
             if size_bytes > response_limits.MAX_BUFFERED_BODY_BYTES:
                 raise upstream.UpstreamError("answer too large", True)
 
-    async def _stream(self, head: wire.ServerResponse) -> AttemptResult:
+    async def _stream(
+        self, head: wire.ServerResponse
+    ) -> attempt_types.AttemptResult:
         """Forward complete events as they arrive."""
         if self._delivery.has_started and not head.is_event_stream:
             raise upstream.UpstreamError("resumption is no stream", True)
@@ -349,7 +297,7 @@
         self._shared.suspects.clear(self._request.fingerprint)
         self._shared.record_prompt_answer(self._prompt)
         self._end_attempt(True, head)
-        return StreamCompleted()
+        return attempt_types.StreamCompleted()
 
     async def _forward(self, head: wire.ServerResponse, data: bytes) -> None:
         try:
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -4,6 +4,7 @@
 import time
 
 from bilberryturn import events
+from bilberryturn.gateway import attempt_types
 from bilberryturn.gateway import attempts
 from bilberryturn.gateway import delivery
 from bilberryturn.gateway import moves
@@ -33,7 +34,7 @@
         self._incoming = incoming
         self._caller = caller
         self._shared = shared
-        self._request: attempts.RoutedRequest | None = None
+        self._request: attempt_types.RoutedRequest | None = None
         self._delivery: delivery.Delivery | None = None
         self._chosen: choice.Choice | None = None
         self._sent_count = 0
@@ -104,7 +105,7 @@
             prompt,
             route.gap_target_s,
         )
-        self._request = attempts.RoutedRequest(
+        self._request = attempt_types.RoutedRequest(
             incoming,
             route,
             service,
@@ -119,7 +120,7 @@
 
     async def _serve(self) -> tuple[int, str]:
         """Send the request to servers one after another."""
-        fallback: attempts.Response | None = None
+        fallback: attempt_types.Response | None = None
         retry_after_s: float | None = None
         may_have_run = False
         moved: moves.MovedRun | None = None
@@ -133,18 +134,18 @@
             moved = None
             if result is None:
                 break
-            if isinstance(result, attempts.StreamCompleted):
+            if isinstance(result, attempt_types.StreamCompleted):
                 return 200, "streamed"
             if isinstance(result, moves.MovedRun):
                 moved = result
                 may_have_run = True
                 self._last_failure = "moved"
-            elif isinstance(result, attempts.Response):
+            elif isinstance(result, attempt_types.Response):
                 if self._is_final(result):
                     return self._deliver(result)
                 fallback = result
                 may_have_run = True
-            elif isinstance(result, attempts.NotRun):
+            elif isinstance(result, attempt_types.NotRun):
                 retry_after_s = result.retry_after_s
                 self._last_failure = "server_full"
             else:
@@ -199,7 +200,7 @@
 
     async def _attempt(
         self, moved: moves.MovedRun | None
-    ) -> attempts.AttemptResult | None:
+    ) -> attempt_types.AttemptResult | None:
         """Send the request once; returns None if no server is available.
 
         Args:
@@ -224,7 +225,7 @@
         finally:
             self._sent_count += attempt.was_sent
 
-    def _is_final(self, response: attempts.Response) -> bool:
+    def _is_final(self, response: attempt_types.Response) -> bool:
         """Return whether a response is sent to the caller without a retry."""
         if response.head.status < 500 or self._delivery.has_started:
             return True
@@ -233,7 +234,7 @@
 
     def _end_without_success(
         self,
-        fallback: attempts.Response | None,
+        fallback: attempt_types.Response | None,
         retry_after_s: float | None,
         may_have_run: bool,
     ) -> tuple[int, str]:
@@ -255,7 +256,7 @@
             outcomes.no_server(wait_s or retry_after_s or RETRY_AFTER_S)
         )
 
-    def _deliver(self, response: attempts.Response) -> tuple[int, str]:
+    def _deliver(self, response: attempt_types.Response) -> tuple[int, str]:
         self._caller.send_response(
             response.head.status, response.head.headers, response.body
         )
