--- a/features/limits.feature
+++ b/features/limits.feature
@@ -13,6 +13,13 @@
       | s3      | 1     |
       | s3, s4  | 2     |
 
+  Scenario: Four nodes keep to a limit that begins while the store is away
+    Given 4 node processes before servers of which s3 take 1 requests a second
+    And the store rejects all calls
+    When callers send 16 requests a second for 14 s, most of them to one node, and a node restarts
+    Then each of s3 gets at most half more than its limit and 5 requests in any 4 s
+    And each of s3 gets at least half of its limit
+
   # The pattern: requests a second of which one server in need takes a hundredth,
   # arriving at many nodes, most of them at a few.
   Scenario Outline: <nodes> nodes with uneven traffic share the limits of <limited> of <servers> servers
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -76,6 +76,13 @@
         time.sleep(0.05)
 
 
+@behave.given("the store rejects all calls")
+def given_store_away(context):
+    context.testbed.store.fault = "503"
+    # Until then nodes count as current what they read before.
+    time.sleep(2.0)
+
+
 @behave.when(
     "callers send {rate:d} requests a second for {duration_s:d} s, most of them"
     " to one node, and a node restarts"
