--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -22,7 +22,7 @@
 from bilberryturn.routing import directory as server_directory
 from bilberryturn.routing import types
 
-# Node lifetimes whose crash counts are retained.
+# Node lifetimes whose reports are retained.
 MAX_LIFETIMES = 1000
 
 
@@ -96,7 +96,7 @@
         )
 
     def on_suspects_read(self, reading: followers.Reading) -> None:
-        """Apply a reading of the nodes' crash counts."""
+        """Apply a reading of the nodes' reports on crashes and limits."""
         self.peer_revision = ""
         for lifetime, value in reading.values().items():
             try:
@@ -223,11 +223,11 @@
             self._raw.mark_changed(peer_state.Content.NODES)
 
     def set_own_suspects(self, counts: dict[str, int]) -> None:
-        """Record the crash counts of this node, to serve them to peers."""
+        """Record the reports of this node, to serve them to peers."""
         self._store_suspects(self._lifetime, counts)
 
     def merge_suspects(self, lifetime: str, counts: dict[str, int]) -> None:
-        """Merge the crash counts of one lifetime of another node.
+        """Merge the reports of one lifetime of another node.
 
         Peers also return this node's own counts, which it has already.
         """
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -56,7 +56,7 @@
         self._stop_requested = asyncio.Event()
         self._is_ready = False
         self._raw = peer_state.RawState()
-        self._own_suspects: dict[str, int] = {}
+        self._own_reports: dict[str, int] = {}
         self._lifetime = f"{settings.name}@{secrets.token_hex(6)}"
         self._clock = shared_clock.SharedClock()
         self._clock_samples = shared_clock.OffsetSamples()
@@ -179,7 +179,7 @@
             node_presence.domain_peers,
             node_presence.peers,
             self._usage_snapshot,
-            lambda: self._own_suspects,
+            lambda: self._own_reports,
             self._clock,
             followers,
             self._applier.known,
@@ -279,7 +279,7 @@
     def _write_counts(self, is_last: bool) -> None:
         """Write the counts of this node and of the nodes that poll it."""
         self._count_writer.update_usage(self._lifetime, self._usage_snapshot())
-        self._count_writer.update_suspects(self._lifetime, self._own_suspects)
+        self._count_writer.update_suspects(self._lifetime, self._own_reports)
         usage_interval_s = 0.0
         if not is_last:
             usage_interval_s = usage_windows.write_interval_s(
@@ -357,8 +357,8 @@
         self.shared.evacuation.step(now_s)
         for cause in self.shared.part_crashes.new_causes():
             events.log(events.PART_QUARANTINED, **cause._asdict())
-        self._own_suspects = self.shared.own_reports()
-        self._applier.set_own_suspects(self._own_suspects)
+        self._own_reports = self.shared.own_reports()
+        self._applier.set_own_suspects(self._own_reports)
         self._update_readiness()
         self.shared.set_node_count(self._node_presence.count())
 
--- a/src/bilberryturn/edge/peer_state.py
+++ b/src/bilberryturn/edge/peer_state.py
@@ -22,7 +22,7 @@
 
     Attributes:
         revision: Changes with the configuration, the content of the entries,
-            the known nodes and the crash counts; not with mere heartbeats of
+            the known nodes and the reports; not with mere heartbeats of
             servers.
         config: The operator's configuration as stored, in Base64; None if
             the peer already has it.
@@ -36,7 +36,7 @@
             configuration from the store.
         servers_read_age_s: Seconds since the node itself last read the
             entries from the store.
-        suspects: Crash counts by fingerprint for each lifetime of a node;
+        suspects: Reports on crashes and limits for each lifetime of a node;
             None if the peer already has them.
         is_complete: Whether servers and suspects hold everything, and not
             only what changed since the peer's revision.
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -76,7 +76,7 @@
         revision: Revision of the content that the node already has; "" if
             none.
         usage: The node's usage counts of the last windows, by window number.
-        suspects: The node's crash counts, by fingerprint.
+        suspects: The node's reports on crashes and limits, by name.
         clock_offset_s: The VM's time of day minus the store's clock; None if
             unknown.
         accepts_changes: Whether the node accepts the changes since its
@@ -146,7 +146,7 @@
                 domain.
             all_peers: Returns the addresses of all known nodes.
             usage: Returns this node's usage counts of the last windows.
-            suspects: Returns this node's crash counts.
+            suspects: Returns this node's reports.
             clock: Clock that takes the time from each reply.
             followers: Followers of the store's tables.
             known: Returns what this node has of its peers' content.
--- a/src/bilberryturn/edge/usage_windows.py
+++ b/src/bilberryturn/edge/usage_windows.py
@@ -101,7 +101,7 @@
                     self._dirty.add(key)
 
     def update_suspects(self, lifetime: str, counts: dict[str, int]) -> None:
-        """Update the crash counts of one lifetime of a node."""
+        """Update the reports of one lifetime of a node."""
         key = f"{rows.SUSPECT_TABLE}/{lifetime}"
         with self._lock:
             if self._counts.get(key, {}) != counts:
@@ -114,7 +114,7 @@
         Args:
             now_s: Present time of day.
             usage_interval_s: Usage of the current window is not written again
-                within this time; ended windows and crash counts always are.
+                within this time; ended windows and reports always are.
         """
         includes_all = abs(now_s - self._usage_written_s) >= usage_interval_s
         with self._lock:
