--- a/features/soak/testbed.py
+++ b/features/soak/testbed.py
@@ -19,6 +19,9 @@
 TIMEOUT_MS = 12_000
 # Time after its start in which a node reads the store and becomes ready.
 STARTING_S = 3.0
+READY_LIMIT_S = 30.0
+# In the log line of a node that becomes ready.
+READY_LINE = '"is_ready": true'
 MIN_BACKENDS = 5
 NODES_PER_BACKEND = 2
 EVENTS = 6
@@ -134,6 +137,14 @@
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
+    def wait_ready(self, count=1):
+        """Wait until the node has become ready for the given time."""
+        limit_s = time.monotonic() + READY_LIMIT_S
+        while self.log_path.read_text("utf-8").count(READY_LINE) < count:
+            assert self.is_running(), self.process.poll()
+            assert time.monotonic() < limit_s, "the node is not ready"
+            time.sleep(0.05)
+
     def is_serving(self):
         """Return whether the node has had time to start and is not stopping."""
         age_s = time.monotonic() - self._started_s
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -23,7 +23,6 @@
 WINDOW_S = 4.0
 LIMIT_RATIO = 1.5
 LIMIT_SLACK = 5
-READY_LIMIT_S = 30.0
 # Shares of the callers by node; the node that restarts has the second.
 NODE_SHARES = (0.6, 0.28, 0.1, 0.02)
 _ids = itertools.count(1)
@@ -65,15 +64,7 @@
     )
     context.closers.append(context.testbed.close)
     for node in context.testbed.nodes:
-        _wait_ready(node)
-
-
-def _wait_ready(node):
-    limit_s = time.monotonic() + READY_LIMIT_S
-    while '"is_ready": true' not in node.log_path.read_text("utf-8"):
-        assert node.is_running(), node.process.poll()
-        assert time.monotonic() < limit_s, "the node is not ready"
-        time.sleep(0.05)
+        node.wait_ready()
 
 
 @behave.given("the store rejects all calls")
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -122,16 +122,7 @@
     context.closers.append(context.testbed.close)
     context.closers.append(context.server.close)
     context.node = context.testbed.nodes[0]
-    _wait_ready(context.node, 1)
-
-
-def _wait_ready(node, count):
-    """Wait until a node has become ready for the given time."""
-    limit_s = time.monotonic() + READY_LIMIT_S
-    while node.log_path.read_text("utf-8").count('"is_ready": true') < count:
-        assert node.is_running(), node.process.poll()
-        assert time.monotonic() < limit_s, "the node is not ready"
-        time.sleep(0.05)
+    context.node.wait_ready()
 
 
 @behave.given("a caller that has begun to read a stream")
@@ -290,7 +281,7 @@
 
 @behave.then("the node becomes ready")
 def then_ready(context):
-    _wait_ready(context.node, 2)
+    context.node.wait_ready(2)
 
 
 @behave.then("the node has ended with status {status:d}")
