Don't keep callers away while a server takes requests

Seen in review, shown first: a caller whose request two servers had refused was told to come back after the 30 s of one of them, while the other takes requests; the scenario failed before. Retry-After is now the wait of the first server that takes one, and short if one does now. A server's 429 with Retry-After counts like a 503.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -69,6 +69,13 @@
     When a caller sends 20 requests 2.2 s after the first
     Then the turning server has got another request
 
+  # Guards against a caller that is kept away by one server's Retry-After while
+  # another one takes requests.
+  Scenario: A caller is not kept away while another server takes requests
+    Given two servers, of which one turns requests away for 30 s and the other refuses
+    When a caller sends 4 safe requests in turn
+    Then each of them is refused with Retry-After under 1 s
+
   Scenario: A caller that no server takes learns when the first one does
     Given two servers that turn requests away, for 3 s and for 2 s
     When a caller sends 3 safe requests in turn
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -434,6 +434,23 @@
     assert context.answering.count() > context.before
 
 
+@behave.given(
+    "two servers, of which one turns requests away for {time_s:d} s and the"
+    " other refuses"
+)
+def given_refusing(context, time_s):
+    context.answering = _Answering(
+        context, _refusal(f"Retry-After: {time_s}\r\n"), _refusal("")
+    )
+
+
+@behave.then("each of them is refused with Retry-After under {limit_s:g} s")
+def then_soon(context, limit_s):
+    for answer in context.answers:
+        assert answer.status == 503, answer.head
+        assert float(answer.header("Retry-After")) < limit_s, answer.head
+
+
 @behave.given(
     "two servers that turn requests away, for {first_s:d} s and for"
     " {second_s:d} s"
--- a/src/bilberryturn/gateway/attempt_types.py
+++ b/src/bilberryturn/gateway/attempt_types.py
@@ -39,8 +39,6 @@
 class NotRun(NamedTuple):
     """Result of an attempt that the server reports as not run."""
 
-    retry_after_s: float | None
-
 
 class AttemptFailed(NamedTuple):
     """Result of an attempt that failed.
--- a/src/bilberryturn/gateway/availability.py
+++ b/src/bilberryturn/gateway/availability.py
@@ -15,8 +15,8 @@
 from bilberryturn.routing import server_limits
 from bilberryturn.routing import types
 
-# Status of a server that takes no request for the time of its Retry-After.
-UNAVAILABLE_STATUS = 503
+# Statuses of a server that takes no request for the time of its Retry-After.
+TURNED_AWAY = frozenset({429, 503})
 
 Lifetime = tuple[str, int]
 
@@ -59,7 +59,7 @@
         self._observe_limit(server, head.limit_per_s)
         if head.is_leaving:
             self._record_leaving(server)
-        if head.status == UNAVAILABLE_STATUS and head.retry_after_s:
+        if head.status in TURNED_AWAY and head.retry_after_s:
             until_s = time.monotonic() + head.retry_after_s
             known_s = self._paused_until_s.get(server.lifetime, 0.0)
             self._paused_until_s[server.lifetime] = max(known_s, until_s)
@@ -108,15 +108,15 @@
     def retry_after_s(
         self, service: str, priority: int, now_s: float
     ) -> float | None:
-        """Return when a server that takes none now may take a request.
+        """Return when the first server may take a request.
 
-        None if there is no such server.
+        None if one takes requests now, or there is none.
         """
         waits_s = [
             self._wait_s(server.lifetime, priority, now_s)
             for server in self._servers.usable(service)
         ]
-        return min((w for w in waits_s if w > 0), default=None)
+        return min(waits_s, default=0.0) or None
 
     def _wait_s(self, lifetime: Lifetime, priority: int, now_s: float) -> float:
         """Return for how long no request can be sent to a server."""
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -121,7 +121,6 @@
     async def _serve(self) -> tuple[int, str]:
         """Send the request to servers one after another."""
         fallback: attempt_types.Response | None = None
-        retry_after_s: float | None = None
         may_have_run = False
         moved: moves.MovedRun | None = None
         while True:
@@ -146,12 +145,11 @@
                 fallback = result
                 may_have_run = True
             elif isinstance(result, attempt_types.NotRun):
-                retry_after_s = result.retry_after_s
                 self._last_failure = "server_full"
             else:
                 may_have_run = may_have_run or result.was_sent
                 self._last_failure = result.reason
-        return self._end_without_success(fallback, retry_after_s, may_have_run)
+        return self._end_without_success(fallback, may_have_run)
 
     def _remaining_s(self) -> float:
         return self._request.deadline_s - time.monotonic()
@@ -235,7 +233,6 @@
     def _end_without_success(
         self,
         fallback: attempt_types.Response | None,
-        retry_after_s: float | None,
         may_have_run: bool,
     ) -> tuple[int, str]:
         if self._delivery.has_started:
@@ -252,9 +249,7 @@
         wait_s = self._shared.availability.retry_after_s(
             self._request.service.name, self._request.priority, time.monotonic()
         )
-        return self._refuse(
-            outcomes.no_server(wait_s or retry_after_s or RETRY_AFTER_S)
-        )
+        return self._refuse(outcomes.no_server(wait_s or RETRY_AFTER_S))
 
     def _deliver(self, response: attempt_types.Response) -> tuple[int, str]:
         self._caller.send_response(
