--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -61,8 +61,11 @@
         self._in_flight: choice.InFlightRequest | None = None
         self._connection: upstream.Connection | None = None
         self._has_response = False
+        self._was_reused: bool | None = None
         # Monotonic time of the first event of this attempt.
         self._first_event_s: float | None = None
+        # Whether the failure counted as a crash of the server.
+        self._is_crash = False
         self.was_sent = False
 
     async def run(self, may_try_another: bool) -> attempt_types.AttemptResult:
@@ -103,7 +106,7 @@
         except upstream.UpstreamError as error:
             self._end_attempt(False)
             return attempt_types.AttemptFailed(error.reason, False)
-        was_reused = self._connection.is_reused
+        self._was_reused = self._connection.is_reused
         remaining_s = request.deadline_s - time.monotonic()
         try:
             self._connection.send(
@@ -121,12 +124,12 @@
             moved = None if self._move is None else await self._move
             if moved is not None:
                 return moved
-            is_crash = error.was_sent and not was_reused
+            is_crash = error.was_sent and not self._was_reused
             self._end_attempt(False if is_crash else None)
             if is_crash and not self._delivery.has_started:
                 self._record_crash()
             # An idle connection that the server has closed gets no response.
-            may_be_stale = was_reused and not self._has_response
+            may_be_stale = self._was_reused and not self._has_response
             if error.is_disconnect and error.was_sent and not may_be_stale:
                 self._shared.record_prompt_disconnect(
                     self.lifetime,
@@ -314,6 +317,7 @@
                 self._shared.evacuation.add(self)
 
     def _record_crash(self) -> None:
+        self._is_crash = True
         request = self._request
         count = self._shared.suspects.record_crash(
             request.fingerprint, time.monotonic()
@@ -359,6 +363,7 @@
 
     def _log(self, reason: str) -> None:
         chosen = self._chosen
+        fingerprint = self._request.fingerprint
         events.log(
             events.ATTEMPT_FAILED,
             request=self._request.incoming.headers.request_id,
@@ -369,4 +374,10 @@
             servers_age_s=self._shared.servers_age_s(),
             answered_s=self._delivery.answered_s(),
             prompt_parts=types.shared_parts(self._prompt),
+            connection_reused=self._was_reused,
+            is_crash=self._is_crash,
+            fingerprint=fingerprint,
+            known_crashes=self._shared.suspects.count(
+                fingerprint, time.monotonic()
+            ),
         )
