--- /dev/null
+++ b/features/crashes.feature
@@ -0,0 +1,34 @@
+Feature: A request that crashes the servers that run it is refused
+
+  # Guards against crashes that go uncounted, as the connection had carried a
+  # request before and might have been closed while it was idle.
+  Scenario: Crashes over kept connections count
+    Given a server that ends under a request, and is back with a kept connection
+    When a caller sends the request 8 times as safe
+    Then it has crashed 3 servers
+    And the caller sees that it has not run
+
+  # Guards against crashes that are forgotten, as another server failed in
+  # between without ending.
+  Scenario: An error of a server does not clear crashes
+    Given a server that ends under a request, and each second time answers 500
+    When a caller sends the request 12 times as unsafe
+    Then it has crashed 3 servers
+
+  # Guards against crashes that go uncounted, as the answer had begun.
+  Scenario: Crashes just after the first event of a stream count
+    Given a server that ends after the first event of its answer to a request
+    When a caller sends the request 8 times as resumable
+    Then it has crashed 3 servers
+    And the caller sees that it has not run
+
+  # Guards against sound requests that are refused as if they crashed servers.
+  Scenario Outline: A sound request is not refused as <what>
+    Given a server that <fault>
+    When a caller sends the request <count> times as <kind>
+    Then the server gets the request each time
+
+    Examples:
+      | what                                  | fault                                      | count | kind      |
+      | kept connections are closed           | closes kept connections as a request comes | 8     | safe      |
+      | its server ends in mid-answer         | ends 1.2 s after the first event           | 4     | resumable |
--- a/features/support/scripted.py
+++ b/features/support/scripted.py
@@ -23,6 +23,12 @@
         threading.Thread(target=self._accept, daemon=True).start()
 
     def close(self):
+        try:
+            # Wakes the thread that accepts connections, which would otherwise
+            # keep the socket open.
+            self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            pass
         self._socket.close()
 
     def _accept(self):
