--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -124,19 +124,7 @@
             moved = None if self._move is None else await self._move
             if moved is not None:
                 return moved
-            is_crash = error.was_sent and not self._was_reused
-            self._end_attempt(False if is_crash else None)
-            if is_crash and not self._delivery.has_started:
-                self._record_crash()
-            # An idle connection that the server has closed gets no response.
-            may_be_stale = self._was_reused and not self._has_response
-            if error.is_disconnect and error.was_sent and not may_be_stale:
-                self._shared.record_prompt_disconnect(
-                    self.lifetime,
-                    self._prompt,
-                    self._request.fingerprint,
-                    self._first_event_s,
-                )
+            self._handle_failure(error)
             return attempt_types.AttemptFailed(error.reason, error.was_sent)
         except TimeoutError:
             self._end_attempt(False)
@@ -316,6 +304,48 @@
                 # The request runs from its first event on.
                 self._shared.evacuation.add(self)
 
+    def _handle_failure(self, error: upstream.UpstreamError) -> None:
+        """Release the server and count a crash if it ended."""
+        was_sent, was_reused = error.was_sent, self._was_reused
+        self._end_attempt(False if was_sent and not was_reused else None)
+        if not was_sent:
+            return
+        if not was_reused or self._has_response:
+            self._record_failure(error)
+        elif error.is_disconnect:
+            self._shared.crash_checks.start(
+                self._chosen.server, lambda: self._record_late_crash(error)
+            )
+
+    def _record_failure(self, error: upstream.UpstreamError) -> None:
+        shared = self._shared
+        if shared.directory.departure(self.lifetime) is not None:
+            # The end of a server that leaves is no crash.
+            return
+        may_have_ended = error.is_disconnect or not self._was_reused
+        if may_have_ended and not self._delivery.has_started:
+            self._record_crash()
+        if error.is_disconnect:
+            shared.record_prompt_disconnect(
+                self.lifetime,
+                self._prompt,
+                self._request.fingerprint,
+                self._first_event_s,
+            )
+
+    def _record_late_crash(self, error: upstream.UpstreamError) -> None:
+        self._record_failure(error)
+        fingerprint = self._request.fingerprint
+        events.log(
+            events.CRASH_COUNTED,
+            request=self._request.incoming.headers.request_id,
+            server=self._chosen.server.server_id,
+            fingerprint=fingerprint,
+            known_crashes=self._shared.suspects.count(
+                fingerprint, time.monotonic()
+            ),
+        )
+
     def _record_crash(self) -> None:
         self._is_crash = True
         request = self._request
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -9,6 +9,7 @@
 
 from bilberryturn import metrics
 from bilberryturn.gateway import availability
+from bilberryturn.gateway import crash_checks
 from bilberryturn.gateway import drain
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import permits
@@ -154,6 +155,7 @@
         self.load_balancer = choice.LoadBalancer()
         self.suspects = suspects.CrashCounter()
         self.part_crashes = part_crashes.PartCrashes()
+        self.crash_checks = crash_checks.CrashChecks(pool)
         self.availability = availability.Availability(
             self.directory, pool, peers, time_of_day
         )
