--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -211,7 +211,9 @@
         if self._delivery.has_started:
             raise upstream.UpstreamError("resumption failed", True)
         self._delivery.count_request()
-        self._shared.suspects.clear(self._request.fingerprint)
+        if head.status < 500:
+            # A server in trouble may answer an error without running it.
+            self._shared.suspects.clear(self._request.fingerprint)
         if head.status < 300:
             self._shared.record_prompt_answer(self._prompt)
         self._end_attempt(head.status < 500, head)
