--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -15,6 +15,7 @@
 from bilberryturn.gateway import upstream
 from bilberryturn.platform import wire
 from bilberryturn.routing import choice
+from bilberryturn.routing import part_crashes
 from bilberryturn.routing import suspects
 from bilberryturn.routing import types
 
@@ -325,7 +326,7 @@
             # The end of a server that leaves is no crash.
             return
         may_have_ended = error.is_disconnect or not self._was_reused
-        if may_have_ended and not self._delivery.has_started:
+        if may_have_ended and not self._is_sound():
             self._record_crash()
         if error.is_disconnect:
             shared.record_prompt_disconnect(
@@ -335,6 +336,13 @@
                 self._first_event_s,
             )
 
+    def _is_sound(self) -> bool:
+        """Return whether the answer had been coming for long enough."""
+        if self._first_event_s is None:
+            return False
+        answering_s = time.monotonic() - self._first_event_s
+        return answering_s >= part_crashes.SOUND_ANSWER_S
+
     def _record_late_crash(self, error: upstream.UpstreamError) -> None:
         self._record_failure(error)
         fingerprint = self._request.fingerprint
