--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -32,3 +32,12 @@
       | what                                  | fault                                      | count | kind      |
       | kept connections are closed           | closes kept connections as a request comes | 8     | safe      |
       | its server ends in mid-answer         | ends 1.2 s after the first event           | 4     | resumable |
+
+  # Guards against calls of plain services whose crashes no node counts.
+  Scenario: A call that ends servers of a plain service is refused by all entries
+    Given a cluster of 1 domains with 2 nodes each
+    And 3 catalogue servers
+    When a search that ends catalogue servers is sent 4 times to each entry
+    Then at most 2 catalogue servers have ended
+    And each entry refuses the search as quarantined
+    And other searches are answered
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -7,6 +7,8 @@
 
 from bilberryturn.routing import table
 from bilberryturn.routing import types
+from bilberryturn_standins import cluster as cluster_module
+from bilberryturn_standins import service as service_standin
 from support import gateway_rig
 from support import scripted
 
@@ -181,3 +183,58 @@
 def then_gets(context):
     received = context.service.received
     assert received == context.sent, (received, context.sent)
+
+
+@behave.given("{count:d} catalogue servers")
+def given_catalogue(context, count):
+    domain = context.cluster.domains[0].name
+    names = [f"catalogue-{number}" for number in range(2, count + 1)]
+    for name in names:
+        context.cluster.add_service(name, domain, "catalogue")
+
+    def are_listed():
+        return all(
+            set(names)
+            <= {vm["name"] for vm in node.admin().call("GET", "/vms")["vms"]}
+            for node in context.cluster.nodes
+        )
+
+    cluster_module.wait_for(are_listed, "the nodes to list the servers")
+
+
+def _search(context, node, query):
+    caller = context.cluster.caller(node, context.key)
+    return caller.call_service("catalogue", f"search?q={query}", method="GET")
+
+
+@behave.when(
+    "a search that ends catalogue servers is sent {count:d} times to each entry"
+)
+def when_searches(context, count):
+    for _ in range(count):
+        for node in context.cluster.nodes:
+            _search(context, node, service_standin.POISON)
+            time.sleep(2 * service_standin.RESTART_S)
+
+
+@behave.then("at most {count:d} catalogue servers have ended")
+def then_ended(context, count):
+    services = context.cluster.services
+    crashes = sum(service.crashes for service in services.values())
+    assert 1 <= crashes <= count, crashes
+
+
+@behave.then("each entry refuses the search as quarantined")
+def then_quarantined(context):
+    for node in context.cluster.nodes:
+        answer = _search(context, node, service_standin.POISON)
+        assert answer.code == "quarantined", (answer.status, answer.body)
+
+
+@behave.then("other searches are answered")
+def then_answered(context):
+    def is_answered():
+        # An open circuit breaker may exclude restarted servers briefly.
+        return _search(context, context.cluster.nodes[0], "mat").status == 200
+
+    cluster_module.wait_for(is_answered, "an answer to another search")
--- a/src/bilberryturn/entry/completions.py
+++ b/src/bilberryturn/entry/completions.py
@@ -13,12 +13,12 @@
 from bilberryturn.entry import attempts
 from bilberryturn.entry import bodies
 from bilberryturn.entry import context
+from bilberryturn.entry import crash_watch
 from bilberryturn.entry import exceptions
 from bilberryturn.entry import exchange
 from bilberryturn.entry import grants
 from bilberryturn.entry import upstream
 from bilberryturn.scheduling import outcomes
-from bilberryturn.scheduling import suspects
 
 kinds = messages.kinds
 
@@ -61,8 +61,12 @@
             body.prefix_blocks(),
         )
         self._holder = grants.GrantHolder(node, request, self._requirements)
-        self._fingerprint = bodies.fingerprint(
-            request.client_account, bodies.canonical(body.fields)
+        self._crash_watch = crash_watch.CrashWatch(
+            node,
+            request,
+            bodies.fingerprint(
+                request.client_account, bodies.canonical(body.fields)
+            ),
         )
         self._response = answers.AssembledResponse(
             body.wants_usage, self._count_tokens
@@ -106,7 +110,7 @@
 
     def _run_attempts(self, attempt) -> Iterator[Any]:
         while True:
-            self._check_suspect()
+            self._requirements.isolated = self._crash_watch.check()
             try:
                 self._holder.obtain()
             except exceptions.RequestError:
@@ -124,12 +128,6 @@
             except attempts.StatusError as error:
                 self._handle_error_status(error)
 
-    def _check_suspect(self) -> None:
-        classification = self._node.suspects.classify(self._fingerprint)
-        if classification == suspects.QUARANTINED:
-            raise exceptions.QuarantinedError()
-        self._requirements.isolated = classification == suspects.ISOLATE
-
     def _count_tokens(self, count: int) -> None:
         """Count tokens for fairness; report streamed usage in increments."""
         self._holder.count_tokens(count)
@@ -140,7 +138,7 @@
     def _finish_attempt(self) -> None:
         self._holder.cached_tokens = self._response.cached_tokens
         self._holder.release(outcomes.DONE)
-        self._node.suspects.record_success(self._fingerprint)
+        self._crash_watch.record_success()
 
     def _handle_revocation(
         self, message: kinds.Preempted | kinds.Moved
@@ -181,14 +179,8 @@
         self._exclude(server)
         self._count_wasted_tokens()
         if error.crashed:
-            marks = self._node.suspects.record_crash(self._fingerprint)
-            if marks >= suspects.MARKS_TO_QUARANTINE:
-                events.log(
-                    events.REQUEST_QUARANTINED,
-                    request_id=self._exchange.request_id,
-                    fingerprint=self._fingerprint,
-                )
-                raise exceptions.QuarantinedError()
+            self._crash_watch.record_crash()
+            self._crash_watch.check()
         if (
             self._requirements.attempts - self._requirements.preemptions
             >= MAX_ATTEMPTS
@@ -267,21 +259,10 @@
     def _classify_failure(
         self, end: backends.CallEnd, head_received: bool
     ) -> attempts.AttemptFailedError:
-        """Classify the premature end of a call.
-
-        A connection that ends prematurely counts as a crash of the server if
-        it was established, the request may have been received and the call did
-        not time out. It does not if the server had already failed before this
-        request and not recovered.
-        """
+        """Classify the premature end of a call."""
         if not end.may_have_run:
             self._holder.mark_not_sent()
-        crashed = (
-            end.may_have_run
-            and end.is_connected
-            and self._holder.grant.is_proven
-            and "timed out" not in end.error.lower()
-        )
+        crashed = crash_watch.has_crashed(end, self._holder.grant)
         return attempts.AttemptFailedError(end.error, crashed, end.may_have_run)
 
     def _next_event(self, call: backends.Call):
--- a/src/bilberryturn/entry/services.py
+++ b/src/bilberryturn/entry/services.py
@@ -9,6 +9,7 @@
 from bilberryturn import metrics
 from bilberryturn.entry import bodies
 from bilberryturn.entry import context
+from bilberryturn.entry import crash_watch
 from bilberryturn.entry import exceptions
 from bilberryturn.entry import exchange
 from bilberryturn.entry import grants
@@ -16,6 +17,8 @@
 from bilberryturn.scheduling import outcomes
 
 MAX_ATTEMPTS = 3
+# From this status on an answer does not show that the call is sound.
+ERROR_STATUS = 500
 MAX_IDEMPOTENCY_KEY_CHARACTERS = 255
 FORWARDED_HEADERS = ("content-type", "accept", "accept-language")
 SERVICE_INPUT_TOKENS = 100
@@ -57,6 +60,16 @@
         self._exchange = request
         self._call = call
         self._is_repeatable = is_repeatable(call, service)
+        content = "\n".join((call.method, call.path, call.query)).encode()
+        self._content = content + b"\n" + call.body
+        self._crash_watch = crash_watch.CrashWatch(
+            node,
+            request,
+            bodies.fingerprint(
+                request.client_account,
+                call.service.encode() + b"\n" + self._content,
+            ),
+        )
         target = brokers.pools.service_target(call.service)
         self._requirements = grants.GrantRequirements(
             (target,), SERVICE_INPUT_TOKENS, 0, len(call.body)
@@ -92,16 +105,22 @@
 
     def _run_repeatable(self) -> ServiceResponse:
         while True:
+            self._requirements.isolated = self._crash_watch.check()
             self._holder.obtain()
             self._requirements.attempts += 1
-            server = self._holder.grant.server
+            grant = self._holder.grant
+            server = grant.server
             end, response = self._send()
             if response is not None:
+                if response.status < ERROR_STATUS:
+                    self._crash_watch.record_success()
                 return response
             self._exchange.add_trace_step(
                 "failed", server=server, why=end.error
             )
             self._requirements.excluded_servers += (server,)
+            if crash_watch.has_crashed(end, grant):
+                self._crash_watch.record_crash()
             if self._requirements.attempts >= MAX_ATTEMPTS:
                 raise exceptions.UpstreamFailedError(end.error)
             metrics.add(metrics.RETRIES, {"reason": "failed"})
@@ -110,17 +129,17 @@
         call = self._call
         if not call.idempotency_key:
             raise exceptions.MissingIdempotencyKeyError()
-        content = "\n".join((call.method, call.path, call.query)).encode()
         record = idempotency.CallRecord(
             self._node.table,
             self._exchange.client_account,
             call.service,
             call.idempotency_key,
-            content + b"\n" + call.body,
+            self._content,
         )
         try:
             recorded = record.find()
             if recorded is None:
+                self._requirements.isolated = self._crash_watch.check()
                 self._holder.obtain()
                 recorded = record.start()
         except exceptions.OutcomeUnknownError:
@@ -128,7 +147,10 @@
             raise
         if recorded is not None:
             return ServiceResponse(*recorded, is_recorded=True)
+        grant = self._holder.grant
         end, response = self._send()
+        if response is None and crash_watch.has_crashed(end, grant):
+            self._crash_watch.record_crash()
         if response is not None:
             record.finish(response.status, response.content_type, response.body)
             return response
--- a/src/bilberryturn_standins/service.py
+++ b/src/bilberryturn_standins/service.py
@@ -6,6 +6,10 @@
 
 from bilberryturn_standins import server
 
+# A call whose query holds this text ends the service for a while.
+POISON = "poison-pill"
+RESTART_S = 0.5
+
 
 class ServiceStandin(server.StandinServer):
     """Serves any path and records each execution.
@@ -14,12 +18,14 @@
         executions: Idempotency key, or else the path, of each executed call,
             in order.
         received: Raw bytes (path, headers and body) of each request.
+        crashes: How often a call has ended the service.
     """
 
     def __init__(self, loop_thread, host="127.0.0.1", port=0):
         super().__init__(loop_thread, host, port)
         self.executions: list[str] = []
         self.received: list[bytes] = []
+        self.crashes = 0
         self.delay_s = 0.0
         self.cut_before_answer = False
         self.cut_in_answer = False
@@ -39,6 +45,8 @@
         self.received.append(raw)
         key = request.headers.get("Idempotency-Key", request.path)
         self.executions.append(key)
+        if POISON in request.query_string:
+            return await self._crash(request)
         await asyncio.sleep(self.delay_s)
         if self.cut_before_answer:
             request.transport.abort()
@@ -52,6 +60,19 @@
         request.transport.abort()
         return response
 
+    async def _crash(self, request):
+        """Abort the connection and refuse new ones until restarted."""
+        self.crashes += 1
+        self.close_listener()
+        request.transport.abort()
+        asyncio.get_running_loop().create_task(self._restart())
+        return web.Response(status=500)
+
+    async def _restart(self):
+        await self.pause_listening()
+        await asyncio.sleep(RESTART_S)
+        await self.resume_listening()
+
     async def _health(self, request):
         return web.json_response({"state": "ready"})
 
