--- a/features/mutants.py
+++ b/features/mutants.py
@@ -250,6 +250,42 @@
         "whole",
         "crashes engines",
     ),
+    Mutant(
+        "crashes over kept connections go uncounted",
+        (
+            (
+                "gateway/attempts.py",
+                "        elif error.is_disconnect:\n",
+                "        elif False:\n",
+            ),
+        ),
+        "crashes",
+        "over kept connections",
+    ),
+    Mutant(
+        "a closed kept connection counts as a crash",
+        (
+            (
+                "gateway/crash_checks.py",
+                "        has_ended = False\n",
+                "        has_ended = True\n",
+            ),
+        ),
+        "crashes",
+        "kept connections are closed",
+    ),
+    Mutant(
+        "an error clears the crashes of a request",
+        (
+            (
+                "gateway/attempts.py",
+                "        if head.status < 500:\n",
+                "        if head.status < 600:\n",
+            ),
+        ),
+        "crashes",
+        "An error of a server",
+    ),
     Mutant(
         "draining servers receive requests",
         (
