--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -41,3 +41,9 @@
     Then at most 2 catalogue servers have ended
     And each entry refuses the search as quarantined
     And other searches are answered
+
+  # Guards against counts of single nodes that do not reach the others in time.
+  Scenario: Node processes share the crashes of a request
+    Given 3 node processes of one failure domain before 3 servers that crash
+    When the same request crashes a server at each node in turn
+    Then 4 s after the third crash all of them refuse it
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -500,7 +500,9 @@
 
 
 class _CrashLog:
-    """Servers that crash on prompts with a deadly part and start again.
+    """Servers that crash on each request and start again.
+
+    Crashes count by the first part of the prompt, or else by the path.
 
     Attributes:
         testbed: Registers the servers; set once it has started.
@@ -514,7 +516,7 @@
 
     def answer(self, peer, head, body, number):
         parts = scripted.header(head, "X-Bilberryturn-Prefix-Hash")
-        deadly = parts.partition(":")[0]
+        deadly = (parts or head.split(" ")[1]).partition(":")[0]
         server = scripted.header(head, "X-Bilberryturn-Expect-Instance")
         with self._lock:
             self._crashes[deadly] = self.count(deadly) + 1
@@ -596,6 +598,37 @@
             )
 
 
+def _send_deadly_to(node):
+    data = gateway_rig.request_text(
+        "unsafe", f"p{next(_ids)}", key="key-a", path=DEADLY
+    )
+    connection = gateway_rig.connect(node.port, node.ip)
+    try:
+        return gateway_rig.send_request(node.port, data, connection)
+    finally:
+        connection.close()
+
+
+@behave.when("the same request crashes a server at each node in turn")
+def when_same_request(context):
+    for node in context.testbed.nodes:
+        _send_deadly_to(node)
+        time.sleep(RESTART_PAUSE_S)
+
+
+@behave.then("{delay_s:d} s after the third crash all of them refuse it")
+def then_all_refuse(context, delay_s):
+    time.sleep(delay_s - RESTART_PAUSE_S)
+    for node in context.testbed.nodes:
+        answer = _send_deadly_to(node)
+        count = context.crash_log.count(f"/unsafe/{DEADLY}")
+        assert (answer.status, count) == (503, 3), (
+            f"{node.name} did not refuse the request",
+            answer.status,
+            count,
+        )
+
+
 class _Fleet:
     """Servers and nodes under seeded traffic, in steps of 0.05 s.
 
