Tie versions of rows to the era of the store (CONFIG)

A restored store gives versions out again.

The client reads the era from all answers, in platform/ only. Tests of the store's client expect versions with their era now, as strict as before.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -286,6 +286,36 @@
         "crashes",
         "An error of a server",
     ),
+    Mutant(
+        "changes are read since a version of another era",
+        (
+            (
+                "platform/rows.py",
+                "if page.ver < since or answer_era != era:",
+                "if page.ver < since:",
+            ),
+        ),
+        "restores",
+        "given out again",
+    ),
+    Mutant(
+        "a transaction expects a version of another era",
+        (("platform/rows.py", "if eras - {self.era}:", "if False:"),),
+        "restores",
+        "A transaction that expects",
+    ),
+    Mutant(
+        "a transaction that crosses a restore counts as committed",
+        (
+            (
+                "platform/rows.py",
+                "if not self._era_tracker.observe(era) or eras - {era}:",
+                "if not self._era_tracker.observe(era):",
+            ),
+        ),
+        "restores",
+        "A transaction that expects",
+    ),
     Mutant(
         "draining servers receive requests",
         (
--- a/features/steps/users_platform_steps.py
+++ b/features/steps/users_platform_steps.py
@@ -26,6 +26,7 @@
 from bilberryturn.platform import rows
 from bilberryturn.platform import server_entries
 from bilberryturn.platform import settings_file
+from bilberryturn.platform import store_era
 from bilberryturn.platform import tables
 from bilberryturn.platform import wire
 from bilberryturn.tool import main as tool_main
@@ -57,11 +58,16 @@
     context.store = rows.RowStore(client)
 
 
+def _version(number):
+    """Return a version of the era in which the stand-in begins."""
+    return store_era.RowVersion(0, number)
+
+
 @behave.then("a read gives {outcome}")
 def then_read(context, outcome):
     result = context.store.read("t/k")
     if outcome == "the row":
-        assert result.ok == tables.Row("t/k", 1, {"x": 1}), result
+        assert result.ok == tables.Row("t/k", _version(1), {"x": 1}), result
         return
     assert isinstance(result.error, ERRORS[outcome]), result.error
 
@@ -70,8 +76,9 @@
 def then_transaction(context, outcome):
     result = context.store.transact({"t/new": 0}, {"t/new": 5})
     if outcome == "committed":
-        assert result.ok.versions == {"t/new": 2}, result
-        assert context.store.read("t/new").ok == tables.Row("t/new", 2, 5)
+        version = _version(2)
+        assert result.ok.versions == {"t/new": version}, result
+        assert context.store.read("t/new").ok == tables.Row("t/new", version, 5)
         return
     assert isinstance(result.error, ERRORS[outcome]), result.error
 
--- a/features/support/store_standin.py
+++ b/features/support/store_standin.py
@@ -11,6 +11,11 @@
 import time
 import urllib.parse
 
+import expression
+
+from bilberryturn.platform import exceptions
+from bilberryturn.platform import http as platform_http
+
 
 def _now_ms():
     """Return the store's steady clock."""
@@ -25,6 +30,7 @@
         fault: Fault injected into all other calls, or "" for none.
         calls: Method, path and headers of each call.
         duty_calls: Path, body and headers of each order and usage report.
+        era: Number of restores; None if the store states none.
     """
 
     def __init__(self):
@@ -32,11 +38,13 @@
         self.changes = []
         self.version = 0
         self.history_from = 0
+        self.era = 0
+        self._copy = None
         self.faults = []
         self.fault = ""
         self.calls = []
         self.duty_calls = []
-        self.lock = threading.Condition()
+        self.lock = threading.Condition(threading.RLock())
         handler = type("Handler", (_Handler,), {"standin": self})
         self._server = http.server.ThreadingHTTPServer(
             ("127.0.0.1", 0), handler
@@ -74,6 +82,26 @@
             self.history_from = self.version
             self.lock.notify_all()
 
+    def save_copy(self):
+        """Keep a copy of all rows, from which the store can be restored."""
+        with self.lock:
+            self._copy = (dict(self.rows), list(self.changes), self.version)
+
+    def restore(self, writes=()):
+        """Continue from the copy.
+
+        Args:
+            writes: Table, key and value of the rows that are written before
+                any other call.
+        """
+        with self.lock:
+            rows, changes, self.version = self._copy
+            self.rows, self.changes = dict(rows), list(changes)
+            self.era += 1
+            for table, key, value in writes:
+                self.put(table, key, value)
+            self.lock.notify_all()
+
     def value(self, table, key):
         """Return the decoded value of a row, or None."""
         with self.lock:
@@ -112,7 +140,7 @@
         deadline_s = time.monotonic() + int(query["waitMs"]) / 1000
         with self.lock:
             while True:
-                if since < self.history_from:
+                if not self.history_from <= since <= self.version:
                     return 410, {}
                 # Versions ascend.
                 first = bisect.bisect_right(
@@ -159,6 +187,17 @@
             "ver": version,
         }
 
+    def dispatch(self, path, query, body):
+        """Answer a call; returns status and value."""
+        arguments = dict(urllib.parse.parse_qsl(query))
+        if path == "/rows-get":
+            return self.get(arguments)
+        if path == "/rows-feed":
+            return self.feed(arguments)
+        if path == "/rows-tx":
+            return self.transact(json.loads(body))
+        return 404, {}
+
     def pop_next_fault(self):
         """Return the fault to inject into the current call."""
         with self.lock:
@@ -167,6 +206,31 @@
             return self.fault
 
 
+class DirectClient:
+    """Calls a stand-in without a network.
+
+    Attributes:
+        is_cut: Whether calls get no answer.
+    """
+
+    def __init__(self, standin):
+        self.is_cut = False
+        self._standin = standin
+
+    def call(self, method, path, body=None):
+        """Make a call, as platform.http.HttpClient does."""
+        if self.is_cut:
+            return expression.Error(
+                exceptions.PlatformUnreachableError("store", "cut off")
+            )
+        path, _, query = path.partition("?")
+        status, value = self._standin.dispatch(path, query, json.dumps(body))
+        headers = {"store-era": str(self._standin.era)}
+        return expression.Ok(
+            platform_http.Response(status, json.dumps(value).encode(), headers)
+        )
+
+
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     standin = None
@@ -202,19 +266,12 @@
         self._answer(status, value)
 
     def _dispatch(self, path, query, body):
-        arguments = dict(urllib.parse.parse_qsl(query))
-        if path == "/rows-get":
-            return self.standin.get(arguments)
-        if path == "/rows-feed":
-            return self.standin.feed(arguments)
-        if path == "/rows-tx":
-            return self.standin.transact(json.loads(body))
         if path in ("/usage", "/scale"):
             self.standin.duty_calls.append(
                 (path, json.loads(body), dict(self.headers))
             )
             return 200, {}
-        return 404, {}
+        return self.standin.dispatch(path, query, body)
 
     def _answer(self, status, value):
         self._send(status, json.dumps(value).encode())
@@ -222,5 +279,7 @@
     def _send(self, status, data):
         self.send_response(status)
         self.send_header("Content-Length", str(len(data)))
+        if self.standin.era is not None:
+            self.send_header("Store-Era", str(self.standin.era))
         self.end_headers()
         self.wfile.write(data)
--- a/src/bilberryturn/edge/followers.py
+++ b/src/bilberryturn/edge/followers.py
@@ -14,6 +14,7 @@
 from bilberryturn.platform import exceptions
 from bilberryturn.platform import http
 from bilberryturn.platform import rows
+from bilberryturn.platform import store_era
 
 # Added to the long-poll wait for network latency and a slow store.
 CALL_TIMEOUT_S = 1.0
@@ -33,12 +34,14 @@
         after_outage: Whether the store was unreachable until recently.
         called_s: Monotonic time at the start of the call; the rows are at
             least as recent.
+        era: Era of the store; None if it states none.
     """
 
     rows: list[rows.Change]
     is_snapshot: bool
     after_outage: bool
     called_s: float
+    era: int | None = None
 
     def values(self) -> dict[str, bytes | None]:
         """Return the values by key; None for a removed row."""
@@ -100,6 +103,7 @@
         pause_s: float,
         source_ip: str,
         deliver: Callable[[Reading], None],
+        era_tracker: store_era.EraTracker | None = None,
     ):
         """Initialize the follower.
 
@@ -111,16 +115,18 @@
             pause_s: Pause between calls in seconds.
             source_ip: Local IP address of the connections.
             deliver: Receives each reading.
+            era_tracker: Era of the store, shared by all clients of a node.
         """
         client = http.HttpClient(
             "store", store_address, wait_s + CALL_TIMEOUT_S, source_ip
         )
-        self._store = rows.RowStore(client)
+        self._store = rows.RowStore(client, era_tracker=era_tracker)
         self._table = table
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._deliver = deliver
         self._since: int | None = None
+        self._since_era: int | None = None
         self._backoff_s = INITIAL_BACKOFF_S
         self.outage = OutageTracker(f"store/{table}")
         self.active = threading.Event()
@@ -190,7 +196,7 @@
             result = self._store.snapshot(self._table)
         else:
             result = self._store.wait_for_changes(
-                self._table, self._since, self._wait_s
+                self._table, self._since, self._wait_s, self._since_era
             )
         if result.is_ok():
             self.outage.record_success()
@@ -200,13 +206,14 @@
             if self.active.is_set():
                 for dependent in self._dependents:
                     dependent.activate()
-            self._since = result.ok.version
+            self._since, self._since_era = result.ok.version, result.ok.era
             self._deliver(
                 Reading(
                     result.ok.rows,
                     is_snapshot,
                     self.outage.is_within(intervals.FRESH_S),
                     called_s,
+                    result.ok.era,
                 )
             )
         return result
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -33,6 +33,7 @@
 from bilberryturn.platform import http
 from bilberryturn.platform import rows
 from bilberryturn.platform import settings_file
+from bilberryturn.platform import store_era
 
 METRICS_PORT = 9464
 STORE_CALL_TIMEOUT_S = 1.5
@@ -58,6 +59,7 @@
         self._raw = peer_state.RawState()
         self._own_reports: dict[str, int] = {}
         self._lifetime = f"{settings.name}@{secrets.token_hex(6)}"
+        self._era_tracker = store_era.EraTracker()
         self._clock = shared_clock.SharedClock()
         self._clock_samples = shared_clock.OffsetSamples()
         self._started_s = leases.boottime_s()
@@ -125,6 +127,7 @@
                 "store", store_address, STORE_CALL_TIMEOUT_S, settings.ip
             ),
             self._clock.record_store_time,
+            self._era_tracker,
         )
         self._count_writer = usage_windows.CountWriter(
             store, settings.usage_window_s
@@ -148,6 +151,7 @@
                 pause_s,
                 settings.ip,
                 store_followers.on_loop(loop, apply),
+                self._era_tracker,
             )
             for table, wait_s, pause_s, apply in (
                 (
--- a/src/bilberryturn/platform/exceptions.py
+++ b/src/bilberryturn/platform/exceptions.py
@@ -58,3 +58,14 @@
             f"The store has no history of {table} since version {since}",
             "Nothing needs to be done; the node reads a snapshot",
         )
+
+
+class StoreRestoredError(PlatformError):
+    """The store came back from an older copy while a call was made."""
+
+    def __init__(self, subject: str):
+        super().__init__(
+            f"The store was restored from a copy during a call on {subject};"
+            " the call may have taken effect",
+            "Nothing needs to be done; the node reads the store again",
+        )
--- a/src/bilberryturn/platform/http.py
+++ b/src/bilberryturn/platform/http.py
@@ -42,11 +42,22 @@
     return pycurl.SOCKOPT_OK
 
 
+def _add_header(headers: dict[str, str], line: bytes) -> None:
+    name, separator, value = line.decode("latin-1").partition(":")
+    if separator:
+        headers[name.strip().lower()] = value.strip()
+
+
 class Response(NamedTuple):
-    """Status and body of an HTTP response."""
+    """An HTTP response.
+
+    Attributes:
+        headers: Values by name in lower case.
+    """
 
     status: int
     body: bytes
+    headers: dict[str, str]
 
     def json(self) -> Any:
         """Return the decoded JSON body."""
@@ -114,6 +125,7 @@
             handle = self._local.handle = pycurl.Curl()
         handle.reset()
         buffer = _BoundedBuffer()
+        response_headers: dict[str, str] = {}
         payload = raw if body is None else msgspec.json.encode(body)
         header_lines = ["Expect:", *headers]
         if body is not None:
@@ -125,6 +137,10 @@
         handle.setopt(pycurl.TIMEOUT_MS, self._timeout_ms)
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, self._timeout_ms)
         handle.setopt(pycurl.WRITEFUNCTION, buffer.write)
+        handle.setopt(
+            pycurl.HEADERFUNCTION,
+            lambda line: _add_header(response_headers, line),
+        )
         handle.setopt(pycurl.HTTPHEADER, header_lines)
         if self._source_address:
             handle.setopt(pycurl.INTERFACE, self._source_address)
@@ -151,7 +167,9 @@
             )
         self.last_response_s = time.monotonic()
         status = handle.getinfo(pycurl.RESPONSE_CODE)
-        return expression.Ok(Response(status, buffer.getvalue()))
+        return expression.Ok(
+            Response(status, buffer.getvalue(), response_headers)
+        )
 
     def call_json(
         self, method: str, path: str, body: Any = None
--- a/src/bilberryturn/platform/rows.py
+++ b/src/bilberryturn/platform/rows.py
@@ -18,9 +18,12 @@
 from bilberryturn.platform import decoding
 from bilberryturn.platform import exceptions
 from bilberryturn.platform import http
+from bilberryturn.platform import store_era
 from bilberryturn.platform import tables
+from bilberryturn.platform import wire
 
 PAGE_ROWS = 500
+MAX_ERA_DIGITS = 9
 # Tables that the users' platform defines.
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
@@ -65,10 +68,22 @@
 
 
 class Changes(NamedTuple):
-    """Changed rows and the version from which to request the next ones."""
+    """Changed rows and the version from which to request the next ones.
+
+    Attributes:
+        era: Era of the store's answer, to which the versions belong.
+    """
 
     rows: list[Change]
     version: int
+    era: int | None = None
+
+
+class _Answer(NamedTuple):
+    """Answer to a read."""
+
+    page: _Rows
+    era: int | None
 
 
 class RowStore:
@@ -78,6 +93,7 @@
         self,
         client: http.HttpClient,
         record_time: Callable[[float, float, float], None] | None = None,
+        era_tracker: store_era.EraTracker | None = None,
     ):
         """Initialize the client.
 
@@ -86,9 +102,21 @@
             record_time: Receives the store's steady clock, and the times on
                 this VM's CLOCK_BOOTTIME at which the call was sent and its
                 response received, all in seconds.
+            era_tracker: Era of the store, shared by all clients of a node.
         """
         self._client = client
         self._record_time = record_time
+        self._era_tracker = era_tracker or store_era.EraTracker()
+
+    @property
+    def era(self) -> int | None:
+        """Return the newest known era of the store."""
+        return self._era_tracker.era
+
+    @property
+    def era_began_s(self) -> float:
+        """Return when this node learned of the era, on CLOCK_BOOTTIME."""
+        return self._era_tracker.began_s
 
     def snapshot(
         self, table: str, start: str = "", end: str = ""
@@ -96,6 +124,7 @@
         """Return all rows of a table, or those with start <= key < end."""
         changes: list[Change] = []
         version = -1
+        era: int | None = None
         after = start
         while True:
             query = {"table": table, "part": "", "limit": PAGE_ROWS}
@@ -107,24 +136,28 @@
             result = self._get("/rows-get", query, table, 0)
             if result.is_error():
                 return expression.Error(result.error)
-            page = result.ok
+            page = result.ok.page
+            if version >= 0 and result.ok.era != era:
+                return expression.Error(exceptions.StoreRestoredError(table))
+            era = result.ok.era
             self._report_time(page.now_ms, sent_s)
             changes.extend(_decode_change(row) for row in page.rows)
             # The caller requests further changes from the version of the first
             # page, so changes made while the pages were read are not lost.
             version = page.ver if version < 0 else version
             if not page.has_more or not page.rows:
-                return expression.Ok(Changes(changes, version))
+                return expression.Ok(Changes(changes, version, era))
             after = page.rows[-1].key + "\x00"
 
     def wait_for_changes(
-        self, table: str, since: int, wait_s: float
+        self, table: str, since: int, wait_s: float, era: int | None = None
     ) -> expression.Result[Changes, exceptions.PlatformError]:
         """Return the rows changed after a version; a long poll.
 
         Args:
             table: Name of the table.
             since: Version after which changes are returned.
+            era: Era to which the version belongs.
             wait_s: Time to wait for the first change.
 
         Returns:
@@ -139,23 +172,28 @@
         result = self._get("/rows-feed", query, table, since)
         if result.is_error():
             return expression.Error(result.error)
-        page = result.ok
-        if page.ver < since:
+        page, answer_era = result.ok
+        if page.ver < since or answer_era != era:
             # The store knows no such version; only a snapshot is certain.
             return expression.Error(exceptions.HistoryLostError(table, since))
         return expression.Ok(
-            Changes([_decode_change(row) for row in page.rows], page.ver)
+            Changes(
+                [_decode_change(row) for row in page.rows], page.ver, answer_era
+            )
         )
 
     def _get(
         self, path: str, query: dict[str, Any], table: str, since: int
-    ) -> expression.Result[_Rows, exceptions.PlatformError]:
+    ) -> expression.Result[_Answer, exceptions.PlatformError]:
         result = self._client.call(
             "GET", f"{path}?{urllib.parse.urlencode(query)}"
         )
         if result.is_error():
             return expression.Error(result.error)
         response = result.ok
+        era = _era_of(response)
+        if not self._era_tracker.observe(era):
+            return expression.Error(exceptions.StoreRestoredError(table))
         if response.status == 410:
             return expression.Error(exceptions.HistoryLostError(table, since))
         if response.status != 200:
@@ -163,9 +201,8 @@
                 exceptions.PlatformRefusedError("store", response.status)
             )
         try:
-            return expression.Ok(
-                decoding.decode_json(response.body, type=_Rows)
-            )
+            page = decoding.decode_json(response.body, type=_Rows)
+            return expression.Ok(_Answer(page, era))
         except msgspec.DecodeError as error:
             return expression.Error(
                 exceptions.PlatformFormatError("answer", str(error))
@@ -181,9 +218,7 @@
             return expression.Error(result.error)
         for row in result.ok.rows:
             if row.key == name:
-                return expression.Ok(
-                    tables.Row(key, row.version, _decode_json(row.value))
-                )
+                return expression.Ok(_table_row(key, row, result.ok.era))
         return expression.Ok(tables.Row(key, 0, None))
 
     def scan(
@@ -197,16 +232,14 @@
             return expression.Error(result.error)
         return expression.Ok(
             [
-                tables.Row(
-                    f"{table}/{row.key}", row.version, _decode_json(row.value)
-                )
+                _table_row(f"{table}/{row.key}", row, result.ok.era)
                 for row in result.ok.rows
             ]
         )
 
     def transact(
         self,
-        checks: dict[str, int],
+        checks: dict[str, tables.Version],
         writes: dict[str, Any],
         removes: tuple[str, ...] = (),
     ) -> expression.Result[
@@ -215,12 +248,20 @@
         """Write and remove rows if every checked row has the given version.
 
         Returns:
-            Committed or Aborted; PlatformUnreachableError if it is unknown
-            whether the transaction took effect.
+            Committed or Aborted; PlatformUnreachableError or StoreRestoredError
+            if it is unknown whether the transaction took effect.
         """
+        eras = {
+            version.era
+            for version in checks.values()
+            if isinstance(version, store_era.RowVersion)
+        }
+        if eras - {self.era}:
+            # The same numbers may stand for other rows now.
+            return expression.Ok(tables.Aborted(tuple(checks)))
         body = {
             "expectRev": [
-                {**_row_reference(key), "ver": version}
+                {**_row_reference(key), "ver": _number_of(version)}
                 for key, version in checks.items()
             ],
             "write": [
@@ -239,6 +280,11 @@
         if result.is_error():
             return expression.Error(result.error)
         response = result.ok
+        era = _era_of(response)
+        if not self._era_tracker.observe(era) or eras - {era}:
+            return expression.Error(
+                exceptions.StoreRestoredError(", ".join([*checks, *writes]))
+            )
         if response.status == 412:
             return expression.Ok(tables.Aborted(tuple(checks)))
         if response.status != 200:
@@ -252,9 +298,8 @@
                 exceptions.PlatformFormatError("answer", str(error))
             )
         self._report_time(committed.now_ms, sent_s)
-        return expression.Ok(
-            tables.Committed({k: committed.ver for k in writes})
-        )
+        version = _version(era, committed.ver)
+        return expression.Ok(tables.Committed(dict.fromkeys(writes, version)))
 
     def _report_time(self, now_ms: int | None, sent_s: float) -> None:
         if self._record_time is not None and now_ms is not None:
@@ -269,6 +314,27 @@
         return self.transact({key: 0}, {key: value})
 
 
+def _era_of(response: http.Response) -> int | None:
+    """Return the era that an answer of the store states, if any."""
+    text = response.headers.get(wire.STORE_ERA, "")
+    is_number = text.isascii() and text.isdigit()
+    return int(text) if is_number and len(text) <= MAX_ERA_DIGITS else None
+
+
+def _version(era: int | None, number: int) -> tables.Version:
+    return number if era is None else store_era.RowVersion(era, number)
+
+
+def _number_of(version: tables.Version) -> int:
+    if isinstance(version, store_era.RowVersion):
+        return version.number
+    return version
+
+
+def _table_row(key: str, row: Change, era: int | None) -> tables.Row:
+    return tables.Row(key, _version(era, row.version), _decode_json(row.value))
+
+
 def _row_reference(key: str) -> dict[str, str]:
     table, _, name = key.partition("/")
     return {"table": table, "part": "", "key": name}
--- a/src/bilberryturn/platform/tables.py
+++ b/src/bilberryturn/platform/tables.py
@@ -8,15 +8,19 @@
 
 from bilberryturn.platform import exceptions
 from bilberryturn.platform import http
+from bilberryturn.platform import store_era
 
 SCAN_PAGE_ROWS = 500
 
 
+Version = int | store_era.RowVersion
+
+
 class Row(NamedTuple):
     """A row; version 0 means that it does not exist."""
 
     key: str
-    version: int
+    version: Version
     value: Any
 
 
@@ -27,7 +31,7 @@
         versions: New version of each row that was checked and written.
     """
 
-    versions: dict[str, int]
+    versions: dict[str, Version]
 
 
 class Aborted(NamedTuple):
@@ -37,7 +41,13 @@
 
 
 class TableService:
-    """Client of the table service's HTTP interface."""
+    """Client of the table service's HTTP interface.
+
+    Attributes:
+        era: None, as this service is never restored from a copy.
+    """
+
+    era: int | None = None
 
     def __init__(self, client: http.HttpClient):
         self._client = client
--- a/src/bilberryturn/platform/wire.py
+++ b/src/bilberryturn/platform/wire.py
@@ -28,6 +28,8 @@
 MOVED_FROM = b"kv-from"
 DUTY_HOLDER = "X-Bilberryturn-Duty-Holder"
 FENCING_NUMBER = "X-Bilberryturn-Fence"
+# In each answer of the store; one higher after each restore from a copy.
+STORE_ERA = "store-era"
 
 MOST_URGENT = 0
 LEAST_URGENT = 9
