--- a/src/bilberryturn/edge/usage_windows.py
+++ b/src/bilberryturn/edge/usage_windows.py
@@ -92,6 +92,7 @@
         self._lock = threading.Lock()
         self._counts: dict[str, shared_state.WindowCounts | dict[str, int]] = {}
         self._dirty: set[str] = set()
+        self._era = store.era
         self._usage_written_s = -float("inf")
 
     def update_usage(self, lifetime: str, counts: CountsByWindow) -> None:
@@ -122,6 +123,10 @@
         includes_all = abs(now_s - self._usage_written_s) >= usage_interval_s
         with self._lock:
             self._evict_old_windows(now_s)
+            if self._store.has_seen_restore and self._store.era != self._era:
+                # Rows that were written may be gone.
+                self._dirty.update(self._counts)
+            self._era = self._store.era
             keys = [
                 key
                 for key in sorted(self._dirty)
