Write addresses, first sizes and the time of day again after a restore (CONFIG)

Rows that are written once were missing for good in a restored store: nodes that started later did not find the others, nodes that read them again forgot each other, a later holder took other first sizes of the services, and the shared time of day was set anew. Each writer now checks the era of the store; nodes keep what they knew of each other until all have written again.

--- a/features/restores.feature
+++ b/features/restores.feature
@@ -71,3 +71,19 @@
     Given a store whose copy holds no lease
     When a node acquires the lease and the store is restored
     Then another node acquires it only when the holder's time is over
+
+  # Guards against nodes that nobody finds any more, as each writes its address
+  # only once.
+  Scenario: Nodes know each other after a restore
+    Given two nodes that have written their addresses, which the copy lacks
+    When the store is restored and both nodes go on
+    Then the store has both addresses
+    And neither node has forgotten the other meanwhile
+
+  # Guards against orders that follow other first sizes, or a time of day that
+  # jumps, as the row that held them is gone.
+  Scenario: What is written once is written again
+    Given a holder that has recorded the first sizes and the time of day
+    When the store is restored to a copy without them
+    Then the holder records the same first sizes again
+    And the holder records the same time of day again
--- a/features/steps/restore_steps.py
+++ b/features/steps/restore_steps.py
@@ -1,11 +1,22 @@
 """Steps of restores.feature: the store continues from an older copy."""
 
 import behave
-
+import expression
+
+from bilberryturn import leases
+from bilberryturn.edge import orders
+from bilberryturn.edge import presence
+from bilberryturn.edge import shared_clock
+from bilberryturn.gateway import shared_state
+from bilberryturn.gateway import upstream
 from bilberryturn.platform import exceptions
 from bilberryturn.platform import rows
 from bilberryturn.platform import store_era
 from bilberryturn.platform import tables
+from bilberryturn.routing import table
+from bilberryturn.routing import types
+from support import fakes
+from support import gateway_rig
 from support import store_standin
 
 
@@ -113,3 +124,132 @@
     assert isinstance(error, exceptions.StoreRestoredError), error
     found = context.store.snapshot("t").ok
     assert (len(found.rows), found.era) == (count, 1)
+
+
+# Rows that are written once
+
+
+class _NoCalls:
+    """Accepts all orders."""
+
+    def order_servers(self, *arguments):
+        return expression.Ok(None)
+
+
+class _Vm:
+    """What one node writes once."""
+
+    def __init__(self, context, name):
+        self.store = _connect(context)
+        self.presence = presence.Presence(
+            self.store, name, "east", f"{name}:1", ()
+        )
+        self.presence.register()
+
+
+@behave.given(
+    "two nodes that have written their addresses, which the copy lacks"
+)
+def given_addresses(context):
+    context.standin = store_standin.MemoryStore()
+    copy = context.standin.copy()
+    context.vms = [_Vm(context, "a"), _Vm(context, "b")]
+    for vm in context.vms:
+        vm.presence.read()
+    context.copy = copy
+
+
+@behave.when("the store is restored and both nodes go on")
+def when_both(context):
+    context.standin.restore(context.copy)
+    first, second = context.vms
+    first.presence.read()
+    context.known_meanwhile = first.presence.peers()
+    for vm in (first, second):
+        vm.store.read("t/any")
+        vm.presence.register()
+        vm.presence.read()
+
+
+@behave.then("the store has both addresses")
+def then_addresses(context):
+    found = {key for table, key in context.standin.rows if table == "nodes"}
+    assert found == {"east.a", "east.b"}, found
+
+
+@behave.then("neither node has forgotten the other meanwhile")
+def then_not_forgotten(context):
+    assert context.known_meanwhile == ["b:1"], context.known_meanwhile
+    assert [vm.presence.peers() for vm in context.vms] == [["b:1"], ["a:1"]]
+
+
+@behave.given("a holder that has recorded the first sizes and the time of day")
+def given_recorded(context):
+    context.standin = store_standin.MemoryStore()
+    context.copy = context.standin.copy()
+    context.steady = fakes.FakeClock()
+    store = _connect(context)
+    lease = leases.Lease(
+        "duties", "a", leases.LeaseOptions(3.0, 0.5), store, context.steady
+    )
+    assert lease.renew_or_acquire()
+    context.lease = lease
+    context.time = shared_clock.SharedClock(context.steady, lambda: 5000.0)
+    context.time.record_store_time(100.0, 1000.0, 1000.0)
+    context.keeper = shared_clock.OffsetKeeper(
+        store, lease, context.time, shared_clock.OffsetSamples(context.steady)
+    )
+    context.shared = shared_state.SharedState(
+        "here",
+        shared_state.RetryLimits(0.2, 1, 10),
+        5.0,
+        upstream.ConnectionPool(),
+    )
+    scaling = types.Scaling(1, 9, 2.0, None, {})
+    service = types.Service("app", 100, None, scaling)
+    context.shared.table = table.RouteTable(
+        1, [], [service], types.Limits(), None
+    )
+    for number in range(3):
+        server = gateway_rig.make_server(f"s{number}", 80)
+        context.shared.directory.report(server, 0.0)
+    context.orders = orders.OrderSender(
+        store, lease, _NoCalls(), context.shared
+    )
+    _run_holder(context, 12.0)
+    context.recorded = _recorded(context)
+    assert None not in context.recorded, context.recorded
+
+
+def _run_holder(context, duration_s):
+    end_s = context.steady() + duration_s
+    while context.steady() < end_s:
+        context.steady.now_s += 0.5
+        context.lease.renew_or_acquire()
+        context.keeper.step(context.steady())
+        context.orders.step(context.steady())
+
+
+def _recorded(context):
+    return (
+        context.standin.value("fleet", "app"),
+        context.standin.value("clock", "utc"),
+    )
+
+
+@behave.when("the store is restored to a copy without them")
+def when_without(context):
+    context.standin.restore(context.copy)
+    server = gateway_rig.make_server("s9", 80)
+    context.shared.directory.report(server, 0.0)
+    _run_holder(context, 2.0)
+
+
+@behave.then("the holder records the same first sizes again")
+def then_sizes(context):
+    assert _recorded(context)[0] == context.recorded[0], _recorded(context)
+
+
+@behave.then("the holder records the same time of day again")
+def then_time(context):
+    assert _recorded(context)[1] == context.recorded[1], _recorded(context)
--- a/src/bilberryturn/edge/orders.py
+++ b/src/bilberryturn/edge/orders.py
@@ -42,6 +42,7 @@
         self._sent_orders = provisioning.SentOrders()
         self._baselines: dict[str, dict[str, int]] = {}
         self._peak_sizes: dict[str, tuple[int, float]] = {}
+        self._era = store.era
 
     def on_lease_lost(self) -> None:
         """Clear the sent orders; called while the lease is not held."""
@@ -52,6 +53,8 @@
         table = self._shared.table
         if table is None:
             return
+        if self._store.era != self._era and self._restore_baselines():
+            self._era = self._store.era
         for service in list(table.services.values()):
             if service.scaling is not None:
                 self._step_service(service, now_s)
@@ -120,6 +123,28 @@
         self._baselines[service] = value
         return value
 
+    def _restore_baselines(self) -> bool:
+        """Write baselines that a restored store lacks.
+
+        Returns:
+            Whether the store has all of them.
+        """
+        return all(
+            self._restore_baseline(BASELINE_PREFIX + service, value)
+            for service, value in self._baselines.items()
+        )
+
+    def _restore_baseline(self, key: str, value: dict[str, int]) -> bool:
+        found = self._store.read(key)
+        if found.is_error():
+            return False
+        if found.ok.value is not None:
+            return True
+        result = self._store.transact(
+            {key: 0, **self._lease.epoch_check()}, {key: value}
+        )
+        return result.is_ok() and isinstance(result.ok, tables.Committed)
+
     def _is_settled(self, service: str, size: int, now_s: float) -> bool:
         """Return whether the number of servers has stopped growing."""
         peak, since_s = self._peak_sizes.get(service, (0, now_s))
--- a/src/bilberryturn/edge/presence.py
+++ b/src/bilberryturn/edge/presence.py
@@ -3,11 +3,14 @@
 from collections.abc import Callable
 import threading
 
+from bilberryturn import leases
 from bilberryturn import rendezvous
 from bilberryturn.platform import rows
 
 # Key prefix of the nodes' rows in the system's own tables.
 NODE_PREFIX = "nodes/"
+# Time after a restore of the store in which all nodes write their rows again.
+REWRITE_WAIT_S = 10.0
 
 
 class Presence:
@@ -39,6 +42,7 @@
         self._nodes: dict[str, str] = {}
         self._lock = threading.Lock()
         self._is_written = False
+        self._written_era: int | None = None
         self._deliver = deliver
         # Set after the first attempt to read the nodes.
         self.first_read = threading.Event()
@@ -48,10 +52,15 @@
         self._seeds = seeds
 
     def register(self) -> None:
-        """Write this node's row unless it is written."""
-        if not self._is_written:
-            result = self._store.transact({}, {self._key: self.own_address})
-            self._is_written = result.is_ok()
+        """Write this node's row unless it is written.
+
+        A row that was written before a restore of the store may be gone.
+        """
+        if self._is_written and self._written_era == self._store.era:
+            return
+        result = self._store.transact({}, {self._key: self.own_address})
+        self._is_written = result.is_ok()
+        self._written_era = self._store.era
 
     def read(self) -> None:
         """Read the rows of all nodes."""
@@ -63,11 +72,19 @@
                 if isinstance(row.value, str)
             }
             with self._lock:
+                if self._is_recently_restored():
+                    nodes = {**nodes, **self._nodes}
                 self._nodes = nodes
             if self._deliver is not None:
                 self._deliver(nodes)
         self.first_read.set()
 
+    def _is_recently_restored(self) -> bool:
+        """Return whether the store may lack rows that are written again."""
+        if not self._store.has_seen_restore:
+            return False
+        return leases.boottime_s() - self._store.era_began_s < REWRITE_WAIT_S
+
     def take_nodes(self, nodes: dict[str, str]) -> None:
         """Take the nodes that a peer knows, unless it knows fewer.
 
--- a/src/bilberryturn/edge/shared_clock.py
+++ b/src/bilberryturn/edge/shared_clock.py
@@ -177,6 +177,7 @@
         self._samples = samples
         self._next_adjustment_s = -float("inf")
         self._first_attempt_s: float | None = None
+        self._era = store.era
 
     def refresh(self) -> None:
         """Read the shared offset."""
@@ -188,14 +189,22 @@
         Args:
             now_s: Steady time.
         """
-        if now_s < self._next_adjustment_s:
+        is_restored = self._store.era != self._era
+        if now_s < self._next_adjustment_s and not is_restored:
             return
         row = self._read()
         own_offset_s = self._clock.local_offset_s()
         if row is None or own_offset_s is None:
             return
+        self._era = self._store.era
         samples = [own_offset_s, *self._samples.recent()]
         current_s = _offset_of(row)
+        known_s = self._clock.utc_offset_s
+        if current_s is None and known_s is not None:
+            # A restored store lacks the row.
+            self._next_adjustment_s = now_s + ADJUST_INTERVAL_S
+            self._write(row.version, known_s)
+            return
         if current_s is None and not self._has_enough(samples, now_s):
             self._next_adjustment_s = now_s + FIRST_ATTEMPT_INTERVAL_S
             return
