Order configurations by the era of the store and their version (CONFIG)

A restored store shows an older configuration until the operator writes the lost one again; or the operator goes on from there, with versions below the lost one or with the same numbers. A node refused every lower version for good, and took any content under the same one; nodes behind a relay could not tell either, as digests and revisions know no era.

A configuration that this node has replaced is not taken again for 30 s, in which the operator writes the lost one again. Another lower one waits for 0.75 s, as several lost ones may come in order, and is then in force. Relays pass on in which era the store showed theirs and in which one it was written; a node that starts on the copy takes a higher one from a peer; state from before a restore doesn't count as current.

Ruled out: following the store at once (it goes back to what a confirmed change replaced) and only upwards (never follows an operator who goes on from the copy).

--- a/features/beliefs.feature
+++ b/features/beliefs.feature
@@ -135,3 +135,12 @@
       | 2.5     | 2.5      | 4        |
       | 4       | 4        | 5        |
       | 2       | 3        | 4        |
+
+  # Guards against nodes that go back to the copy, or never follow the operator
+  # who goes on from it.
+  Scenario: Nodes follow the operator after a restore of the store
+    Given a node's feeds on a stand-in of the users' store
+    And a node that cannot reach the store
+    When the store is restored to version 7 after all nodes have version 9
+    Then all nodes keep version 9 for 2 s
+    And when the operator writes version 8 all nodes have it within 4 s
--- a/features/restores.feature
+++ b/features/restores.feature
@@ -87,3 +87,29 @@
     When the store is restored to a copy without them
     Then the holder records the same first sizes again
     And the holder records the same time of day again
+
+  # Guards against a confirmed configuration that goes back to a replaced one, and
+  # against one that never comes into force as its number is too low.
+  Scenario Outline: The configuration in force when <case>
+    Given a node that learns of the configurations <sequence>
+    Then the configuration <result> is in force
+
+    Examples:
+      | case                                      | sequence                                                      | result |
+      | the copy shows an older one               | feed 8@0, feed 16@0, store 8@1, wait 5                        | 16     |
+      | the lost one is written again             | feed 8@0, feed 16@0, store 8@1, wait 2, feed 16@1, feed 18@1  | 18     |
+      | all lost ones are written again in order  | feed 8@0, feed 12@0, feed 16@0, store 8@1, feed 12@1, wait 2  | 16     |
+      | the operator goes on from the copy        | feed 8@0, feed 16@0, store 8@1, feed 11@1, wait 1             | 11     |
+      | the node reads that later                 | feed 8@0, feed 16@0, store 11@1, wait 1                       | 11     |
+      | the same number has other content         | feed 8@0, feed 16@0, store 8@1, feed 16b@1                    | 16b    |
+      | the node never read the lost one          | feed 8@0, store 8@1, feed 11@1                                | 11     |
+      | the node starts on the copy               | store 8@1, peer 16@0/0                                        | 16     |
+      | a peer has not learned of the restore     | feed 8@0, feed 16@0, store 8@1, feed 11@1, wait 1, peer 16@0/0 | 11    |
+      | a relay starts on the copy                | peer 8@0/0, peer 16@0/0, peer 8@1/-1, wait 5                  | 16     |
+      | a relay has waited for a lower one        | peer 16@0/0, peer 11@1/1                                      | 11     |
+      | the lost one is never written again       | feed 8@0, feed 16@0, store 8@1, wait 31                       | 8      |
+      | so it is for a node behind a relay        | peer 8@0/0, peer 16@0/0, peer 8@1/1, wait 31                  | 8      |
+      | the store is restored again meanwhile     | feed 8@0, feed 16@0, store 8@1, wait 1, store 8@2, wait 5     | 16     |
+      | it is restored to a higher one            | feed 8@0, feed 16@0, store 8@1, wait 1, store 18@2            | 18     |
+      | the store states no era                   | feed 8@-1, feed 16@-1, store 8@-1, wait 40                    | 16     |
+      | a peer of an older release has a newer    | feed 8@3, peer 9@-1/-1                                        | 9      |
--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -538,3 +538,55 @@
         duties.WRITE_INTERVAL_S + duties.STEP_INTERVAL_S + times.suspect_wait_s
     )
     assert known_s + 2 * times.max_relay_poll_s < context.bounds[2], known_s
+
+
+# Restores of the store
+
+
+@behave.when(
+    "the store is restored to version {old:d} after all nodes have version"
+    " {new:d}"
+)
+def when_restored(context, old, new):
+    copy = context.standin.copy()
+    context.nodes = [context.node, context.unreachable_node]
+    context.standin.put("op", "config", platform_data.make_config(new))
+    platform_data.wait_for(
+        lambda: all(node.version == new for node in context.nodes),
+        5,
+        lambda: [node.version for node in context.nodes],
+    )
+    assert context.standin.value("op", "config")["version"] == new
+    context.standin.restore(copy)
+    assert context.standin.value("op", "config")["version"] == old
+
+
+@behave.then("all nodes keep version {version:d} for {duration_s:d} s")
+def then_keep(context, version, duration_s):
+    end_s = time.monotonic() + duration_s
+    while time.monotonic() < end_s:
+        _release(context)
+        versions = [node.version for node in context.nodes]
+        assert versions == [version, version], versions
+        time.sleep(0.05)
+
+
+def _release(context):
+    for node in context.nodes:
+        node.loop.call_soon_threadsafe(node.applier.expire)
+
+
+@behave.then(
+    "when the operator writes version {version:d} all nodes have it within"
+    " {limit_s:d} s"
+)
+def then_follow(context, version, limit_s):
+    context.standin.put("op", "config", platform_data.make_config(version))
+
+    def have_it():
+        _release(context)
+        return all(node.version == version for node in context.nodes)
+
+    platform_data.wait_for(
+        have_it, limit_s, lambda: [node.version for node in context.nodes]
+    )
--- a/features/steps/restore_steps.py
+++ b/features/steps/restore_steps.py
@@ -4,6 +4,7 @@
 import expression
 
 from bilberryturn import leases
+from bilberryturn.edge import config_order
 from bilberryturn.edge import orders
 from bilberryturn.edge import presence
 from bilberryturn.edge import shared_clock
@@ -253,3 +254,39 @@
 @behave.then("the holder records the same time of day again")
 def then_time(context):
     assert _recorded(context)[1] == context.recorded[1], _recorded(context)
+
+
+# Configurations
+
+
+def _read_configuration(text):
+    """Return a candidate from VERSION[CONTENT]@ERA[/WRITTEN]."""
+    name, _, eras = text.partition("@")
+    era, _, written = eras.partition("/")
+    version = int(name.rstrip("abc"))
+    return config_order.Candidate(
+        version, name, int(era), int(written or config_order.NO_ERA)
+    )
+
+
+@behave.given("a node that learns of the configurations {sequence}")
+def given_configurations(context, sequence):
+    order = context.order = config_order.ConfigOrder()
+    now_s = 1000.0
+    for item in sequence.split(", "):
+        kind, _, text = item.partition(" ")
+        if kind == "wait":
+            end_s = now_s + float(text)
+            while now_s < end_s:
+                now_s += 0.25
+                order.release(now_s)
+            continue
+        candidate = _read_configuration(text)
+        if kind == "feed":
+            candidate = candidate._replace(written_era=candidate.era)
+        order.decide(candidate, now_s, kind != "peer")
+
+
+@behave.then("the configuration {name} is in force")
+def then_in_force(context, name):
+    assert context.order.current.digest == name, context.order.current
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -10,6 +10,7 @@
 
 from bilberryturn import events
 from bilberryturn import metrics
+from bilberryturn.edge import config_order
 from bilberryturn.edge import followers
 from bilberryturn.edge import intervals
 from bilberryturn.edge import peer_state
@@ -20,6 +21,7 @@
 from bilberryturn.platform import server_entries
 from bilberryturn.platform import settings_file
 from bilberryturn.routing import directory as server_directory
+from bilberryturn.routing import table
 from bilberryturn.routing import types
 
 # An entry expires after three missed heartbeats, the first of which may have
@@ -65,6 +67,8 @@
         # each heartbeat changes; an entry that cannot be decoded is kept as
         # stored.
         self._entry_content: dict[str, types.BackendServer | bytes] = {}
+        # The configuration that waits in the order, and its source.
+        self._held_config: tuple[table.RouteTable, bytes, str] | None = None
 
     def known(self) -> peer_state.Known:
         """Return what this node has of its peers' content."""
@@ -85,7 +89,9 @@
         self.confirm_config(now_s)
         value = reading.values().get(rows.CONFIG_KEY)
         if value is not None:
-            self.apply_config(value, "store")
+            era = _era_number(reading.era)
+            written_era = config_order.NO_ERA if reading.is_snapshot else era
+            self.apply_config(value, "store", era, written_era)
 
     def on_servers_read(self, reading: followers.Reading) -> None:
         """Apply a reading of the servers' entries."""
@@ -96,6 +102,7 @@
             reading.is_snapshot,
             reading.called_s,
             reading.after_outage,
+            _era_number(reading.era),
         )
 
     def on_suspects_read(self, reading: followers.Reading) -> None:
@@ -113,29 +120,73 @@
                 continue
             self.merge_suspects(lifetime, counts)
 
-    def apply_config(self, value: bytes, source: str) -> None:
-        """Apply a configuration unless it is older than the one in force."""
-        shared = self._shared
-        if value == self._raw.config:
+    def apply_config(
+        self,
+        value: bytes,
+        source: str,
+        era: int = config_order.NO_ERA,
+        written_era: int = config_order.NO_ERA,
+    ) -> None:
+        """Apply a configuration unless it is older than the one in force.
+
+        Args:
+            value: The configuration as stored.
+            source: "store" or "peer".
+            era: Last era in which the store showed it.
+            written_era: Era in which it is known to have been written.
+        """
+        order = self._raw.config_order
+        if value == self._raw.config and order.current is not None:
+            same = order.current._replace(era=era, written_era=written_era)
+            order.decide(same, time.monotonic(), source == "store")
             return
         result = operator_config.decode(value)
         if result.is_error():
             events.log(events.CONFIG_REFUSED, error=str(result.error))
             return
-        table = result.ok
-        previous = shared.table.version if shared.table else None
-        if previous is not None and table.version < previous:
+        candidate = config_order.Candidate(
+            result.ok.version, peer_state.digest(value), era, written_era
+        )
+        verdict = order.decide(candidate, time.monotonic(), source == "store")
+        if verdict is config_order.Verdict.APPLY:
+            self._put_in_force(result.ok, value, source)
             return
+        if verdict is config_order.Verdict.HOLD:
+            self._held_config = (result.ok, value, source)
+        events.log(
+            events.CONFIG_STALE,
+            version=candidate.version,
+            current=order.current.version,
+            source=source,
+            era=era,
+            verdict=verdict.name,
+        )
+
+    def _put_in_force(
+        self, route_table: table.RouteTable, value: bytes, source: str
+    ) -> None:
+        shared = self._shared
+        previous = shared.table.version if shared.table else None
         self._raw.set_config(value)
-        shared.table = table
-        metrics.set_gauge(metrics.CONFIG_VERSION, {}, float(table.version))
+        shared.table = route_table
+        metrics.set_gauge(
+            metrics.CONFIG_VERSION, {}, float(route_table.version)
+        )
         events.log(
             events.CONFIG_APPLIED,
-            version=table.version,
+            version=route_table.version,
             previous=previous,
             source=source,
         )
 
+    def _release_config(self) -> None:
+        """Put the configuration in force that has waited long enough."""
+        if self._held_config is None:
+            return
+        if self._raw.config_order.release(time.monotonic()):
+            self._put_in_force(*self._held_config)
+            self._held_config = None
+
     def confirm_config(self, confirmed_s: float) -> None:
         """Record that the store had no newer configuration at a time."""
         confirmed_s = max(confirmed_s, self._raw.config_confirmed_s)
@@ -148,6 +199,7 @@
         is_snapshot: bool,
         confirmed_s: float,
         after_outage: bool,
+        era: int = config_order.NO_ERA,
     ) -> None:
         """Apply server entries that were read from the store or a peer.
 
@@ -156,8 +208,10 @@
             is_snapshot: Whether these are all entries and not only changes.
             confirmed_s: Monotonic time at which the store confirmed them.
             after_outage: Whether the store was unreachable until recently.
+            era: Era of the store.
         """
         now_s = time.monotonic()
+        self._raw.servers_era = era
         decoded = []
         content = {} if is_snapshot else dict(self._entry_content)
         for server_id, value in changed.items():
@@ -288,8 +342,11 @@
                 )
                 return False
         self.confirm_config(received_s - state.config_age_s)
-        if value is not None:
-            self.apply_config(value, "peer")
+        if value is None:
+            value = self._raw.config
+        self.apply_config(
+            value, "peer", state.config_era, state.config_written_era
+        )
         return True
 
     def _apply_peer_servers(
@@ -297,9 +354,13 @@
     ) -> bool:
         """Apply a peer's server entries; returns whether this node has them."""
         confirmed_s = received_s - state.servers_age_s
+        if config_order.NO_ERA < state.servers_era < self._raw.servers_era:
+            return False
+        era = max(state.servers_era, self._raw.servers_era)
         if state.servers_age_s >= intervals.FRESH_S:
             return state.servers is None
         if state.servers is None:
+            self._raw.servers_era = era
             self._record_changes(
                 [], max(confirmed_s, self._raw.servers_confirmed_s)
             )
@@ -316,11 +377,13 @@
             state.is_complete,
             confirmed_s,
             state.after_outage,
+            era,
         )
         return True
 
     def expire(self) -> None:
-        """Drop expired entries."""
+        """Drop expired entries, and apply a configuration that has waited."""
+        self._release_config()
         changes = self._shared.directory.expire(time.monotonic())
         if changes:
             self._record_changes(changes, self._shared.servers_confirmed_s)
@@ -335,3 +398,8 @@
                     server=change.server_id,
                     change=change.kind,
                 )
+
+
+def _era_number(era: int | None) -> int:
+    """Return an era as a number that orders before those of later eras."""
+    return config_order.NO_ERA if era is None else era
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -194,6 +194,7 @@
                 if settings.is_first_start
                 else relays.RESTART_WAITS
             ),
+            self._era_tracker,
         )
         self._duty_runner = self._create_duty_runner(
             store, node_presence, relay
--- a/src/bilberryturn/edge/peer_state.py
+++ b/src/bilberryturn/edge/peer_state.py
@@ -11,6 +11,8 @@
 
 import msgspec
 
+from bilberryturn.edge import config_order
+
 CONFIG_DIGEST_BYTES = 12
 # Changes retained for peers that know an earlier revision. More than the
 # restart of all servers of the largest deployment causes between two polls.
@@ -48,6 +50,10 @@
             unknown.
         utc_offset_s: The shared time of day minus the store's clock; None if
             unknown.
+        servers_era: Era of the store in which the entries were confirmed.
+        config_era: Last era in which the store showed the configuration.
+        config_written_era: Era in which the configuration is known to have been
+            written.
     """
 
     revision: str
@@ -64,6 +70,9 @@
     store_s: float | None = None
     utc_offset_s: float | None = None
     is_config_compressed: bool = False
+    servers_era: int = config_order.NO_ERA
+    config_era: int = config_order.NO_ERA
+    config_written_era: int = config_order.NO_ERA
 
 
 class Known(NamedTuple):
@@ -116,6 +125,8 @@
         self.servers_confirmed_s = -1e9
         self.config_read_s = -1e9
         self.servers_read_s = -1e9
+        self.servers_era = config_order.NO_ERA
+        self.config_order = config_order.ConfigOrder()
         self.suspects: dict[str, dict[str, int]] = {}
         self._lifetime = secrets.token_hex(4)
         self._change_count = 0
@@ -136,9 +147,7 @@
     def set_config(self, value: bytes) -> None:
         """Set the configuration, as stored."""
         self.config = value
-        self.config_digest = hashlib.blake2b(
-            value, digest_size=CONFIG_DIGEST_BYTES
-        ).hexdigest()
+        self.config_digest = digest(value)
         self._compressed_config = None
         self.mark_changed(Content.CONFIG)
 
@@ -154,7 +163,12 @@
             now_s - self.config_read_s,
             now_s - self.servers_read_s,
             after_outage=self.after_outage,
+            servers_era=self.servers_era,
         )
+        in_force = self.config_order.current
+        if in_force is not None:
+            state.config_era = in_force.era
+            state.config_written_era = in_force.written_era
         if known.revision == self.revision:
             return state
         changes = self._changes_since(known.revision)
@@ -227,6 +241,11 @@
         return None if value is None else base64.b64encode(value).decode()
 
 
+def digest(config: bytes) -> str:
+    """Return a digest of a configuration as stored."""
+    return hashlib.blake2b(config, digest_size=CONFIG_DIGEST_BYTES).hexdigest()
+
+
 def decode_config(state: PeerState) -> bytes:
     """Return the configuration of a peer's state, as stored.
 
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -19,6 +19,7 @@
 from bilberryturn import events
 from bilberryturn import leases
 from bilberryturn import rendezvous
+from bilberryturn.edge import config_order
 from bilberryturn.edge import followers as store_followers
 from bilberryturn.edge import intervals
 from bilberryturn.edge import peer_state
@@ -26,6 +27,7 @@
 from bilberryturn.gateway import shared_state
 from bilberryturn.platform import decoding
 from bilberryturn.platform import http
+from bilberryturn.platform import store_era
 
 # Nodes that one relay serves.
 NODES_PER_RELAY = 48
@@ -133,6 +135,7 @@
         deliver: Callable[[peer_state.PeerState, float], None],
         peers_known: threading.Event,
         start_waits: StartWaits,
+        era_tracker: store_era.EraTracker | None = None,
     ):
         """Initialize the client.
 
@@ -155,7 +158,9 @@
             peers_known: Set once the addresses of other nodes have been read
                 or cannot be read.
             start_waits: How long to wait for peers and a relay at the start.
+            era_tracker: Era of the store, shared by all clients of this node.
         """
+        self._era_tracker = era_tracker or store_era.EraTracker()
         self._lifetime = lifetime
         self._address = address
         self._domain = domain
@@ -332,6 +337,8 @@
             events.log(events.FRAME_REFUSED, member=address, problem=str(error))
             return False
         self._record_time(state, sent_boottime_s)
+        if state.servers_era != config_order.NO_ERA:
+            self._era_tracker.observe(state.servers_era)
         received_s = time.monotonic()
         state = _with_elapsed(state, received_s - sent_s)
         is_current = self._is_current(state)
@@ -360,8 +367,13 @@
         """Return whether a relay has recently read the store itself.
 
         State that it only received from a peer does not count: otherwise two
-        nodes would consider each other current while neither reads.
+        nodes would consider each other current while neither reads. Neither
+        does a reading from before a restore of the store.
         """
+        era = self._era_tracker.era
+        is_behind = era is not None and state.servers_era < era
+        if is_behind and state.servers_era != config_order.NO_ERA:
+            return False
         return (
             state.config_read_age_s < self._intervals.config_max_age_s
             and state.servers_read_age_s < self._intervals.servers_max_age_s
