Use no server that has left from the copy of a restored store (CONFIG, DRAIN)

A server that had left stood in the copy until its entry lapsed, and was used again; one that had joined in the lost seconds was taken for gone, as its entry was missing after an outage shorter than two heartbeats. In the first reading of an era, entries of lifetimes that are gone count only once their server has written again, and missing ones may be written again within 2 s of it.

beliefs.feature, 'Servers after a restore of the store': failed with the former feeds (the server that left is used), passes.

--- a/features/beliefs.feature
+++ b/features/beliefs.feature
@@ -144,3 +144,12 @@
     When the store is restored to version 7 after all nodes have version 9
     Then all nodes keep version 9 for 2 s
     And when the operator writes version 8 all nodes have it within 4 s
+
+  # Guards against requests to a server that has left, as the copy still lists
+  # it, and against idle servers that the copy does not know yet.
+  Scenario: Servers after a restore of the store
+    Given a node's feeds on a stand-in of the users' store
+    When one server leaves, another one joins and the store is restored to before
+    Then the node uses the one that joined and not the one that left
+    And it drops the one that joined when that one does not write its entry again
+    And it uses the one that left when that one writes its entry again
--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -590,3 +590,51 @@
     platform_data.wait_for(
         have_it, limit_s, lambda: [node.version for node in context.nodes]
     )
+
+
+def _put_server(context, name, sequence):
+    entry = platform_data.make_entry(addr="10.0.0.2:80", seq=sequence)
+    context.standin.put("servers", name, entry)
+
+
+def _wait_for_servers(context, names, limit_s):
+    def uses():
+        context.node.loop.call_soon_threadsafe(context.node.applier.expire)
+        return context.node.server_ids() == names
+
+    platform_data.wait_for(uses, limit_s, context.node.server_ids)
+
+
+@behave.when(
+    "one server leaves, another one joins and the store is restored to before"
+)
+def when_servers(context):
+    _put_server(context, "left", 5)
+    _wait_for_servers(context, ["good", "left"], 3)
+    copy = context.standin.copy()
+    context.standin.remove("servers", "left")
+    _put_server(context, "joined", 1)
+    _wait_for_servers(context, ["good", "joined"], 3)
+    context.standin.restore(copy)
+
+
+@behave.then("the node uses the one that joined and not the one that left")
+def then_uses(context):
+    end_s = time.monotonic() + 1.2
+    while time.monotonic() < end_s:
+        found = context.node.server_ids()
+        assert found == ["good", "joined"], found
+        time.sleep(0.05)
+
+
+@behave.then(
+    "it drops the one that joined when that one does not write its entry again"
+)
+def then_drops(context):
+    _wait_for_servers(context, ["good"], 4)
+
+
+@behave.then("it uses the one that left when that one writes its entry again")
+def then_left_again(context):
+    _put_server(context, "left", 6)
+    _wait_for_servers(context, ["good", "left"], 3)
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -820,7 +820,7 @@
 @behave.given("no other server is there")
 def given_no_other(context):
     async def remove_other():
-        context.rig.shared.directory.remove("s1", None)
+        context.rig.shared.directory.remove("s1", None, time.monotonic())
 
     context.rig.call(remove_other)
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -96,7 +96,7 @@
     elif item == "an older draining":
         servers.report(server._replace(sequence=9, is_leaving=True), now_s)
     elif item.startswith("removed"):
-        servers.remove("s", restore_until_s)
+        servers.remove("s", restore_until_s, now_s)
     elif item.startswith("a snapshot"):
         servers.replace_all([], now_s, restore_until_s)
     elif item.endswith(" s"):
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -211,6 +211,10 @@
             era: Era of the store.
         """
         now_s = time.monotonic()
+        is_restored = config_order.NO_ERA < self._raw.servers_era < era
+        if is_restored:
+            # Servers write the entries again that the copy lacks.
+            self._outage_end_s = confirmed_s
         self._raw.servers_era = era
         decoded = []
         content = {} if is_snapshot else dict(self._entry_content)
@@ -236,18 +240,22 @@
         restore_until_s = self._restore_until_s(confirmed_s, after_outage)
         directory = self._shared.directory
         if is_snapshot:
-            changes = directory.replace_all(decoded, now_s, restore_until_s)
+            changes = directory.replace_all(
+                decoded, now_s, restore_until_s, is_restored
+            )
             self._raw.servers = {
                 key: value for key, value in changed.items() if value
             }
         else:
-            changes = [directory.report(s, now_s) for s in decoded]
+            changes = [directory.report(s, now_s, is_restored) for s in decoded]
             for server_id, value in changed.items():
                 if value is not None:
                     self._raw.servers[server_id] = value
                     continue
                 self._raw.servers.pop(server_id, None)
-                changes.append(directory.remove(server_id, restore_until_s))
+                changes.append(
+                    directory.remove(server_id, restore_until_s, now_s)
+                )
         self._record_changes(changes, confirmed_s)
 
     def _restore_until_s(
--- a/src/bilberryturn/routing/directory.py
+++ b/src/bilberryturn/routing/directory.py
@@ -45,6 +45,8 @@
         # Monotonic time until which a server may restore its lapsed entry.
         self._restore_until_s: dict[str, float] = {}
         self._departures: dict[tuple[str, int], Departure] = {}
+        # Last sequence number of the lifetimes that are gone, and when.
+        self._gone: dict[tuple[str, int], tuple[int, float]] = {}
 
     def departure(self, lifetime: tuple[str, int]) -> Departure | None:
         """Return when a leaving server ends; None if it stays."""
@@ -67,9 +69,22 @@
         return list(self._servers.values())
 
     def report(
-        self, server: types.BackendServer, now_s: float
+        self,
+        server: types.BackendServer,
+        now_s: float,
+        is_restored: bool = False,
     ) -> Change | None:
-        """Apply one report; out-of-order reports are ignored."""
+        """Apply one report; out-of-order reports are ignored.
+
+        Args:
+            server: The server as reported.
+            now_s: Present time in seconds.
+            is_restored: Whether the report may come from an older copy of the
+                store, so that a server that is gone stands in it.
+        """
+        gone_sequence, _ = self._gone.get(server.lifetime, (-1, 0.0))
+        if is_restored and server.sequence <= gone_sequence:
+            return None
         self._restore_until_s.pop(server.server_id, None)
         known = self._servers.get(server.server_id)
         if known is not None and (server.started_ms, server.sequence) < (
@@ -113,7 +128,7 @@
         return Change(server.server_id, "leaving")
 
     def remove(
-        self, server_id: str, restore_until_s: float | None
+        self, server_id: str, restore_until_s: float | None, now_s: float
     ) -> Change | None:
         """Apply the removal of an entry.
 
@@ -122,11 +137,12 @@
             restore_until_s: Monotonic time until which the server may restore
                 an entry that lapsed while the store was away; None if it has
                 left.
+            now_s: Present time in seconds.
         """
         if server_id not in self._servers:
             return None
         if restore_until_s is None:
-            return self._drop(server_id)
+            return self._drop(server_id, now_s)
         if server_id in self._restore_until_s:
             return None
         self._restore_until_s[server_id] = restore_until_s
@@ -137,6 +153,7 @@
         servers: list[types.BackendServer],
         now_s: float,
         restore_until_s: float | None,
+        is_restored: bool = False,
     ) -> list[Change]:
         """Replace all entries by a snapshot.
 
@@ -144,12 +161,15 @@
             servers: The servers of the snapshot.
             now_s: Present time in seconds.
             restore_until_s: As for remove, for the servers it lacks.
+            is_restored: As for report.
         """
         present = {server.server_id for server in servers}
-        changes = [self.report(server, now_s) for server in servers]
+        changes = [
+            self.report(server, now_s, is_restored) for server in servers
+        ]
         for server_id in list(self._servers):
             if server_id not in present:
-                changes.append(self.remove(server_id, restore_until_s))
+                changes.append(self.remove(server_id, restore_until_s, now_s))
         return [change for change in changes if change is not None]
 
     def expire(self, now_s: float) -> list[Change]:
@@ -168,9 +188,13 @@
             for server_id, restore_until_s in self._restore_until_s.items()
             if now_s >= restore_until_s
         ]
-        return [self._drop(server_id) for server_id in overdue]
+        for key, (_, gone_s) in list(self._gone.items()):
+            if now_s - gone_s > TOMBSTONE_S:
+                del self._gone[key]
+        return [self._drop(server_id, now_s) for server_id in overdue]
 
-    def _drop(self, server_id: str) -> Change:
+    def _drop(self, server_id: str, now_s: float) -> Change:
         self._restore_until_s.pop(server_id, None)
-        del self._servers[server_id]
+        server = self._servers.pop(server_id)
+        self._gone[server.lifetime] = (server.sequence, now_s)
         return Change(server_id, "gone")
