Don't replace reports by older ones of a restored store (CONFIG, BUDGET)

The first reading of an era may hold older reports of a node than this one knows, so that a request that crashes servers was accepted until its node had written again. What both know is combined then, each report by its newest value. restores.feature, 'Reports of the copy replace no newer ones': failed before, passes.

--- a/features/restores.feature
+++ b/features/restores.feature
@@ -113,3 +113,11 @@
       | it is restored to a higher one            | feed 8@0, feed 16@0, store 8@1, wait 1, store 18@2            | 18     |
       | the store states no era                   | feed 8@-1, feed 16@-1, store 8@-1, wait 40                    | 16     |
       | a peer of an older release has a newer    | feed 8@3, peer 9@-1/-1                                        | 9      |
+
+  # Guards against a request that is sent again, as the copy holds older reports
+  # on its crashes than the node knows.
+  Scenario: Reports of the copy replace no newer ones
+    Given a node that knows 3 crashes of a request from another node
+    When it reads a copy of the store in which that node reports 1
+    Then it still refuses the request
+    And it follows what that node writes later
--- a/features/steps/restore_steps.py
+++ b/features/steps/restore_steps.py
@@ -1,11 +1,17 @@
 """Steps of restores.feature: the store continues from an older copy."""
 
+import json
+import time
+
 import behave
 import expression
 
 from bilberryturn import leases
 from bilberryturn.edge import config_order
+from bilberryturn.edge import feeds
+from bilberryturn.edge import followers
 from bilberryturn.edge import orders
+from bilberryturn.edge import peer_state
 from bilberryturn.edge import presence
 from bilberryturn.edge import shared_clock
 from bilberryturn.gateway import shared_state
@@ -290,3 +296,48 @@
 @behave.then("the configuration {name} is in force")
 def then_in_force(context, name):
     assert context.order.current.digest == name, context.order.current
+
+
+# Reports
+
+
+def _read_reports(context, counts, era, is_snapshot):
+    change = rows.Change("other@1", 1, json.dumps(counts).encode())
+    context.applier.on_suspects_read(
+        followers.Reading([change], is_snapshot, False, 0.0, era)
+    )
+
+
+@behave.given(
+    "a node that knows {count:d} crashes of a request from another node"
+)
+def given_reports(context, count):
+    context.shared = shared_state.SharedState(
+        "here",
+        shared_state.RetryLimits(0.2, 1, 10),
+        5.0,
+        upstream.ConnectionPool(),
+    )
+    context.applier = feeds.Applier(
+        context.shared, peer_state.RawState(), "own@1"
+    )
+    _read_reports(context, {"request": count}, 0, True)
+    assert context.shared.suspects.is_refused("request", time.monotonic())
+
+
+@behave.when(
+    "it reads a copy of the store in which that node reports {count:d}"
+)
+def when_copy(context, count):
+    _read_reports(context, {"request": count}, 1, True)
+
+
+@behave.then("it still refuses the request")
+def then_still(context):
+    assert context.shared.suspects.is_refused("request", time.monotonic())
+
+
+@behave.then("it follows what that node writes later")
+def then_later(context):
+    _read_reports(context, {}, 1, False)
+    assert context.applier._raw.suspects["other@1"] == {}
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -67,6 +67,7 @@
         # each heartbeat changes; an entry that cannot be decoded is kept as
         # stored.
         self._entry_content: dict[str, types.BackendServer | bytes] = {}
+        self._suspects_era = config_order.NO_ERA
         # The configuration that waits in the order, and its source.
         self._held_config: tuple[table.RouteTable, bytes, str] | None = None
 
@@ -108,6 +109,9 @@
     def on_suspects_read(self, reading: followers.Reading) -> None:
         """Apply a reading of the nodes' reports on crashes and limits."""
         self.peer_revision = ""
+        era = _era_number(reading.era)
+        is_restored = config_order.NO_ERA < self._suspects_era < era
+        self._suspects_era = era
         for lifetime, value in reading.values().items():
             try:
                 counts = decoding.decode_json(
@@ -118,6 +122,13 @@
                     events.FRAME_REFUSED, member=lifetime, problem=str(error)
                 )
                 continue
+            if is_restored:
+                # The copy may hold older reports than this node knows.
+                known = self._raw.suspects.get(lifetime, {})
+                counts = {
+                    name: max(known.get(name, 0), counts.get(name, 0))
+                    for name in known.keys() | counts.keys()
+                }
             self.merge_suspects(lifetime, counts)
 
     def apply_config(
