--- a/features/mutants.py
+++ b/features/mutants.py
@@ -316,6 +316,18 @@
         "restores",
         "A transaction that expects",
     ),
+    Mutant(
+        "a head that was cut counts as a whole one",
+        (
+            (
+                "platform/http.py",
+                "        if not head.is_complete:\n",
+                "        if False:\n",
+            ),
+        ),
+        "answers",
+        "A client of the platform",
+    ),
     Mutant(
         "draining servers receive requests",
         (
--- /dev/null
+++ b/features/steps/answer_steps.py
@@ -0,0 +1,187 @@
+"""Steps of answers.feature: answers that end early."""
+
+import itertools
+import queue
+import time
+
+import behave
+
+from bilberryturn import backends
+from bilberryturn.platform import http
+from support import gateway_rig
+from support import scripted
+
+BODY = b"answer"
+EVENTS = 5
+HEAD = (
+    "HTTP/1.1 200 OK\r\n"
+    "X-Bilberryturn-Attempt-Id: {request}\r\n"
+    f"{scripted.SEAL}"
+    "Content-Type: text/event-stream\r\n"
+    "Content-Length: 6\r\n\r\n"
+)
+TIMEOUT_S = 5.0
+_ids = itertools.count(1)
+
+
+class _CuttingServer:
+    """Cuts the head of each answer after a number of bytes.
+
+    Attributes:
+        cut: Number of bytes of the head that it sends.
+        port: Port that it listens on.
+    """
+
+    def __init__(self, context, resets):
+        self.cut = 0
+        self._resets = resets
+        server = scripted.ScriptedServer(self._answer)
+        self.port = server.port
+        context.closers.append(server.close)
+
+    def cuts(self):
+        """Yield each place at which a head can be cut."""
+        for self.cut in range(1, len(HEAD.format(request="r" * 4)) - 1):
+            yield self.cut
+
+    def _answer(self, peer, head, body, number):
+        request = scripted.header(head, "X-Bilberryturn-Attempt-Id") or "rrrr"
+        peer.send(HEAD.format(request=request)[: self.cut])
+        if self._resets:
+            # Waits until the bytes have arrived, as a reset discards them.
+            time.sleep(0.01)
+            peer.reset()
+        return "close"
+
+
+@behave.given(
+    "a gateway before a server that cuts its answers in their head and {end:w}"
+)
+def given_cutting_gateway(context, end):
+    context.server = _CuttingServer(context, end == "resets")
+    context.rig = gateway_rig.GatewayRig([])
+    context.closers.append(context.rig.close)
+
+
+@behave.when(
+    "a {kind:w} request is sent for each byte at which a head can be cut"
+)
+def when_each_cut(context, kind):
+    context.answers = []
+    for cut in context.server.cuts():
+        entry = gateway_rig.make_server(f"s{cut}", context.server.port)
+
+        async def report(entry=entry):
+            context.rig.shared.directory.replace_all(
+                [entry], time.monotonic(), None
+            )
+
+        context.rig.call(report)
+        data = gateway_rig.request_text(kind, f"r{cut:03d}", path=f"p{cut}")
+        answer = gateway_rig.send_request(context.rig.port, data)
+        context.answers.append((cut, answer))
+
+
+@behave.then("no caller gets a success")
+def then_no_success(context):
+    found = [
+        (cut, answer.status, answer.body)
+        for cut, answer in context.answers
+        if 200 <= answer.status < 300
+    ]
+    assert not found, found
+    statuses = {answer.status for _, answer in context.answers}
+    assert statuses == {502}, statuses
+
+
+@behave.given("a server that cuts its answers in their head and closes")
+def given_cutting_server(context):
+    context.server = _CuttingServer(context, False)
+
+
+def _call_backend(context, loop):
+    events = queue.Queue()
+    options = backends.CallOptions(
+        "GET",
+        f"http://127.0.0.1:{context.server.port}/x",
+        (),
+        None,
+        TIMEOUT_S,
+        TIMEOUT_S,
+    )
+    loop.submit(options, events.put)
+    while not isinstance(event := events.get(timeout=10), backends.CallEnd):
+        pass
+    return bool(event.error)
+
+
+def _call_platform(context, client):
+    return client.call("GET", "/x").is_error()
+
+
+@behave.when(
+    "a client of {what} calls it for each byte at which a head can be cut"
+)
+def when_client(context, what):
+    if what == "the platform":
+        address = f"127.0.0.1:{context.server.port}"
+        client, call = http.HttpClient("x", address, TIMEOUT_S), _call_platform
+    else:
+        client, call = backends.StreamLoop(), _call_backend
+        client.start()
+        context.closers.append(client.stop)
+    context.results = [
+        (cut, call(context, client)) for cut in context.server.cuts()
+    ]
+
+
+@behave.then("each call has failed")
+def then_failed(context):
+    succeeded = [cut for cut, has_failed in context.results if not has_failed]
+    assert not succeeded, succeeded
+
+
+def _unframed(end):
+    def answer(peer, head, body, number):
+        request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
+        is_stream = "event" in end or "first" in end
+        kind = "Content-Type: text/event-stream\r\n" if is_stream else ""
+        peer.send(
+            f"HTTP/1.1 200 OK\r\nX-Bilberryturn-Attempt-Id: {request}\r\n"
+            f"{scripted.SEAL}{kind}Connection: close\r\n\r\n"
+        )
+        if not is_stream:
+            peer.send(BODY)
+        if is_stream and "first" not in end:
+            for number in range(1, EVENTS + 1):
+                peer.send(scripted.event(number))
+        if "inside" in end:
+            peer.send(scripted.event(EVENTS + 1)[:9])
+        time.sleep(0.1)
+        if end.startswith("reset"):
+            peer.reset()
+        return "close"
+
+    return answer
+
+
+@behave.given(
+    "a gateway before a server whose answers have no length and that {end}"
+)
+def given_unframed(context, end):
+    server = scripted.ScriptedServer(_unframed(end))
+    context.closers.append(server.close)
+    context.rig = gateway_rig.GatewayRig(
+        [gateway_rig.make_server("s1", server.port)]
+    )
+    context.closers.append(context.rig.close)
+
+
+@behave.then(
+    "the caller gets {count:d} events and notices that the stream was cut"
+)
+def then_cut(context, count):
+    answer = context.answer
+    events = b"".join(scripted.event(n) for n in range(1, count + 1))
+    assert answer.body == events, answer.body
+    assert not answer.is_complete
--- a/src/bilberryturn/backends/calls.py
+++ b/src/bilberryturn/backends/calls.py
@@ -69,6 +69,7 @@
         self.curl: Any = None
         self.status = 0
         self.headers: dict[str, str] = {}
+        self.is_head_complete = False
         self.is_head_delivered = False
         self.buffered_bytes = 0
         self.is_paused = False
--- a/src/bilberryturn/backends/stream_loop.py
+++ b/src/bilberryturn/backends/stream_loop.py
@@ -16,6 +16,7 @@
 from bilberryturn.backends import calls
 
 POLL_LIMIT_S = 1.0
+HEAD_CUT = "the head of the answer was cut"
 MAX_HEADER_LINES = 200
 NO_PROXY = ""
 
@@ -213,7 +214,9 @@
             parts = text.split(" ", 2)
             call.status = int(parts[1])
             call.headers = {}
+            call.is_head_complete = False
             return
+        call.is_head_complete = call.is_head_complete or not text
         name, separator, value = text.partition(":")
         if separator and len(call.headers) < MAX_HEADER_LINES:
             call.headers[name.lower()] = value.strip()
@@ -254,7 +257,12 @@
         while True:
             remaining, succeeded, failed = self._multi.info_read()
             for curl in succeeded:
-                self._finish_call(self._calls[curl], "")
+                call = self._calls[curl]
+                # A server may close before the end of its head; curl reports
+                # that as a success.
+                self._finish_call(
+                    call, "" if call.is_head_complete else HEAD_CUT
+                )
             for curl, _, text in failed:
                 self._finish_call(
                     self._calls[curl], text or "connection failed"
--- a/src/bilberryturn/platform/http.py
+++ b/src/bilberryturn/platform/http.py
@@ -42,10 +42,29 @@
     return pycurl.SOCKOPT_OK
 
 
-def _add_header(headers: dict[str, str], line: bytes) -> None:
-    name, separator, value = line.decode("latin-1").partition(":")
-    if separator:
-        headers[name.strip().lower()] = value.strip()
+class _Head:
+    """Collects the head of a response.
+
+    Attributes:
+        headers: Values by name in lower case.
+        is_complete: Whether its end was received. If the server closes before
+            it, curl reports no error.
+    """
+
+    def __init__(self):
+        self.headers: dict[str, str] = {}
+        self.is_complete = False
+
+    def add_line(self, line: bytes) -> None:
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            # An informational response may come before.
+            self.headers, self.is_complete = {}, False
+            return
+        self.is_complete = self.is_complete or not text
+        name, separator, value = text.partition(":")
+        if separator:
+            self.headers[name.strip().lower()] = value.strip()
 
 
 class Response(NamedTuple):
@@ -125,7 +144,7 @@
             handle = self._local.handle = pycurl.Curl()
         handle.reset()
         buffer = _BoundedBuffer()
-        response_headers: dict[str, str] = {}
+        head = _Head()
         payload = raw if body is None else msgspec.json.encode(body)
         header_lines = ["Expect:", *headers]
         if body is not None:
@@ -137,10 +156,7 @@
         handle.setopt(pycurl.TIMEOUT_MS, self._timeout_ms)
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, self._timeout_ms)
         handle.setopt(pycurl.WRITEFUNCTION, buffer.write)
-        handle.setopt(
-            pycurl.HEADERFUNCTION,
-            lambda line: _add_header(response_headers, line),
-        )
+        handle.setopt(pycurl.HEADERFUNCTION, head.add_line)
         handle.setopt(pycurl.HTTPHEADER, header_lines)
         if self._source_address:
             handle.setopt(pycurl.INTERFACE, self._source_address)
@@ -165,11 +181,15 @@
                     self.interface, str(error.args[-1])
                 )
             )
+        if not head.is_complete:
+            return expression.Error(
+                exceptions.PlatformUnreachableError(
+                    self.interface, "its head was cut"
+                )
+            )
         self.last_response_s = time.monotonic()
         status = handle.getinfo(pycurl.RESPONSE_CODE)
-        return expression.Ok(
-            Response(status, buffer.getvalue(), response_headers)
-        )
+        return expression.Ok(Response(status, buffer.getvalue(), head.headers))
 
     def call_json(
         self, method: str, path: str, body: Any = None
