Answer the requests that a planned stop would cut (LOST)

Reported by another operator, and found here: a request sent up to 2.5 s after SIGTERM is passed on, and if its server is still at work at the end of the grace period, its connection was closed without an answer, also for requests that may run once. Requests sent later were refused already unless they can end in time.

As the node ends, a caller whose response has not begun gets 502 (it may have run), or 503 if no server has got its request; only streams that have begun are cut. Nothing ends sooner.

planned_stop.feature, 'A <kind> request sent <sent> s after SIGTERM whose server is silent': 5 of 6 failed before, all pass, and the 13 earlier scenarios.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -72,3 +72,21 @@
     Given a node process with a grace period of 4 s
     When the node gets SIGTERM, then SIGHUP and SIGTERM until it has ended
     Then the node has ended with status 0
+
+  # Guards against requests that are passed on in a stop and end with a closed
+  # connection, so that their callers cannot tell whether they have run.
+  Scenario Outline: A <kind> request sent <sent> s after SIGTERM whose server is silent
+    Given a node process with a grace period of 4 s
+    When the node gets SIGTERM
+    And a caller sends a <kind> request after <sent> s that its server never answers
+    Then the caller gets a whole answer by the end of the grace period
+    And the answer promises nothing if a server has received the request
+
+    Examples:
+      | kind      | sent |
+      | unsafe    | 0.5  |
+      | unsafe    | 2.0  |
+      | unsafe    | 2.8  |
+      | safe      | 1.5  |
+      | stream    | 1.5  |
+      | resumable | 2.4  |
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -56,6 +56,9 @@
         if "/large" in head:
             peer.answer(head, b"x" * LARGE_BYTES)
             return
+        if "/silent" in head:
+            self._wait_for_end(request)
+            return
         if is_stream:
             peer.start_stream(head)
             peer.chunk(scripted.event(1))
@@ -283,3 +286,32 @@
 def then_ended(context, status):
     assert context.node.process.poll() == status, context.node.process.poll()
     assert '"node_stopped"' in _node_log(context), _node_log(context)
+
+
+@behave.when(
+    "a caller sends a {kind:w} request after {sent_s:g} s that its server never"
+    " answers"
+)
+def when_silent(context, kind, sent_s):
+    _at(context, sent_s)
+    connection = _connect(context)
+    connection.sendall(_request(kind, REQUEST, path="silent"))
+    context.answer = gateway_rig.read_answer(connection)
+    context.answered_s = time.monotonic()
+
+
+@behave.then("the caller gets a whole answer by the end of the grace period")
+def then_whole_in_time(context):
+    then_answered(context)
+    grace_s = context.testbed.stop_grace_s
+    assert context.answered_s <= context.stopped_s + grace_s
+
+
+@behave.then("the answer promises nothing if a server has received the request")
+def then_promises(context):
+    is_received = REQUEST in context.server.received
+    expected = (502, 504) if is_received else (503,)
+    assert context.answer.status in expected, (
+        is_received,
+        context.answer.head,
+    )
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -37,7 +37,10 @@
         self._request: attempt_types.RoutedRequest | None = None
         self._delivery: delivery.Delivery | None = None
         self._chosen: choice.Choice | None = None
+        self._attempt_in_progress = False
         self._sent_count = 0
+        # Status of the response that the end of a shutdown sent.
+        self._stop_status = 0
         self._excluded: set[str] = set()
         self._last_failure = ""
         # Set if the request is refused for its crashes.
@@ -52,10 +55,31 @@
             status, reason = await self._run()
         except asyncio.CancelledError:
             is_cut = self._shared.is_cut
-            self._log("node_stopped" if is_cut else "caller_gone", 0)
+            self._log(
+                "node_stopped" if is_cut else "caller_gone", self._stop_status
+            )
             raise
         self._log(reason, status)
 
+    def end_at_stop(self) -> bool:
+        """Respond to the request as the node ends, unless a stream has begun.
+
+        The caller must cancel the exchange then.
+
+        Returns:
+            Whether a response was sent.
+        """
+        if self._delivery is not None and self._delivery.has_started:
+            return False
+        may_have_run = self._attempt_in_progress or self._sent_count > 0
+        refusal = (
+            outcomes.no_valid_response("node_stopped")
+            if may_have_run
+            else outcomes.NODE_STOPPING
+        )
+        self._stop_status, _ = self._refuse(refusal)
+        return True
+
     async def _run(self) -> tuple[int, str]:
         refusal = self._admit()
         if refusal is not None:
@@ -221,9 +245,11 @@
             moved.moved_from if moved else None,
         )
         may_try_another = self._sent_count + 1 < self._request.route.attempts
+        self._attempt_in_progress = True
         try:
             return await attempt.run(may_try_another)
         finally:
+            self._attempt_in_progress = False
             self._sent_count += attempt.was_sent
 
     def _is_final(self, response: attempt_types.Response) -> bool:
--- a/src/bilberryturn/gateway/server.py
+++ b/src/bilberryturn/gateway/server.py
@@ -68,11 +68,15 @@
         )
 
     def abort_all(self) -> int:
-        """Abort all connections; returns how many of them were cut."""
+        """End all connections; returns how many of them had a request.
+
+        A caller whose response has not begun is told so; all others are
+        aborted.
+        """
         busy_count = self.busy_count()
         self.shared.is_cut = True
         for connection in list(self.connections):
-            connection.abort()
+            connection.end_at_stop()
         return busy_count
 
 
@@ -87,6 +91,7 @@
         )
         self._transport: asyncio.Transport | None = None
         self._task: asyncio.Task | None = None
+        self._exchange: exchange.Exchange | None = None
         self._request: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -211,11 +216,9 @@
             arrived_s=self._arrived_s,
         )
         self._body = []
-        request_exchange = exchange.Exchange(
-            incoming, self, self._server.shared
-        )
+        self._exchange = exchange.Exchange(incoming, self, self._server.shared)
         self._task = asyncio.get_running_loop().create_task(
-            self._run(request_exchange)
+            self._run(self._exchange)
         )
 
     async def _run(self, request_exchange: exchange.Exchange) -> None:
@@ -323,6 +326,15 @@
 
     # Closing of the connection.
 
+    def end_at_stop(self) -> None:
+        """End the connection as the node ends."""
+        task = self._task
+        if task is None or not self._exchange.end_at_stop():
+            self.abort()
+            return
+        task.cancel()
+        self._close()
+
     def close_if_idle(self) -> None:
         """Close unless a request is being read or processed."""
         if not self.is_busy:
