Don't decode a configuration that a peer has not sent yet

A node without a configuration whose relay had sent none either decoded the empty one at each poll and logged it as refused; a fault of the ordering by era.

--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -363,9 +363,10 @@
         self.confirm_config(received_s - state.config_age_s)
         if value is None:
             value = self._raw.config
-        self.apply_config(
-            value, "peer", state.config_era, state.config_written_era
-        )
+        if value:
+            self.apply_config(
+                value, "peer", state.config_era, state.config_written_era
+            )
         return True
 
     def _apply_peer_servers(
