--- a/features/restores.feature
+++ b/features/restores.feature
@@ -55,6 +55,13 @@
       | as nodes freeze                        | 40    |
       | as nodes are killed, cut off or frozen | 60    |
 
+  # Guards against a node that takes the first era that it sees for the first one.
+  Scenario: A node that is cut off from its start until after a restore
+    Given a first node that reports windows, and another one that is cut off
+    When the store is restored, the first node ends and the other one takes over
+    Then no window has two sets of figures
+    And the other one reports later windows
+
   # Guards against windows that are left out, or counts that are short, though
   # the node that knows them lives.
   Scenario: A holder that lives on reports all windows whole
--- a/features/steps/restored_duty_steps.py
+++ b/features/steps/restored_duty_steps.py
@@ -130,9 +130,9 @@
         self._down_until_s = 0.0
         self.nodes = {name: self._start(name, True) for name in NODES}
         first_s = 1000.0 + self.rng.uniform(14.0, 30.0)
-        self._restores_s = [first_s]
+        self.restores_s = [first_s]
         if condition != "once":
-            self._restores_s.append(first_s + self.rng.uniform(2.0, 16.0))
+            self.restores_s.append(first_s + self.rng.uniform(2.0, 16.0))
 
     def _start(self, name, is_first=False):
         self._lifetimes += 1
@@ -141,9 +141,9 @@
     def run(self):
         while self.clock() < 1000.0 + RUN_S:
             self.clock.now_s += STEP_S
-            self._tick()
+            self.tick()
 
-    def _tick(self):
+    def tick(self):
         now_s, rng = self.clock(), self.rng
         self._update_store(now_s)
         for name in rng.sample(NODES, len(NODES)):
@@ -180,13 +180,13 @@
             self._copies = [(now_s, kept[0][1])]
         if not self._copies or now_s - self._copies[-1][0] >= COPY_INTERVAL_S:
             self._copies.append((now_s, self.standin.copy()))
-        if self._restores_s and now_s >= self._restores_s[0]:
-            self._restores_s.pop(0)
+        if self.restores_s and now_s >= self.restores_s[0]:
+            self.restores_s.pop(0)
             self._down_until_s = now_s + self.rng.choice(self._outages_s)
 
     def _disturb(self, name, now_s):
         rng, node = self.rng, self.nodes[name]
-        is_near = any(abs(s - now_s) < 9 for s in self._restores_s) or (
+        is_near = any(abs(s - now_s) < 9 for s in self.restores_s) or (
             now_s < self._down_until_s + 8
         )
         chance = 0.03 if is_near else 0.004
@@ -337,3 +337,39 @@
         assert not context.other.is_held()
     assert context.other.is_held()
     assert not context.lease.is_held()
+
+
+@behave.given(
+    "a first node that reports windows, and another one that is cut off"
+)
+def given_cut_from_start(context):
+    fleet = _Fleet(3, "once", (1.0,))
+    for name in NODES[1:]:
+        fleet.nodes[name].cut_until_s = RUN_S + 1000.0
+    context.fleet = fleet
+    context.fleets = [(3, fleet)]
+    _run_until(fleet, fleet.restores_s[0])
+    assert fleet.reports
+
+
+def _run_until(fleet, end_s):
+    while fleet.clock() < end_s:
+        fleet.clock.now_s += STEP_S
+        fleet.tick()
+
+
+@behave.when(
+    "the store is restored, the first node ends and the other one takes over"
+)
+def when_other_takes_over(context):
+    fleet = context.fleet
+    fleet.nodes["a"].frozen_until_s = RUN_S + 1000.0
+    _run_until(fleet, fleet.clock() + 3.0)
+    assert fleet.standin.era == 1
+    fleet.nodes["b"].cut_until_s = 0.0
+    _run_until(fleet, 1000.0 + RUN_S)
+
+
+@behave.then("the other one reports later windows")
+def then_later_windows(context):
+    assert [r for r in context.fleet.reports if r[4] == "b"]
--- a/src/bilberryturn/edge/reported_windows.py
+++ b/src/bilberryturn/edge/reported_windows.py
@@ -42,7 +42,6 @@
         lease: leases.Lease,
         window_s: float,
         close_delay_s: float,
-        is_first_start: bool,
         steady: Callable[[], float],
     ):
         """Initialize without figures.
@@ -53,14 +52,12 @@
             window_s: Length of a window in seconds.
             close_delay_s: Seconds from the end of a window before which it is
                 never frozen.
-            is_first_start: Whether no node ran before this process.
             steady: Returns seconds, including the time the VM is suspended.
         """
         self._store = store
         self._lease = lease
         self._window_s = window_s
         self._close_delay_s = close_delay_s
-        self._is_first_start = is_first_start
         self._steady = steady
         self._figures: dict[int, dict[str, int]] = {}
         self._era: int | None = None
@@ -154,8 +151,6 @@
         Windows that ended later than this node learned of the era were open
         then; those that ended in its tenure only this process has reported.
         """
-        if self._is_first_start and not self._store.has_seen_restore:
-            return 0
         began_s = now_s - (self._steady() - self._store.era_began_s)
         return min(self._tenure_first, self._first_open(began_s))
 
--- a/src/bilberryturn/edge/usage_windows.py
+++ b/src/bilberryturn/edge/usage_windows.py
@@ -207,7 +207,6 @@
             lease,
             window_s,
             SUM_DELAY_S,
-            uptime_s is not None,
             steady,
         )
 
