Restore the store from older copies in the soak

The copy is up to 10 s old; what the operator and the servers wrote is written again. The soak also checks that no fencing number has two holders.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -4,11 +4,12 @@
     Then a soak of <duration> s of <work> with seed <seed> violates no invariant
 
     Examples:
-      | work         | seed | duration |
-      | any faults   | 1    | 8        |
-      | any faults   | 2    | 8        |
-      | planned work | 4    | 15       |
-      | planned work | 5    | 15       |
+      | work                    | seed | duration |
+      | any faults              | 1    | 8        |
+      | any faults              | 2    | 8        |
+      | any faults and restores | 7    | 10       |
+      | planned work            | 4    | 15       |
+      | planned work            | 5    | 15       |
 
   # Guards against a stream that looks complete with events missing: seed 6025
   # of any faults, where the proxy dropped bytes and forwarded those behind them.
--- a/features/soak/faults.py
+++ b/features/soak/faults.py
@@ -7,6 +7,8 @@
 
 # Longest duration of a fault; recovery is measured after it.
 MAX_FAULT_S = 3.0
+# Age of the oldest copy from which the store is restored.
+MAX_LOST_S = 10.0
 
 
 class FaultInjector:
@@ -16,10 +18,15 @@
         log: Time and kind of each fault.
     """
 
-    def __init__(self, testbed, rng, is_planned):
+    def __init__(self, testbed, rng, is_planned, has_restores=False):
         self._testbed = testbed
         self._rng = rng
         self._injections = PLANNED_WORK if is_planned else INJECTIONS
+        if has_restores:
+            self._injections += RESTORES
+        self._has_restores = has_restores
+        # Times and copies of the store, from which it can be restored.
+        self._copies = []
         self._probability = 0.5 if is_planned else 0.25
         self._pending_reverts = []
         self._rules = {}
@@ -33,6 +40,13 @@
                 self._pending_reverts.remove((due_s, revert))
                 revert()
         self._testbed.restart_ended()
+        if self._has_restores:
+            self._copies = [
+                (at_s, copy)
+                for at_s, copy in self._copies
+                if now_s - at_s <= MAX_LOST_S
+            ]
+            self._copies.append((now_s, self._testbed.store.copy()))
         if self._rng.random() < self._probability:
             inject = self._rng.choice(self._injections)
             text = inject(self, now_s)
@@ -149,6 +163,15 @@
         self._testbed.store.compact_history()
         return "history lost"
 
+    def restore_store(self, now_s):
+        """Continue from a copy; the operator and servers write theirs again."""
+        store = self._testbed.store
+        at_s, copy = self._rng.choice(self._copies)
+        store.restore(copy, store.raw_rows(("op", "servers")))
+        # Later copies belong to the history that is lost.
+        self._copies = [(at_s, copy)]
+        return f"restore, {now_s - at_s:.1f} s lost"
+
     def update_config(self, now_s):
         self._testbed.publish_config()
         return f"configuration {self._testbed.version}"
@@ -185,6 +208,11 @@
     FaultInjector.drain_server,
 )
 
+RESTORES = (
+    FaultInjector.restore_store,
+    FaultInjector.restore_store,
+)
+
 PLANNED_WORK = (
     FaultInjector.stop,
     FaultInjector.stop_serving,
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -58,6 +58,7 @@
     caller_count=None,
     is_planned=False,
     folder=None,
+    has_restores=False,
 ):
     """Run one seed.
 
@@ -69,6 +70,7 @@
         is_planned: Whether only planned work happens, which loses no request;
             otherwise that depends on the seed.
         folder: Folder for the logs of the nodes.
+        has_restores: Whether the store is restored from older copies, too.
     """
     rng = random.Random(seed)
     folder = folder or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
@@ -83,7 +85,9 @@
     )
     checker = checks.InvariantChecker()
     phases = callers.Phases()
-    fault_injector = faults.FaultInjector(testbed, rng, is_planned)
+    fault_injector = faults.FaultInjector(
+        testbed, rng, is_planned, has_restores
+    )
     try:
         _wait_ready(testbed)
         threads = [
@@ -162,6 +166,7 @@
             f"recovered: {sum(successes)} of {len(successes)} good answers"
         )
     figures = {}
+    holders = {}
     fence = 0
     for path, body, headers in testbed.store.duty_calls:
         if path != "/usage":
@@ -170,6 +175,11 @@
         if first_counts != body["counts"]:
             checker.add_violation(f"window {body['windowId']} has two figures")
         reported_fence = int(headers["X-Bilberryturn-Fence"])
+        holder = headers["X-Bilberryturn-Duty-Holder"]
+        if holders.setdefault(reported_fence, holder) != holder:
+            checker.add_violation(
+                f"fencing number {reported_fence} has two holders"
+            )
         if reported_fence < fence:
             checker.add_violation(
                 f"fencing number {reported_fence} after {fence}"
@@ -191,6 +201,9 @@
     parser.add_argument(
         "--planned", action="store_true", help="only planned work"
     )
+    parser.add_argument(
+        "--restores", action="store_true", help="restores of the store, too"
+    )
     options = parser.parse_args()
     seeds = list(options.seeds)
     if options.fresh:
@@ -206,6 +219,7 @@
             options.nodes,
             options.callers,
             options.planned,
+            has_restores=options.restores,
         )
         _print_outcome(seed, outcome)
         failed += bool(outcome.checker.violations)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -23,7 +23,12 @@
     " invariant"
 )
 def then_soak(context, duration_s, work, seed):
-    outcome = run.run_seed(seed, duration_s, is_planned=work == "planned work")
+    outcome = run.run_seed(
+        seed,
+        duration_s,
+        is_planned=work == "planned work",
+        has_restores="restores" in work,
+    )
     checker = outcome.checker
     assert checker.success_count > 0, "no request was answered"
     assert not checker.violations, (
--- a/features/support/store_standin.py
+++ b/features/support/store_standin.py
@@ -84,6 +84,15 @@
                 self.put(table, key, value)
             self.lock.notify_all()
 
+    def raw_rows(self, tables):
+        """Return table, key and stored bytes of the rows of some tables."""
+        with self.lock:
+            return [
+                (table, key, base64.b64decode(value))
+                for (table, key), (value, _) in self.rows.items()
+                if table in tables
+            ]
+
     def value(self, table, key):
         """Return the decoded value of a row, or None."""
         with self.lock:
