--- a/features/mutants.py
+++ b/features/mutants.py
@@ -254,9 +254,9 @@
         "crashes over kept connections go uncounted",
         (
             (
-                "gateway/attempts.py",
-                "        elif error.is_disconnect:\n",
-                "        elif False:\n",
+                "gateway/crash_records.py",
+                "    if end.is_disconnect:\n        shared.crash_checks",
+                "    if False:\n        shared.crash_checks",
             ),
         ),
         "crashes",
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -7,6 +7,7 @@
 
 from bilberryturn import events
 from bilberryturn.gateway import attempt_types
+from bilberryturn.gateway import crash_records
 from bilberryturn.gateway import delivery
 from bilberryturn.gateway import events_stream
 from bilberryturn.gateway import moves
@@ -15,8 +16,6 @@
 from bilberryturn.gateway import upstream
 from bilberryturn.platform import wire
 from bilberryturn.routing import choice
-from bilberryturn.routing import part_crashes
-from bilberryturn.routing import suspects
 from bilberryturn.routing import types
 
 # Connecting takes milliseconds unless the server is unreachable.
@@ -308,68 +307,24 @@
                 self._shared.evacuation.add(self)
 
     def _handle_failure(self, error: upstream.UpstreamError) -> None:
-        """Release the server and count a crash if it ended."""
-        was_sent, was_reused = error.was_sent, self._was_reused
-        self._end_attempt(False if was_sent and not was_reused else None)
-        if not was_sent:
+        """Release the server, and count a crash if it ended."""
+        was_reused = bool(self._was_reused)
+        is_failure = error.was_sent and not was_reused
+        self._end_attempt(False if is_failure else None)
+        if not error.was_sent:
             return
-        if not was_reused or self._has_response:
-            self._record_failure(error)
-        elif error.is_disconnect:
-            self._shared.crash_checks.start(
-                self._chosen.server, lambda: self._record_late_crash(error)
-            )
-
-    def _record_failure(self, error: upstream.UpstreamError) -> None:
-        shared = self._shared
-        if shared.directory.departure(self.lifetime) is not None:
-            # The end of a server that leaves is no crash.
-            return
-        may_have_ended = error.is_disconnect or not self._was_reused
-        if may_have_ended and not self._is_sound():
-            self._record_crash()
-        if error.is_disconnect:
-            shared.record_prompt_disconnect(
-                self.lifetime,
-                self._prompt,
-                self._request.fingerprint,
+        self._is_crash = crash_records.record(
+            self._shared,
+            crash_records.EarlyEnd(
+                self._request,
+                self._chosen.server,
                 self._first_event_s,
-            )
-
-    def _is_sound(self) -> bool:
-        """Return whether the answer had been coming for long enough."""
-        if self._first_event_s is None:
-            return False
-        answering_s = time.monotonic() - self._first_event_s
-        return answering_s >= part_crashes.SOUND_ANSWER_S
-
-    def _record_late_crash(self, error: upstream.UpstreamError) -> None:
-        self._record_failure(error)
-        fingerprint = self._request.fingerprint
-        events.log(
-            events.CRASH_COUNTED,
-            request=self._request.incoming.headers.request_id,
-            server=self._chosen.server.server_id,
-            fingerprint=fingerprint,
-            known_crashes=self._shared.suspects.count(
-                fingerprint, time.monotonic()
+                error.is_disconnect,
+                was_reused,
+                self._has_response,
             ),
         )
 
-    def _record_crash(self) -> None:
-        self._is_crash = True
-        request = self._request
-        count = self._shared.suspects.record_crash(
-            request.fingerprint, time.monotonic()
-        )
-        if count == suspects.CRASHES_TO_REFUSE:
-            events.log(
-                events.REQUEST_QUARANTINED,
-                request=request.incoming.headers.request_id,
-                fingerprint=request.fingerprint,
-                crashes=count,
-            )
-
     @property
     def _prompt(self) -> types.Prompt | None:
         return self._request.requirements.prompt
