--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -554,13 +554,19 @@
 
 def _send_to(node, part):
     request = f"p{next(_ids)}"
-    data = gateway_rig.request_text(
-        "stream",
-        request,
-        key="key-a",
-        extra=_prompt_headers([part, request]),
-        body=request.encode(),
+    return _send_to_node(
+        node,
+        gateway_rig.request_text(
+            "stream",
+            request,
+            key="key-a",
+            extra=_prompt_headers([part, request]),
+            body=request.encode(),
+        ),
     )
+
+
+def _send_to_node(node, data):
     connection = gateway_rig.connect(node.port, node.ip)
     try:
         return gateway_rig.send_request(node.port, data, connection)
@@ -599,14 +605,12 @@
 
 
 def _send_deadly_to(node):
-    data = gateway_rig.request_text(
-        "unsafe", f"p{next(_ids)}", key="key-a", path=DEADLY
+    return _send_to_node(
+        node,
+        gateway_rig.request_text(
+            "unsafe", f"p{next(_ids)}", key="key-a", path=DEADLY
+        ),
     )
-    connection = gateway_rig.connect(node.port, node.ip)
-    try:
-        return gateway_rig.send_request(node.port, data, connection)
-    finally:
-        connection.close()
 
 
 @behave.when("the same request crashes a server at each node in turn")
--- a/features/steps/restored_duty_steps.py
+++ b/features/steps/restored_duty_steps.py
@@ -13,6 +13,7 @@
 from bilberryturn.platform import exceptions
 from bilberryturn.platform import rows
 from bilberryturn.platform import store_era
+from support import duty_checks
 from support import fakes
 from support import store_standin
 
@@ -237,19 +238,8 @@
 @behave.then("no two holders alternate within the lease's time to live")
 def then_no_alternation_after_restores(context):
     for seed, fleet in context.fleets:
-        _check_alternation(seed, fleet.actions)
-
-
-def _check_alternation(seed, actions):
-    for index, (at_s, _, name) in enumerate(actions):
-        has_other_acted = False
-        for later_s, _, later in actions[index + 1 :]:
-            if later_s - at_s > LEASE.ttl_s:
-                break
-            if later != name:
-                has_other_acted = True
-            elif has_other_acted:
-                raise AssertionError((seed, at_s, later_s))
+        actions = [(at_s, name) for at_s, _, name in fleet.actions]
+        duty_checks.check_no_alternation(actions, LEASE.ttl_s, seed)
 
 
 @behave.then(
--- a/features/steps/usage_window_steps.py
+++ b/features/steps/usage_window_steps.py
@@ -14,6 +14,7 @@
 from bilberryturn.edge import usage_windows
 from bilberryturn.gateway import shared_state
 from bilberryturn.platform import exceptions
+from support import duty_checks
 from support import fakes
 
 WINDOW_S = 5.0
@@ -378,15 +379,7 @@
                 nodes[name] = _NodeLifetime(name, table, clock)
             if nodes[name].may_act():
                 actions.append((clock(), name))
-    for index, (at_s, name) in enumerate(actions):
-        has_other_acted = False
-        for later_s, later in actions[index + 1 :]:
-            if later_s - at_s > LEASE.ttl_s:
-                break
-            if later != name:
-                has_other_acted = True
-            elif has_other_acted:
-                raise AssertionError((seed, at_s, later_s))
+    duty_checks.check_no_alternation(actions, LEASE.ttl_s, seed)
 
 
 class _NodeLifetime:
--- a/src/bilberryturn/platform/tables.py
+++ b/src/bilberryturn/platform/tables.py
@@ -96,7 +96,7 @@
             after = rows[-1].key
 
     def transact(
-        self, checks: dict[str, int], writes: dict[str, Any]
+        self, checks: dict[str, Version], writes: dict[str, Any]
     ) -> expression.Result[Committed | Aborted, exceptions.PlatformError]:
         """Write rows if every checked row still has the given version.
 
