--- a/features/restores.feature
+++ b/features/restores.feature
@@ -55,6 +55,19 @@
       | as nodes freeze                        | 40    |
       | as nodes are killed, cut off or frozen | 60    |
 
+  Scenario: A node cut off from its start takes no lease that is free in the copy
+    Given a store whose copy holds no lease
+    And another node that has not reached the store for 10 s since its start
+    When a node acquires the lease and the store is restored
+    Then another node acquires it only when the holder's time is over
+
+  # Guards against duties that nobody takes over for the lease's time twice, as
+  # the wait for the holder before a restore and that for its row add up.
+  Scenario: Duties are taken over soon after a restore without their holder
+    Given a node that holds the duties lease
+    When it ends, the store is restored and another node checks each 0.25 s
+    Then that one holds the lease within 4 s
+
   # Guards against a node that takes the first era that it sees for the first one.
   Scenario: A node that is cut off from its start until after a restore
     Given a first node that reports windows, and another one that is cut off
--- a/features/steps/restored_duty_steps.py
+++ b/features/steps/restored_duty_steps.py
@@ -363,3 +363,34 @@
 @behave.then("the other one reports later windows")
 def then_later_windows(context):
     assert [r for r in context.fleet.reports if r[4] == "b"]
+
+
+@behave.given(
+    "another node that has not reached the store for {duration_s:d} s since its"
+    " start"
+)
+def given_not_reached(context, duration_s):
+    context.other = _make_lease(context, "b")
+    context.clock.now_s += duration_s
+
+
+@behave.when(
+    "it ends, the store is restored and another node checks each {step_s:g} s"
+)
+def when_ends(context, step_s):
+    other = _make_lease(context, "b")
+    other.observe()
+    for _ in range(10):
+        context.clock.now_s += 0.5
+        assert context.lease.renew_or_acquire()
+        assert not other.renew_or_acquire()
+    context.standin.restore(context.standin.copy())
+    started_s = context.clock()
+    while not other.renew_or_acquire():
+        context.clock.now_s += step_s
+    context.waited_s = context.clock() - started_s
+
+
+@behave.then("that one holds the lease within {limit_s:g} s")
+def then_within(context, limit_s):
+    assert context.waited_s <= limit_s, context.waited_s
--- a/src/bilberryturn/leases/lease.py
+++ b/src/bilberryturn/leases/lease.py
@@ -71,6 +71,7 @@
         self._options = options
         self._table = table
         self._clock = clock
+        self._created_s = clock()
         self._key = f"lease/{name}"
         self._epoch_key = f"lease-epoch/{name}"
         self._epoch_version: tables.Version = 0
@@ -149,7 +150,11 @@
         """
         if self._table.era == self._era:
             return False
-        is_restored = self._era is not None
+        # A process that sees its first era late may have missed a restore.
+        is_restored = (
+            self._era is not None
+            or self._clock() - self._created_s >= self._options.ttl_s
+        )
         self._era = self._table.era
         self._own_row = None
         if not self.epoch:
@@ -159,8 +164,11 @@
         return is_restored
 
     def _wait_for_earlier_holder(self) -> None:
-        options = self._options
-        self._not_before_s = self._clock() + options.ttl_s + options.margin_s
+        self._not_before_s = self._clock() + self._takeover_wait_s()
+
+    def _takeover_wait_s(self) -> float:
+        """Return the time after which an earlier holder has stopped to act."""
+        return self._options.ttl_s + self._options.margin_s
 
     def _handle_row(self, row: tables.Row, sent_s: float) -> None:
         value = row.value or {}
@@ -193,16 +201,15 @@
         return (self._era or 0) * EPOCHS_PER_ERA
 
     def _may_acquire(self, row: tables.Row, value: dict) -> bool:
-        if self._clock() < self._not_before_s:
-            return False
-        if row.version == 0 or not value.get("holder"):
-            return True
-        if row.version != self._observed_version:
+        is_free = row.version == 0 or not value.get("holder")
+        if not is_free and row.version != self._observed_version:
             self._observed_version = row.version
             self._observed_s = self._clock()
             return False
+        if self._clock() < self._not_before_s:
+            return False
         waited_s = self._clock() - self._observed_s
-        return waited_s >= self._options.ttl_s + self._options.margin_s
+        return is_free or waited_s >= self._takeover_wait_s()
 
     def _renew(self, row: tables.Row, sent_s: float) -> None:
         """Write the next renewal.
