Answer requests sent ahead of one that a planned stop ends (LOST)

Such requests are answered as well, before the connections are closed.

planned_stop.feature, 'A request sent ahead of one whose server is silent': failed before (502, then a closed connection), passes (502, 503).

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -90,3 +90,11 @@
       | safe      | 1.5  |
       | stream    | 1.5  |
       | resumable | 2.4  |
+
+  # Guards against requests that wait behind one that is answered as the node
+  # ends, and are dropped with its connection.
+  Scenario: A request sent ahead of one whose server is silent
+    Given a node process with a grace period of 4 s
+    When the node gets SIGTERM
+    And a caller sends two unsafe requests at once after 1 s whose server is silent
+    Then the first one may have run, and the second one has not
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -315,3 +315,24 @@
         is_received,
         context.answer.head,
     )
+
+
+@behave.when(
+    "a caller sends two unsafe requests at once after {sent_s:g} s whose server"
+    " is silent"
+)
+def when_two(context, sent_s):
+    _at(context, sent_s)
+    connection = _connect(context)
+    connection.sendall(
+        _request("unsafe", STREAM_REQUEST, path="silent")
+        + _request("unsafe", REQUEST, path="silent")
+    )
+    context.answers = gateway_rig.read_answers(connection, 2)
+
+
+@behave.then("the first one may have run, and the second one has not")
+def then_first_and_second(context):
+    found = [(a.status, a.is_complete) for a in context.answers]
+    assert found == [(502, True), (503, True)], found
+    assert REQUEST not in context.server.received
--- a/features/support/gateway_rig.py
+++ b/features/support/gateway_rig.py
@@ -108,7 +108,7 @@
     def close(self):
         async def stop():
             self.server.stop_listening()
-            self.server.abort_all()
+            await self.server.end_all()
 
         self.call(stop)
         self.loop.call_soon_threadsafe(self.loop.stop)
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -443,6 +443,6 @@
         await loop.run_in_executor(
             None, concurrent.futures.wait, jobs, max(0.1, remaining_s - 0.3)
         )
-        cut_count = self._callers.abort_all()
+        cut_count = await self._callers.end_all()
         executor.shutdown(wait=False, cancel_futures=True)
         return cut_count
--- a/src/bilberryturn/gateway/server.py
+++ b/src/bilberryturn/gateway/server.py
@@ -21,6 +21,9 @@
 # Data accepted from a caller while its request is processed, such as further
 # requests. Beyond that the connection is not read until the request has ended.
 MAX_EARLY_BYTES = 65536
+# Time for the answers to requests sent ahead, as the node ends.
+LAST_ANSWERS_S = 0.2
+POLL_INTERVAL_S = 0.01
 CLOSE = (b"connection", b"close")
 
 
@@ -67,16 +70,21 @@
             1 for c in self.connections if c.is_busy or c.has_unsent_data
         )
 
-    def abort_all(self) -> int:
+    async def end_all(self) -> int:
         """End all connections; returns how many of them had a request.
 
-        A caller whose response has not begun is told so; all others are
-        aborted.
+        A caller whose response has not begun is told so, and so are those of
+        requests that were sent ahead; all others are aborted.
         """
         busy_count = self.busy_count()
         self.shared.is_cut = True
         for connection in list(self.connections):
             connection.end_at_stop()
+        end_s = time.monotonic() + LAST_ANSWERS_S
+        while self.busy_count() and time.monotonic() < end_s:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        for connection in list(self.connections):
+            connection.abort()
         return busy_count
 
 
@@ -333,7 +341,7 @@
             self.abort()
             return
         task.cancel()
-        self._close()
+        self._finish_request()
 
     def close_if_idle(self) -> None:
         """Close unless a request is being read or processed."""
