--- a/features/mutants.py
+++ b/features/mutants.py
@@ -89,7 +89,7 @@
         (
             (
                 "leases/lease.py",
-                "waited_s >= self._options.ttl_s + self._options.margin_s",
+                "waited_s >= self._takeover_wait_s()",
                 "waited_s >= self._options.ttl_s / 2",
             ),
         ),
--- a/src/bilberryturn/edge/config_order.py
+++ b/src/bilberryturn/edge/config_order.py
@@ -90,10 +90,8 @@
             )
             return Verdict.KEEP
         if candidate.era < current.era:
-            return self._decide_earlier(candidate)
-        if candidate.version > current.version:
-            return self._apply(candidate)
-        if candidate.version == current.version:
+            return self._decide_earlier(candidate, current)
+        if candidate.version >= current.version:
             return self._apply(candidate)
         if candidate.era == current.era:
             return Verdict.KEEP
@@ -116,14 +114,16 @@
         self._apply(held._replace(written_era=held.era))
         return True
 
-    def _decide_earlier(self, candidate: Candidate) -> Verdict:
+    def _decide_earlier(
+        self, candidate: Candidate, current: Candidate
+    ) -> Verdict:
         """Decide on a candidate that the store last showed in an earlier era.
 
         A node that has only read the copy lacks a version that will be written
         again.
         """
-        is_copy = self.current.written_era < self.current.era
-        if is_copy and candidate.version > self.current.version:
+        is_copy = current.written_era < current.era
+        if is_copy and candidate.version > current.version:
             return self._apply(candidate)
         return Verdict.KEEP
 
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -9,19 +9,17 @@
 import msgspec
 
 from bilberryturn import events
-from bilberryturn import metrics
+from bilberryturn.edge import config_feed
 from bilberryturn.edge import config_order
 from bilberryturn.edge import followers
 from bilberryturn.edge import intervals
 from bilberryturn.edge import peer_state
 from bilberryturn.gateway import shared_state
 from bilberryturn.platform import decoding
-from bilberryturn.platform import operator_config
 from bilberryturn.platform import rows
 from bilberryturn.platform import server_entries
 from bilberryturn.platform import settings_file
 from bilberryturn.routing import directory as server_directory
-from bilberryturn.routing import table
 from bilberryturn.routing import types
 
 # An entry expires after three missed heartbeats, the first of which may have
@@ -68,8 +66,7 @@
         # stored.
         self._entry_content: dict[str, types.BackendServer | bytes] = {}
         self._suspects_era = config_order.NO_ERA
-        # The configuration that waits in the order, and its source.
-        self._held_config: tuple[table.RouteTable, bytes, str] | None = None
+        self._configs = config_feed.ConfigApplier(shared, raw)
 
     def known(self) -> peer_state.Known:
         """Return what this node has of its peers' content."""
@@ -92,7 +89,9 @@
         if value is not None:
             era = _era_number(reading.era)
             written_era = config_order.NO_ERA if reading.is_snapshot else era
-            self.apply_config(value, "store", era, written_era)
+            self._configs.apply(
+                value, config_feed.Source.STORE, era, written_era
+            )
 
     def on_servers_read(self, reading: followers.Reading) -> None:
         """Apply a reading of the servers' entries."""
@@ -131,73 +130,6 @@
                 }
             self.merge_suspects(lifetime, counts)
 
-    def apply_config(
-        self,
-        value: bytes,
-        source: str,
-        era: int = config_order.NO_ERA,
-        written_era: int = config_order.NO_ERA,
-    ) -> None:
-        """Apply a configuration unless it is older than the one in force.
-
-        Args:
-            value: The configuration as stored.
-            source: "store" or "peer".
-            era: Last era in which the store showed it.
-            written_era: Era in which it is known to have been written.
-        """
-        order = self._raw.config_order
-        if value == self._raw.config and order.current is not None:
-            same = order.current._replace(era=era, written_era=written_era)
-            order.decide(same, time.monotonic(), source == "store")
-            return
-        result = operator_config.decode(value)
-        if result.is_error():
-            events.log(events.CONFIG_REFUSED, error=str(result.error))
-            return
-        candidate = config_order.Candidate(
-            result.ok.version, peer_state.digest(value), era, written_era
-        )
-        verdict = order.decide(candidate, time.monotonic(), source == "store")
-        if verdict is config_order.Verdict.APPLY:
-            self._put_in_force(result.ok, value, source)
-            return
-        if verdict is config_order.Verdict.HOLD:
-            self._held_config = (result.ok, value, source)
-        events.log(
-            events.CONFIG_STALE,
-            version=candidate.version,
-            current=order.current.version,
-            source=source,
-            era=era,
-            verdict=verdict.name,
-        )
-
-    def _put_in_force(
-        self, route_table: table.RouteTable, value: bytes, source: str
-    ) -> None:
-        shared = self._shared
-        previous = shared.table.version if shared.table else None
-        self._raw.set_config(value)
-        shared.table = route_table
-        metrics.set_gauge(
-            metrics.CONFIG_VERSION, {}, float(route_table.version)
-        )
-        events.log(
-            events.CONFIG_APPLIED,
-            version=route_table.version,
-            previous=previous,
-            source=source,
-        )
-
-    def _release_config(self) -> None:
-        """Put the configuration in force that has waited long enough."""
-        if self._held_config is None:
-            return
-        if self._raw.config_order.release(time.monotonic()):
-            self._put_in_force(*self._held_config)
-            self._held_config = None
-
     def confirm_config(self, confirmed_s: float) -> None:
         """Record that the store had no newer configuration at a time."""
         confirmed_s = max(confirmed_s, self._raw.config_confirmed_s)
@@ -364,8 +296,11 @@
         if value is None:
             value = self._raw.config
         if value:
-            self.apply_config(
-                value, "peer", state.config_era, state.config_written_era
+            self._configs.apply(
+                value,
+                config_feed.Source.PEER,
+                state.config_era,
+                state.config_written_era,
             )
         return True
 
@@ -403,7 +338,7 @@
 
     def expire(self) -> None:
         """Drop expired entries, and apply a configuration that has waited."""
-        self._release_config()
+        self._configs.release()
         changes = self._shared.directory.expire(time.monotonic())
         if changes:
             self._record_changes(changes, self._shared.servers_confirmed_s)
