--- a/features/restores.feature
+++ b/features/restores.feature
@@ -80,6 +80,10 @@
   Scenario: A holder that lives on reports all windows whole
     Then over 40 seeded runs with one restore after 2 s at most and no other fault each window is reported whole and in time
 
+  # Guards against the same after a longer outage, in which the lease runs out.
+  Scenario: All windows are reported whole after an outage of up to 5 s
+    Then over 20 seeded runs with one restore and no other fault each window is reported whole and in time
+
   # Guards against a former holder that resumes under its fencing number, as the
   # restored row still names it.
   Scenario: A holder renews under a new fencing number after a restore
--- a/features/steps/restored_duty_steps.py
+++ b/features/steps/restored_duty_steps.py
@@ -253,6 +253,17 @@
         _check_whole(seed, fleet)
 
 
+@behave.then(
+    "over {count:d} seeded runs with one restore and no other fault each window"
+    " is reported whole and in time"
+)
+def then_whole_after_longer_outages(context, count):
+    for seed in range(count):
+        fleet = _Fleet(seed, "once")
+        fleet.run()
+        _check_whole(seed, fleet)
+
+
 def _check_whole(seed, fleet):
     reported = {}
     for at_s, window, counts, _, _ in fleet.reports:
