--- a/review/standins/runners.py
+++ b/review/standins/runners.py
@@ -106,6 +106,8 @@
 
     def crash(self) -> None:
         """End as a killed process: all connections close, no reports."""
+        if not self._server.is_serving():
+            return
         self.record.add(self.server_id, "crashed")
         self._heartbeat.cancel()
         self._server.close()
