--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 import os
 import pathlib
 import random
@@ -45,9 +46,10 @@
         self.name = name
         self.ip = ip
         self.zone = zone
-        self.front_port = _free_port(ip)
-        self.ready_port = _free_port(ip)
-        self.control_port = _free_port(ip)
+        ports = _free_ports(ip)
+        self.front_port = next(ports)
+        self.ready_port = next(ports)
+        self.control_port = next(ports)
         self._settings_path = folder / f"{name}.conf"
         self.log_path = folder / f"{name}.log"
         self.process: subprocess.Popen | None = None
@@ -111,6 +113,10 @@
         except (OSError, TimeoutError):
             return False
 
+    def last_log_line(self) -> str:
+        """Return the last line that the process has written."""
+        return self.log_path.read_text("utf-8").rpartition("\n")[0][-300:]
+
     def send_signal(self, number: int) -> None:
         """Send a signal to the process if it runs."""
         if self.process is not None and self.process.poll() is None:
@@ -227,9 +233,13 @@
         for node in self.nodes:
             while not await node.is_ready():
                 if asyncio.get_running_loop().time() > limit_s:
-                    raise CannotRunError(f"{node.name} is not ready")
+                    raise CannotRunError(
+                        f"{node.name} is not ready: {node.last_log_line()}"
+                    )
                 if node.process.poll() is not None:
-                    raise CannotRunError(f"{node.name} has ended")
+                    raise CannotRunError(
+                        f"{node.name} has ended: {node.last_log_line()}"
+                    )
                 await asyncio.sleep(0.1)
         for node in self.nodes:
             node.write_settings(lines, is_first=False)
@@ -287,10 +297,19 @@
         return await case(deployment)
 
 
-def _free_port(ip: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def _free_ports(ip: str) -> Iterator[int]:
+    """Yield ports that no process uses on an address.
+
+    They lie below the range from which the nodes' own connections take their
+    ports.
+    """
+    for port in range(8220, 9400):
+        with socket.socket() as probe:
+            try:
+                probe.bind((ip, port))
+            except OSError:
+                continue
+        yield port
 
 
 def run_as_script(case: Case, folder: pathlib.Path) -> None:
