--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -127,7 +127,7 @@
     """Nodes and the platform of one case, with the bounds of kalibo-bench.
 
     Attributes:
-        bounds: Settings under `bounds`, which a case may not change.
+        BOUNDS: Settings under `bounds`.
     """
 
     BOUNDS = {
