Log what a caller has of a stream, its framing and the move of its run

A stream that lacked a piece and one that ended too early were both logged as streamed, with nothing to tell whether the server, the resumption or the end of the body was at fault. attempt_failed and request_ended now name the events that the caller has, the identifier that a resumption would go on behind, whether the answer has a length or chunks, and the state of the move.

--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -32,6 +32,8 @@
 
     Attributes:
         was_sent: Whether the request was written.
+        is_framed: Whether the response has a length or chunks; None before its
+            head.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         # Whether the failure counted as a crash of the server.
         self._is_crash = False
         self.was_sent = False
+        self.is_framed: bool | None = None
 
     async def run(self, may_try_another: bool) -> attempt_types.AttemptResult:
         """Send the request, then release its reservation and connection.
@@ -224,7 +227,9 @@
         if not isinstance(event, h11.Response):
             raise upstream.UpstreamError("no answer", True)
         self._has_response = True
-        return wire.read_server_response(event.status_code, list(event.headers))
+        head = wire.read_server_response(event.status_code, list(event.headers))
+        self.is_framed = head.has_framing
+        return head
 
     async def _read_own_head(self) -> wire.ServerResponse:
         """Read a head, behind the copies of answers to earlier requests."""
@@ -356,6 +361,16 @@
                 events.SERVER_CIRCUIT_OPEN, server=in_flight.server.server_id
             )
 
+    def move_state(self) -> str | None:
+        """Return the state of the move of the run, for logs; None without."""
+        if self._move is None:
+            return None
+        if not self._move.done():
+            return "pending"
+        if self._move.cancelled():
+            return "cancelled"
+        return "moved" if self._move.result() else "not_moved"
+
     def _log(self, reason: str) -> None:
         chosen = self._chosen
         fingerprint = self._request.fingerprint
@@ -368,6 +383,10 @@
             running=chosen.running,
             servers_age_s=self._shared.servers_age_s(),
             answered_s=self._delivery.answered_s(),
+            delivered_events=self._delivery.event_count,
+            last_event=self._delivery.last_event_id,
+            is_framed=self.is_framed,
+            move=self.move_state(),
             prompt_parts=types.shared_parts(self._prompt),
             connection_reused=self._was_reused,
             is_crash=self._is_crash,
--- a/src/bilberryturn/gateway/delivery.py
+++ b/src/bilberryturn/gateway/delivery.py
@@ -52,6 +52,7 @@
         has_started: Whether the head of a stream was sent.
         first_chunk_s: Monotonic time at which the first chunk was sent, or
             None.
+        event_count: Events that were sent to the caller.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self._is_counted = False
         self.has_started = False
         self.first_chunk_s: float | None = None
+        self.event_count = 0
 
     @property
     def last_event_id(self) -> str | None:
@@ -111,6 +113,7 @@
             self.count_request()
             self._start_stream(head)
         await self._caller.send_chunk(complete_events)
+        self.event_count += events_stream.count(complete_events)
         return True
 
     def end_stream(self, head: wire.ServerResponse) -> None:
--- a/src/bilberryturn/gateway/events_stream.py
+++ b/src/bilberryturn/gateway/events_stream.py
@@ -107,6 +107,11 @@
         raise MalformedEventError("bytes in the stream are no events")
 
 
+def count(complete_events: bytes) -> int:
+    """Return the number of events."""
+    return sum(complete_events.count(d) for d in _EVENT_DELIMITERS)
+
+
 def _follows(event_id: str, after: str) -> bool:
     """Return whether an event comes after another; identifiers increase."""
     if event_id.isdecimal() and after.isdecimal():
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -38,6 +38,7 @@
         self._delivery: delivery.Delivery | None = None
         self._chosen: choice.Choice | None = None
         self._attempt_in_progress = False
+        self._last_attempt: attempts.Attempt | None = None
         self._sent_count = 0
         # Status of the response that the end of a shutdown sent.
         self._stop_status = 0
@@ -244,6 +245,7 @@
             shared,
             moved.moved_from if moved else None,
         )
+        self._last_attempt = attempt
         may_try_another = self._sent_count + 1 < self._request.route.attempts
         self._attempt_in_progress = True
         try:
@@ -294,9 +296,12 @@
 
     def _log(self, reason: str, status: int) -> None:
         shared, chosen = self._shared, self._chosen
+        attempt, caller_delivery = self._last_attempt, self._delivery
         arrived_s = self._incoming.arrived_s
         duration_s = time.monotonic() - arrived_s
-        first_chunk_s = self._delivery.first_chunk_s if self._delivery else None
+        first_chunk_s = (
+            caller_delivery.first_chunk_s if caller_delivery else None
+        )
         shared.record_ended_request(
             self._route_name or "none",
             self._account_name or "none",
@@ -316,6 +321,14 @@
             running=chosen.running if chosen else None,
             unread_tokens=chosen.uncached_tokens if chosen else None,
             sends=self._sent_count,
+            delivered_events=(
+                caller_delivery.event_count if caller_delivery else None
+            ),
+            last_event=(
+                caller_delivery.last_event_id if caller_delivery else None
+            ),
+            is_framed=attempt.is_framed if attempt else None,
+            move=attempt.move_state() if attempt else None,
             duration_s=round(duration_s, 4),
             config=shared.table.version if shared.table else None,
             config_age_s=shared.config_age_s(),
