Resume a stream behind what its caller was sent, not what was read

A caller of a resumable stream got pieces 1 to 5 and 7 to 20 in a stream that ended as complete, as its first server had sent piece 6 and an error's head in one write.

Cause: EventSplitter.feed cut bytes into events and also kept the identifier of the last one as what the caller has; the check that refuses bytes that are no events came behind it and refused the whole read.

The splitter now only cuts and checks, event by event; the position of the caller is kept by Delivery and moves behind send_chunk. Whole events before spoiled bytes are sent. So the identifier always names an event that the caller has. The same holds for an attempt that ends while its caller reads slowly. An identifier that repeats or goes back is refused within one answer too, one that is no token is no event, and behind an event without one the stream is broken off instead of resumed, as the next server would send it again.

The test of linear work calls the splitter, which is a generator now; its bounds are the same.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -659,13 +659,40 @@
         (
             (
                 "gateway/events_stream.py",
-                "if after is not None and not _follows(event_id, after):",
+                "if not is_next:",
                 "if False:",
             ),
         ),
         "operators",
         "begins with the first event again",
     ),
+    Mutant(
+        "a stream is resumed behind events that were not sent",
+        (
+            (
+                "gateway/delivery.py",
+                '                await self._send(head, b"".join(unsent))\n'
+                "                self._position = position\n",
+                "                self._position = position\n"
+                '                await self._send(head, b"".join(unsent))\n',
+            ),
+        ),
+        "streams",
+        "waits for its caller",
+    ),
+    Mutant(
+        "events before bytes that are no events are dropped",
+        (
+            (
+                "gateway/delivery.py",
+                "        finally:\n            if unsent:",
+                "        finally:\n            self._position = position\n"
+                "            if unsent and len(unsent) > 1:",
+            ),
+        ),
+        "streams",
+        "an error's head",
+    ),
     Mutant(
         "the age of a reply counts from when it is applied",
         (
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -226,7 +226,7 @@
     try:
         while fed_bytes < 16 * MB:
             fed_bytes += 1024
-            splitter.feed(b"x" * 1024)
+            list(splitter.feed(b"x" * 1024))
     except events_stream.EventTooLargeError:
         pass
     assert fed_bytes <= response_limits.MAX_EVENT_BYTES + 1024, fed_bytes
--- /dev/null
+++ b/features/streams.feature
@@ -0,0 +1,46 @@
+Feature: Streams of servers that send other bytes than expected
+
+  # Guards against pieces that are missing, as a stream is resumed behind events
+  # that its caller was never sent.
+  Scenario Outline: Whole events come in one read with <what>
+    Given a gateway before a server that sends events 1 and 2, then in one write event 3 and <what>, and one that resumes
+    When a caller requests the resumable stream of 6 events
+    Then the caller has all 6 events once and in order, in a stream that is complete
+    And the second server was asked to go on behind event 3
+
+    Examples:
+      | what                                 |
+      | an error's head                      |
+      | an error's text                      |
+      | an event that is too large           |
+      | event 3 again                        |
+      | event 2 again                        |
+      | an identifier that is an error's head |
+      | an identifier of 5000 digits|
+      | half of an event                     |
+
+  # Guards against events that come twice, as a stream is resumed behind the last
+  # identifier though its caller has events without one.
+  Scenario Outline: Events that cannot be named are not resumed behind: <what>
+    Given a gateway before a server that sends events 1 and 2, then in one write event 3 and <what>, and one that resumes
+    When a caller requests the resumable stream of 6 events
+    Then the caller has the events that were sent to it, in a stream that is incomplete
+    And the second server was not asked
+
+    Examples:
+      | what                          |
+      | an event without an identifier |
+      | an event with an empty one     |
+
+  # Guards against a stream that breaks off though nothing is wrong with it.
+  Scenario: Comments and blank lines between events do not keep a stream from being resumed
+    Given a gateway before a server that sends events 1 and 2, then in one write event 3 and a comment, and one that resumes
+    When a caller requests the resumable stream of 6 events
+    Then the caller has all 6 events once and in order, in a stream that is complete
+
+  # Guards against a missing piece, as the attempt ends while its caller reads
+  # nothing.
+  Scenario: An attempt ends while an event waits for its caller
+    Given a caller that takes no more bytes after event 1
+    When events 2 and 3 are forwarded to it and the attempt is cancelled meanwhile
+    Then the stream would be resumed behind event 1
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -162,7 +162,7 @@
 
     def start_move(self) -> None:
         """Begin to move the stream to another server."""
-        if self._move is not None:
+        if self._move is not None or not self._delivery.can_resume:
             return
         shared, request = self._shared, self._request
         now_s = time.monotonic()
@@ -298,13 +298,20 @@
         return attempt_types.StreamCompleted()
 
     async def _forward(self, head: wire.ServerResponse, data: bytes) -> None:
+        events_before = self._delivery.event_count
         try:
-            has_sent_event = await self._delivery.forward(head, data)
+            await self._delivery.forward(head, data)
         except events_stream.StreamError as error:
             raise upstream.UpstreamError(str(error), True) from error
-        if has_sent_event and self._first_event_s is None:
+        finally:
+            if self._delivery.event_count > events_before:
+                self._record_events()
+
+    def _record_events(self) -> None:
+        """Record that the caller was sent events of this attempt."""
+        if self._first_event_s is None:
             self._first_event_s = time.monotonic()
-        if has_sent_event and self._in_flight is not None:
+        if self._in_flight is not None:
             self._shared.load_balancer.record_first_token(self._in_flight)
             engine = self._request.service.engine
             if engine is not None and engine.can_move:
--- a/src/bilberryturn/gateway/delivery.py
+++ b/src/bilberryturn/gateway/delivery.py
@@ -65,6 +65,8 @@
         self._account = account
         self._usage = usage
         self._splitter = events_stream.EventSplitter()
+        # Where a resumed stream goes on: only behind what the caller was sent.
+        self._position = events_stream.Position()
         self._is_counted = False
         self.has_started = False
         self.first_chunk_s: float | None = None
@@ -73,7 +75,12 @@
     @property
     def last_event_id(self) -> str | None:
         """Return the identifier of the last event sent to the caller."""
-        return self._splitter.last_event_id
+        return self._position.last_event_id
+
+    @property
+    def can_resume(self) -> bool:
+        """Return whether another server can go on where the caller is."""
+        return self._position.is_known
 
     @property
     def has_partial_event(self) -> bool:
@@ -90,31 +97,34 @@
         """Prepare for another server's answer, which may resume a stream."""
         self._splitter.begin_attempt()
 
-    async def forward(self, head: wire.ServerResponse, data: bytes) -> bool:
+    async def forward(self, head: wire.ServerResponse, data: bytes) -> None:
         """Forward the complete events of a stream.
 
         Args:
             head: Head of the server's response.
             data: Next bytes of the stream.
 
-        Returns:
-            Whether a complete event was sent.
-
         Raises:
-            events_stream.StreamError: The bytes are not what may come next.
+            events_stream.StreamError: Some bytes are not what may come next;
+                the events before them were sent.
         """
-        complete_events = self._splitter.feed(data)
-        if not complete_events:
-            return False
-        if head.is_event_stream:
-            events_stream.check(complete_events)
+        position, unsent = self._position, []
+        try:
+            for event in self._splitter.feed(data, head.is_event_stream):
+                position = position.after(event)
+                unsent.append(event.data)
+        finally:
+            if unsent:
+                await self._send(head, b"".join(unsent))
+                self._position = position
+                self.event_count += len(unsent)
+
+    async def _send(self, head: wire.ServerResponse, data: bytes) -> None:
         if not self.has_started:
             self.first_chunk_s = time.monotonic()
             self.count_request()
             self._start_stream(head)
-        await self._caller.send_chunk(complete_events)
-        self.event_count += events_stream.count(complete_events)
-        return True
+        await self._caller.send_chunk(data)
 
     def end_stream(self, head: wire.ServerResponse) -> None:
         """End a complete stream, which may have contained no event."""
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -164,9 +164,11 @@
             if isinstance(result, attempt_types.StreamCompleted):
                 return 200, "streamed"
             if isinstance(result, moves.MovedRun):
-                moved = result
                 may_have_run = True
                 self._last_failure = "moved"
+                if not self._delivery.can_resume:
+                    break
+                moved = result
             elif isinstance(result, attempt_types.Response):
                 if self._is_final(result):
                     return self._deliver(result)
@@ -188,6 +190,8 @@
             return False
         if may_have_run and not self._has_attempts_left():
             return False
+        if not self._delivery.can_resume:
+            return False
         now_s = time.monotonic()
         if self._shared.suspects.is_refused(self._request.fingerprint, now_s):
             return False
