Believe the end of an answer without framing only if nothing else explains it

Callers of streams without length or chunks got 9 to 13 of 40 pieces in a stream that ended as complete, as the failure domain of their engines was reclaimed.

Cause: the gateway asks such an engine to stop the run and copy it; the engine closes the stream, and the close was taken for the end of the body while the reply to that very request was under way. An engine that ends stopped runs in good order is ruled out by its protocol.

answer_ends.py now judges each such end: it waits for the reply to the move (200 goes on with the copy, 404 explains nothing, anything else may have stopped the run), and looks at a departure that is due, a removed or restarted server, and whether anything listens at its address. Otherwise the attempt has failed: the request is retried or resumed where its route allows it, or breaks off so that its caller sees it. The same for answers that are no stream, and for an empty one. Copies that no request uses are freed, as they held memory at two engines.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -54,3 +54,35 @@
       | end                     |
       | reset behind all events |
       | close inside an event   |
+
+  # Guards against answers that look whole though their server ended inside them.
+  Scenario Outline: An answer without length or chunks to a <kind> request ends as its server <state>
+    Given a gateway before a server whose answers have no length and that close behind <part>
+    When the server <state> while it answers a <kind> request
+    Then the caller sees <outcome>
+
+    Examples:
+      | state                     | kind   | part       | outcome                   |
+      | is due to leave           | safe   | the body   | status 502 without a seal |
+      | is due to leave           | unsafe | the body   | status 502 without a seal |
+      | is due to leave           | stream | all events | a cut stream              |
+      | has drained for long      | stream | all events | a cut stream              |
+      | is to leave in 9 s        | safe   | the body   | the whole answer          |
+      | is to leave in 9 s        | stream | all events | the whole stream          |
+      | was removed               | unsafe | the body   | status 502 without a seal |
+      | was removed               | stream | all events | a cut stream              |
+      | has started again         | unsafe | the body   | status 502 without a seal |
+      | listens no more           | unsafe | the body   | status 502 without a seal |
+      | listens no more           | stream | all events | a cut stream              |
+
+  # Guards against an empty success, as a server ends behind the head.
+  Scenario Outline: An answer without length or chunks and without a body, status <status>
+    Given a gateway before a server that answers <status> and closes behind the head
+    When a caller sends a safe request
+    Then the caller sees <outcome>
+
+    Examples:
+      | status         | outcome                   |
+      | 200 OK         | status 502 without a seal |
+      | 404 Not Found  | status 502 without a seal |
+      | 204 No Content | status 204 with its seal  |
--- a/features/moves.feature
+++ b/features/moves.feature
@@ -36,3 +36,41 @@
     And a third engine and a second stream on the first engine
     When the first engine is reported to end in 2 s
     Then each of the other engines received one moved run
+
+  # Guards against a stream that ends as complete where its run was stopped, as
+  # its end shows in the end of its connection only.
+  Scenario Outline: A stream without length or chunks closes <when>
+    Given two engines, the first of which streams without length or chunks and <when>
+    When the first engine is reported to end in 9 s and its streams are moved
+    Then the caller of the stream sees <outcome>
+    And the second engine received <second>
+
+    Examples:
+      | when                                             | outcome               | second                       |
+      | before it answers that it moved the run          | the whole stream      | the moved run behind event 2 |
+      | after it has answered that it moved the run      | the whole stream      | the moved run behind event 2 |
+      | before it answers that it runs no such stream    | its events, complete  | nothing                      |
+      | before it answers that it stopped without a copy | a broken stream       | nothing                      |
+      | before it answers that another move goes on      | a broken stream       | nothing                      |
+      | never answers                                    | a broken stream       | nothing                      |
+
+  # Guards against a caller who has to send its request again, though its route
+  # allows to resume the stream.
+  Scenario: A resumable stream without length or chunks closes and its engine never answers
+    Given two engines, the first of which streams without length or chunks and never answers
+    But the route allows to resume streams
+    When the first engine is reported to end in 9 s and its streams are moved
+    Then the caller of the stream sees the whole stream
+    And the second engine was asked to resume it behind event 2
+
+  # Guards against memory that is held at two engines for a run that is over.
+  Scenario Outline: The copy of a run that <ending> is freed
+    Given two engines, the first of which streams in chunks and <ending>
+    When the first engine is reported to end in 9 s and its streams are moved
+    Then the first engine is asked to free the copy once
+    And the second engine received nothing
+
+    Examples:
+      | ending                                   |
+      | ends whole before its move is answered   |
+      | loses its caller before its move is answered |
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -693,6 +693,42 @@
         "streams",
         "an error's head",
     ),
+    Mutant(
+        "an end without framing is believed while the run is moved",
+        (
+            (
+                "gateway/answer_ends.py",
+                "if move is not None:",
+                "if False:",
+            ),
+        ),
+        "moves",
+        "A stream without length or chunks closes",
+    ),
+    Mutant(
+        "an end without framing is believed of a server that is due to leave",
+        (
+            (
+                "gateway/answer_ends.py",
+                "if is_ending(shared, server.lifetime, time.monotonic()):",
+                "if False:",
+            ),
+        ),
+        "answers",
+        "is due to leave",
+    ),
+    Mutant(
+        "the copy of a run that nobody uses is kept",
+        (
+            (
+                "gateway/attempts.py",
+                "self._shared.unused_copies.release_after(self._move)",
+                "pass",
+            ),
+        ),
+        "moves",
+        "is freed",
+    ),
     Mutant(
         "the age of a reply counts from when it is applied",
         (
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 import queue
+import threading
 import time
 
 import behave
@@ -169,11 +170,14 @@
     "a gateway before a server whose answers have no length and that {end}"
 )
 def given_unframed(context, end):
-    server = scripted.ScriptedServer(_unframed(end))
-    context.closers.append(server.close)
-    context.rig = gateway_rig.GatewayRig(
-        [gateway_rig.make_server("s1", server.port)]
-    )
+    _start_gateway(context, _unframed(end))
+
+
+def _start_gateway(context, script):
+    context.server = scripted.ScriptedServer(script)
+    context.closers.append(context.server.close)
+    context.backend_server = gateway_rig.make_server("s1", context.server.port)
+    context.rig = gateway_rig.GatewayRig([context.backend_server])
     context.closers.append(context.rig.close)
 
 
@@ -185,3 +189,65 @@
     events = b"".join(scripted.event(n) for n in range(1, count + 1))
     assert answer.body == events, answer.body
     assert not answer.is_complete
+
+
+@behave.then("the caller sees a cut stream")
+def then_cut_stream(context):
+    then_cut(context, EVENTS)
+
+
+# Servers that end while an answer without length or chunks is read
+
+
+def _server_states(context):
+    """Return by name what is reported of the server, and at which time."""
+    known = context.backend_server
+    leaving = known._replace(is_leaving=True, sequence=2)
+    now_s = time.monotonic()
+    directory = context.rig.shared.directory
+    return {
+        "is due to leave": lambda: directory.report(
+            leaving._replace(leaves_in_s=1.0), now_s
+        ),
+        "has drained for long": lambda: directory.report(leaving, now_s - 10),
+        "is to leave in 9 s": lambda: directory.report(
+            leaving._replace(leaves_in_s=9.0), now_s
+        ),
+        "was removed": lambda: directory.remove(known.server_id, None, now_s),
+        "has started again": lambda: directory.report(
+            known._replace(started_ms=known.started_ms + 1), now_s
+        ),
+        "listens no more": context.server.close,
+    }
+
+
+@behave.when("the server {state} while it answers a {kind:w} request")
+def when_server_ends(context, state, kind):
+    async def report():
+        _server_states(context)[state]()
+
+    def end_server():
+        time.sleep(0.05)
+        context.rig.call(report)
+
+    ending = threading.Thread(target=end_server)
+    ending.start()
+    context.answer = gateway_rig.send_request(
+        context.rig.port, gateway_rig.request_text(kind, f"u{next(_ids)}")
+    )
+    ending.join(5)
+
+
+@behave.given(
+    "a gateway before a server that answers {status} and closes behind the head"
+)
+def given_empty(context, status):
+    def answer(peer, head, body, number):
+        request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
+        peer.send(
+            f"HTTP/1.1 {status}\r\nX-Bilberryturn-Attempt-Id: {request}\r\n"
+            f"{scripted.SEAL}Connection: close\r\n\r\n"
+        )
+        return "close"
+
+    _start_gateway(context, answer)
--- a/features/steps/move_steps.py
+++ b/features/steps/move_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import socket
 import threading
 import time
 
@@ -134,12 +135,11 @@
     return script
 
 
-@behave.given("two engines, the first of which sends 2 events and {answer}")
-def given_engines(context, answer):
-    context.first = _FirstEngine(answer)
+def _start_engines(context, first, second):
+    """Start a gateway that knows the first of two engines."""
     context.servers = [
-        scripted.ScriptedServer(context.first.script),
-        scripted.ScriptedServer(_second_engine(answer)),
+        scripted.ScriptedServer(first),
+        scripted.ScriptedServer(second),
     ]
     for server in context.servers:
         context.closers.append(server.close)
@@ -149,7 +149,10 @@
     ]
     route_table = table.RouteTable(
         1,
-        [gateway_rig.make_route("stream")],
+        [
+            gateway_rig.make_route("stream"),
+            gateway_rig.make_route("resumable", timeout_s=8.0),
+        ],
         [types.Service("app", 100, types.Engine(8, 100_000, 1, True), None)],
         types.Limits(),
         {
@@ -160,6 +163,12 @@
     )
     context.rig = gateway_rig.GatewayRig([context.engines[0]], route_table)
     context.closers.append(context.rig.close)
+
+
+@behave.given("two engines, the first of which sends 2 events and {answer}")
+def given_engines(context, answer):
+    context.first = _FirstEngine(answer)
+    _start_engines(context, context.first.script, _second_engine(answer))
     context.answers = []
     request = gateway_rig.request_text("stream", f"m{next(_ids)}")
     context.caller = threading.Thread(
@@ -220,6 +229,10 @@
     if outcome == "the whole stream":
         assert answer.is_complete and answer.body == whole, answer.body
         return
+    if outcome == "its events, complete":
+        events = scripted.event(1) + scripted.event(2)
+        assert answer.is_complete and answer.body == events, answer.body
+        return
     assert not answer.is_complete and whole.startswith(answer.body)
 
 
@@ -271,3 +284,164 @@
         lambda: [len(s.requests) for s in context.servers],
     )
     assert [len(s.requests) for s in context.servers[1:]] == [1, 1]
+
+
+# Streams whose end shows in the end of their connection
+
+
+class _UnframedEngine:
+    """Sends two events without length or chunks, then is asked to move the run.
+
+    Attributes:
+        begun_count: Streams that have begun.
+        released: Targets of the calls that free a copy.
+    """
+
+    def __init__(self, when, has_chunks=False):
+        self.move = None
+        self.begun_count = 0
+        self.released = []
+        self.has_begun = threading.Event()
+        self._when = when
+        self._has_chunks = has_chunks
+        self._may_close = threading.Event()
+        self.has_closed = threading.Event()
+
+    def script(self, peer, head, body, number):
+        if " /kv-move " in head:
+            return self._handle_move(peer, body)
+        if head.startswith("DELETE "):
+            self.released.append(head.split(" ", 2)[1])
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            return "close"
+        events = [scripted.event(1), scripted.event(2)]
+        if self._has_chunks:
+            peer.start_stream(head)
+            for event in events:
+                peer.chunk(event)
+        else:
+            request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
+            peer.send(
+                f"HTTP/1.1 200 OK\r\nX-Bilberryturn-Attempt-Id: {request}\r\n"
+                f"{scripted.SEAL}Content-Type: text/event-stream\r\n\r\n"
+            )
+            peer.send(b"".join(events))
+        self.begun_count += 1
+        self.has_begun.set()
+        self._may_close.wait(5)
+        if self._has_chunks and "ends whole" in self._when:
+            peer.chunk(b"")
+        peer.connection.close()
+        self.has_closed.set()
+        return "close"
+
+    def _handle_move(self, peer, body):
+        self.move = json.loads(body)
+        answers_first = "after it has answered" in self._when
+        if not answers_first:
+            self._may_close.set()
+            assert self.has_closed.wait(5)
+            # The gateway learns of the close first.
+            time.sleep(0.1)
+        if "never answers" in self._when:
+            time.sleep(moves.MOVE_TIMEOUT_S + 0.2)
+            return "close"
+        status, reply = "200 OK", {"resultHandle": HANDLE, "created": 2}
+        if "no such stream" in self._when:
+            status, reply = "404 Not Found", {}
+        elif "without a copy" in self._when:
+            status = "503 Busy"
+        elif "another move" in self._when:
+            status, reply = "409 Conflict", {}
+        data = json.dumps(reply).encode()
+        peer.send(f"HTTP/1.1 {status}\r\nContent-Length: {len(data)}\r\n\r\n")
+        peer.send(data)
+        if answers_first:
+            time.sleep(0.1)
+            self._may_close.set()
+        return "close"
+
+
+@behave.given(
+    "two engines, the first of which streams without length or chunks and"
+    " {when}"
+)
+def given_unframed_engines(context, when):
+    context.first = _UnframedEngine(when)
+    context.kind = "stream"
+
+
+@behave.given("the route allows to resume streams")
+def given_resumable(context):
+    context.kind = "resumable"
+
+
+@behave.given("two engines, the first of which streams in chunks and {ending}")
+def given_chunked_engines(context, ending):
+    context.first = _UnframedEngine(ending, has_chunks=True)
+    context.kind = "stream"
+    context.leaves_early = "loses its caller" in ending
+
+
+@behave.when(
+    "the first engine is reported to end in 9 s and its streams are moved"
+)
+def when_moved_early(context):
+    _start_engines(context, context.first.script, _second_engine(""))
+    request = gateway_rig.request_text(
+        context.kind, f"m{next(_ids)}", extra="X-Bilberryturn-Tokens: 9,9\r\n"
+    )
+    context.answers = []
+    connection = gateway_rig.connect(context.rig.port)
+
+    def call():
+        context.answers.append(
+            gateway_rig.send_request(context.rig.port, request, connection)
+        )
+
+    context.caller = threading.Thread(target=call, daemon=True)
+    context.caller.start()
+    assert context.first.has_begun.wait(5)
+
+    async def move():
+        now_s = time.monotonic()
+        shared = context.rig.shared
+        shared.directory.report(context.engines[1], now_s)
+        # Its end is far, so that nothing but the move explains a close.
+        shared.directory.report(
+            context.engines[0]._replace(
+                is_leaving=True, leaves_in_s=9.0, sequence=2
+            ),
+            now_s,
+        )
+        for stream in list(shared.evacuation._streams):
+            stream.start_move()
+
+    platform_data.wait_for(
+        lambda: len(context.rig.shared.evacuation._streams) == 1,
+        5,
+        lambda: "no stream",
+    )
+    context.rig.call(move)
+    if getattr(context, "leaves_early", False):
+        platform_data.wait_for(
+            lambda: context.first.move is not None, 5, lambda: "no move"
+        )
+        connection.shutdown(socket.SHUT_RDWR)
+
+
+@behave.then("the second engine was asked to resume it behind event {number}")
+def then_resumed(context, number):
+    (head, _), *others = context.servers[1].requests
+    assert not others
+    assert scripted.header(head, "Kv-From") is None, head
+    assert scripted.header(head, "Last-Event-Id") == number, head
+
+
+@behave.then("the first engine is asked to free the copy once")
+def then_freed(context):
+    platform_data.wait_for(
+        lambda: context.first.released == [f"/kv-handle/{HANDLE}"],
+        5,
+        lambda: context.first.released,
+    )
--- a/src/bilberryturn/events.py
+++ b/src/bilberryturn/events.py
@@ -65,6 +65,7 @@
 RUN_NOT_MOVED = Event(1310, "run_not_moved", logging.WARNING)
 PART_QUARANTINED = Event(1311, "part_quarantined", logging.WARNING)
 CRASH_COUNTED = Event(1312, "crash_counted", logging.INFO)
+COPY_RELEASED = Event(1313, "copy_released", logging.INFO)
 CALLER_GONE = Event(1307, "caller_gone", logging.INFO)
 ATTEMPT_FAILED = Event(1308, "attempt_failed", logging.INFO)
 
--- /dev/null
+++ b/src/bilberryturn/gateway/answer_ends.py
@@ -0,0 +1,74 @@
+"""Judge whether an answer without length or chunks is complete.
+
+Such an answer ends with its connection. So does one whose run was stopped for a
+move, or whose server ended in the middle of it.
+"""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+from bilberryturn.gateway import moves
+from bilberryturn.gateway import shared_state
+from bilberryturn.routing import types
+
+# A server leaves at most this much earlier than its report, as it was received
+# here, says.
+REPORT_LAG_S = 1.5
+
+
+class Cut(NamedTuple):
+    """What may have ended a connection before the end of its answer.
+
+    Attributes:
+        reason: Short cause for logs.
+        is_crash: Whether the server has crashed.
+    """
+
+    reason: str
+    is_crash: bool = False
+
+
+async def find_cut(
+    shared: shared_state.SharedState,
+    server: types.BackendServer,
+    move: asyncio.Task[moves.MoveResult] | None,
+) -> Cut | None:
+    """Return what else may have ended a connection than the answer's end.
+
+    Args:
+        shared: State that all requests share.
+        server: The server that closed the connection.
+        move: The move of the run that was asked for, if any; its response may
+            come later than the end of the connection.
+
+    Returns:
+        What may have cut the answer, or None if it is complete.
+    """
+    if move is not None:
+        # The move goes on if the request is cancelled meanwhile.
+        result = await asyncio.shield(move)
+        if isinstance(result, moves.MovedRun):
+            return Cut("its run was moved")
+        if result.may_have_stopped:
+            return Cut("its run may have been stopped")
+    if is_ending(shared, server.lifetime, time.monotonic()):
+        return Cut("its server was about to end")
+    if shared.directory.has_ended(server.lifetime):
+        return Cut("its server has ended")
+    if await shared.crash_checks.is_refusing(server):
+        return Cut("its server has crashed", is_crash=True)
+    return None
+
+
+def is_ending(
+    shared: shared_state.SharedState, lifetime: types.Lifetime, now_s: float
+) -> bool:
+    """Return whether a leaving server may end at any moment."""
+    departure = shared.directory.departure(lifetime)
+    if departure is None:
+        return False
+    end_s = departure.end_s
+    if end_s is None:
+        end_s = departure.reported_s + shared.drain_s
+    return now_s >= end_s - REPORT_LAG_S
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -6,6 +6,7 @@
 import h11
 
 from bilberryturn import events
+from bilberryturn.gateway import answer_ends
 from bilberryturn.gateway import attempt_types
 from bilberryturn.gateway import crash_records
 from bilberryturn.gateway import delivery
@@ -54,7 +55,7 @@
             moved_from: Names the copy of the run to go on with, if any.
         """
         self._moved_from = moved_from
-        self._move: asyncio.Task[moves.MovedRun | None] | None = None
+        self._move: asyncio.Task[moves.MoveResult] | None = None
         self._move_reservation: choice.InFlightRequest | None = None
         self._request = request
         self._chosen = chosen
@@ -82,15 +83,17 @@
         self._in_flight = self._shared.load_balancer.begin(
             self._chosen, self._request.requirements, time.monotonic()
         )
+        result = None
         try:
             result = await self._run(may_try_another)
         finally:
             self._shared.evacuation.discard(self)
             if self._move is not None:
-                self._move.cancel()
                 self._shared.load_balancer.end(
                     self._move_reservation, None, time.monotonic()
                 )
+                if not isinstance(result, moves.MovedRun):
+                    self._shared.unused_copies.release_after(self._move)
             self._end_attempt(None)
         if isinstance(result, attempt_types.AttemptFailed):
             self._log(result.reason)
@@ -124,9 +127,11 @@
             ):
                 return await self._receive()
         except upstream.UpstreamError as error:
-            moved = None if self._move is None else await self._move
-            if moved is not None:
-                return moved
+            if self._move is not None:
+                # The move goes on if this request is cancelled meanwhile.
+                moved = await asyncio.shield(self._move)
+                if isinstance(moved, moves.MovedRun):
+                    return moved
             self._handle_failure(error)
             return attempt_types.AttemptFailed(error.reason, error.was_sent)
         except TimeoutError:
@@ -211,6 +216,8 @@
         if head.status < 300 and self._request.route.is_stream:
             return await self._stream(head)
         body = await self._read_body()
+        if self._ends_with_connection(head):
+            await self._check_end(not body)
         if self._delivery.has_started:
             raise upstream.UpstreamError("resumption failed", True)
         self._delivery.count_request()
@@ -269,6 +276,33 @@
             if size_bytes > response_limits.MAX_BUFFERED_BODY_BYTES:
                 raise upstream.UpstreamError("answer too large", True)
 
+    def _ends_with_connection(self, head: wire.ServerResponse) -> bool:
+        """Return whether the response has a body that ends in no other way."""
+        has_body = (
+            head.status not in (204, 304)
+            and self._request.incoming.method != b"HEAD"
+        )
+        return has_body and not head.has_framing
+
+    async def _check_end(self, is_empty: bool) -> None:
+        """Check that the connection ended with the response, not before.
+
+        Raises:
+            UpstreamError: The response may have been cut.
+        """
+        if is_empty:
+            raise upstream.UpstreamError("answer ended at once", True, True)
+        cut = await answer_ends.find_cut(
+            self._shared, self._chosen.server, self._move
+        )
+        if cut is not None:
+            raise upstream.UpstreamError(
+                f"answer may be cut: {cut.reason}",
+                True,
+                cut.is_crash,
+                cut.is_crash,
+            )
+
     async def _stream(
         self, head: wire.ServerResponse
     ) -> attempt_types.AttemptResult:
@@ -282,15 +316,12 @@
             if not isinstance(event, h11.Data):
                 raise upstream.UpstreamError("stream cut short", True)
             await self._forward(head, bytes(event.data))
-        is_empty = self._first_event_s is None
-        if self._delivery.has_partial_event or (
-            is_empty and not head.has_framing
-        ):
+        if self._delivery.has_partial_event:
             raise upstream.UpstreamError(
-                "stream ended inside or before an event",
-                True,
-                not head.has_framing,
+                "stream ended inside an event", True, not head.has_framing
             )
+        if self._ends_with_connection(head):
+            await self._check_end(self._first_event_s is None)
         self._delivery.end_stream(head)
         self._shared.suspects.clear(self._request.fingerprint)
         self._shared.record_prompt_answer(self._prompt)
@@ -323,7 +354,7 @@
         was_reused = bool(self._was_reused)
         is_failure = error.was_sent and not was_reused
         self._end_attempt(False if is_failure else None)
-        if not error.was_sent:
+        if not error.was_sent or not error.may_be_crash:
             return
         self._is_crash = crash_records.record(
             self._shared,
@@ -374,9 +405,8 @@
             return None
         if not self._move.done():
             return "pending"
-        if self._move.cancelled():
-            return "cancelled"
-        return "moved" if self._move.result() else "not_moved"
+        result = self._move.result()
+        return "moved" if isinstance(result, moves.MovedRun) else "not_moved"
 
     def _log(self, reason: str) -> None:
         chosen = self._chosen
--- a/src/bilberryturn/gateway/crash_checks.py
+++ b/src/bilberryturn/gateway/crash_checks.py
@@ -14,6 +14,8 @@
 
 # Longer than a connection to another region takes, its first packet lost once.
 CHECK_TIMEOUT_S = 1.5
+# A caller waits for this check.
+REFUSAL_TIMEOUT_S = 0.35
 
 
 class CrashChecks:
@@ -42,6 +44,20 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    async def is_refusing(self, server: types.BackendServer) -> bool:
+        """Return whether nothing listens any more at a server's address.
+
+        A server that cannot be reached in time counts as running.
+        """
+        try:
+            connection = await self._pool.acquire(
+                server, REFUSAL_TIMEOUT_S, may_reuse=False
+            )
+        except upstream.UpstreamError as error:
+            return error.is_disconnect
+        connection.close()
+        return False
+
     async def _check(self, server: types.BackendServer) -> None:
         has_ended = False
         try:
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -166,9 +166,9 @@
             if isinstance(result, moves.MovedRun):
                 may_have_run = True
                 self._last_failure = "moved"
+                moved = result
                 if not self._delivery.can_resume:
                     break
-                moved = result
             elif isinstance(result, attempt_types.Response):
                 if self._is_final(result):
                     return self._deliver(result)
@@ -179,6 +179,8 @@
             else:
                 may_have_run = may_have_run or result.was_sent
                 self._last_failure = result.reason
+        if moved is not None:
+            self._shared.unused_copies.release(moved)
         return self._end_without_success(fallback, may_have_run)
 
     def _remaining_s(self) -> float:
@@ -257,6 +259,8 @@
         finally:
             self._attempt_in_progress = False
             self._sent_count += attempt.was_sent
+            if moved and not attempt.was_sent:
+                shared.unused_copies.release(moved)
 
     def _is_final(self, response: attempt_types.Response) -> bool:
         """Return whether a response is sent to the caller without a retry."""
--- a/src/bilberryturn/gateway/moves.py
+++ b/src/bilberryturn/gateway/moves.py
@@ -6,7 +6,10 @@
 stream goes on there behind the last event that the caller has.
 """
 
+import asyncio
+from collections.abc import Coroutine
 import time
+from typing import Any
 from typing import NamedTuple
 from typing import Protocol
 
@@ -24,6 +27,7 @@
 LEAD_TIME_S = 2.5
 UNSTATED_LEAD_TIME_S = 1.0
 MOVE_TIMEOUT_S = 3.0
+RELEASE_TIMEOUT_S = 1.0
 
 
 class MovedRun(NamedTuple):
@@ -31,11 +35,31 @@
 
     Attributes:
         chosen: The engine that holds the copy.
-        moved_from: Names the copy in the request that goes on with it.
+        source: HOST:PORT of the engine that ran it.
+        handle: Names the copy.
     """
 
     chosen: choice.Choice
-    moved_from: str
+    source: str
+    handle: str
+
+    @property
+    def moved_from(self) -> str:
+        """Return what names the copy in the request that goes on with it."""
+        return run_moves.source_of(self.source, self.handle)
+
+
+class NotMoved(NamedTuple):
+    """A run without a copy.
+
+    Attributes:
+        may_have_stopped: Whether its engine may have stopped it all the same.
+    """
+
+    may_have_stopped: bool
+
+
+MoveResult = MovedRun | NotMoved
 
 
 class MovableStream(Protocol):
@@ -87,32 +111,68 @@
         return departure.reported_s + self._drain_s - UNSTATED_LEAD_TIME_S
 
 
+class UnusedCopies:
+    """Frees the copies of runs with which no request goes on.
+
+    They would hold memory at both engines until they expire there.
+    """
+
+    def __init__(self, pool: upstream.ConnectionPool):
+        self._pool = pool
+        self._tasks: set[asyncio.Task] = set()
+
+    def release(self, moved: MovedRun) -> None:
+        """Free the copy of a run in the background."""
+        self._start(release(self._pool, moved.source, moved.handle))
+
+    def release_after(self, move_task: "asyncio.Task[MoveResult]") -> None:
+        """Free the copy of a run in the background once its move has ended."""
+        self._start(self._release_after(move_task))
+
+    async def _release_after(
+        self, move_task: "asyncio.Task[MoveResult]"
+    ) -> None:
+        result = await move_task
+        if isinstance(result, MovedRun):
+            await release(self._pool, result.source, result.handle)
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
 async def move(
     pool: upstream.ConnectionPool,
     source: types.BackendServer,
     request_id: str,
     chosen: choice.Choice,
-) -> MovedRun | None:
-    """Stop a run and copy it to another engine; returns None if it failed."""
+) -> MoveResult:
+    """Stop a run and copy it to another engine."""
     started_s = time.monotonic()
     try:
-        moved = await _request_move(
+        reply = await _request_move(
             pool, source, request_id, chosen.server.address
         )
-        error = None if moved else "refused"
+        error = None if reply.is_copied else "refused"
     except upstream.UpstreamError as failure:
-        moved, error = None, f"{type(failure).__name__}: {failure}"
+        reply = run_moves.Reply(None, False, failure.was_sent)
+        error = f"{type(failure).__name__}: {failure}"
     events.log(
-        events.RUN_MOVED if moved else events.RUN_NOT_MOVED,
+        events.RUN_MOVED if reply.is_copied else events.RUN_NOT_MOVED,
         request=request_id,
         server=source.server_id,
         destination=chosen.server.server_id,
         duration_s=round(time.monotonic() - started_s, 3),
         error=error,
+        may_have_stopped=reply.may_have_stopped,
     )
-    if moved is None:
-        return None
-    return MovedRun(chosen, run_moves.source_of(source.address, moved.handle))
+    if reply.is_copied:
+        return MovedRun(chosen, source.address, reply.handle)
+    if reply.handle is not None:
+        # The source leaves and takes no request to go on with the run.
+        await release(pool, source.address, reply.handle)
+    return NotMoved(reply.may_have_stopped)
 
 
 async def _request_move(
@@ -120,7 +180,7 @@
     source: types.BackendServer,
     request_id: str,
     destination: str,
-) -> run_moves.Moved | None:
+) -> run_moves.Reply:
     reply = await pool.call(
         source.address,
         upstream.Call(
@@ -132,3 +192,20 @@
         response_limits.MAX_HEAD_BYTES,
     )
     return run_moves.decode(reply.status, reply.body)
+
+
+async def release(
+    pool: upstream.ConnectionPool, source: str, handle: str
+) -> None:
+    """Free the memory of a stopped run at its source and its destination."""
+    call = upstream.Call(
+        run_moves.RELEASE_METHOD, run_moves.release_target(handle), b""
+    )
+    try:
+        reply = await pool.call(
+            source, call, RELEASE_TIMEOUT_S, response_limits.MAX_HEAD_BYTES
+        )
+        error = None if reply.status < 300 else f"status {reply.status}"
+    except upstream.UpstreamError as failure:
+        error = str(failure)
+    events.log(events.COPY_RELEASED, source=source, error=error)
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -136,6 +136,7 @@
             confirmed, or None.
         time_of_day: Returns the time of day that all nodes share, in Unix
             seconds.
+        drain_s: Time for which leaving servers go on at least, in seconds.
     """
 
     def __init__(
@@ -151,7 +152,9 @@
         self.failure_domain = failure_domain
         self.table: route_tables.RouteTable | None = None
         self.directory = directory.Directory()
+        self.drain_s = drain_s
         self.evacuation = moves.Evacuation(self.directory, drain_s)
+        self.unused_copies = moves.UnusedCopies(pool)
         self.load_balancer = choice.LoadBalancer()
         self.suspects = suspects.CrashCounter()
         self.part_crashes = part_crashes.PartCrashes()
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -32,13 +32,20 @@
     Attributes:
         reason: Short cause for logs.
         was_sent: Whether the server may have received any byte of the request.
-        is_disconnect: Whether the server closed or reset the connection.
+        is_disconnect: Whether the server closed, reset or refused the
+            connection.
+        may_be_crash: Whether the server may have crashed under the request.
     """
 
     def __init__(
-        self, reason: str, was_sent: bool, is_disconnect: bool = False
+        self,
+        reason: str,
+        was_sent: bool,
+        is_disconnect: bool = False,
+        may_be_crash: bool = True,
     ):
         super().__init__(reason)
+        self.may_be_crash = may_be_crash
         self.reason = reason
         self.was_sent = was_sent
         self.is_disconnect = is_disconnect
@@ -270,7 +277,9 @@
             )
         except (OSError, TimeoutError) as error:
             raise UpstreamError(
-                f"cannot connect: {type(error).__name__}", False
+                f"cannot connect: {type(error).__name__}",
+                False,
+                isinstance(error, ConnectionRefusedError),
             ) from error
         raw_socket = writer.get_extra_info("socket")
         if raw_socket is not None:
--- a/src/bilberryturn/platform/run_moves.py
+++ b/src/bilberryturn/platform/run_moves.py
@@ -1,6 +1,7 @@
 """Encode the request that moves a running request to another engine."""
 
 from typing import NamedTuple
+import urllib.parse
 
 import msgspec
 
@@ -8,6 +9,13 @@
 
 METHOD = b"POST"
 TARGET = b"/kv-move"
+RELEASE_METHOD = b"DELETE"
+_RELEASE_PREFIX = "/kv-handle/"
+
+COPIED = 200
+NO_SUCH_RUN = 404
+# The run is stopped, but the destination has no room or cannot be reached.
+NOT_COPIED = 503
 
 
 class _Move(msgspec.Struct):
@@ -21,14 +29,19 @@
     result_handle: str
 
 
-class Moved(NamedTuple):
-    """Result of a move: the copy is at the destination.
+class Reply(NamedTuple):
+    """Result of a request to move a run.
 
     Attributes:
-        handle: Names the copy; it can be used once.
+        handle: Names the memory of the stopped run, or None.
+        is_copied: Whether the destination has a copy of it, which can be used
+            once; otherwise the source alone keeps it.
+        may_have_stopped: Whether the run may have been stopped.
     """
 
-    handle: str
+    handle: str | None
+    is_copied: bool
+    may_have_stopped: bool
 
 
 def encode(request_id: str, destination: str) -> bytes:
@@ -41,14 +54,22 @@
     return msgspec.json.encode(_Move(request_id, destination, True))
 
 
-def decode(status: int, body: bytes) -> Moved | None:
-    """Decode the response; returns None if there is no copy."""
-    if status != 200:
-        return None
+def decode(status: int, body: bytes) -> Reply:
+    """Decode the response."""
+    if status == NO_SUCH_RUN:
+        return Reply(None, False, False)
+    if status not in (COPIED, NOT_COPIED):
+        return Reply(None, False, True)
     try:
-        return Moved(decoding.decode_json(body, type=_Moved).result_handle)
+        handle = decoding.decode_json(body, type=_Moved).result_handle
     except msgspec.DecodeError:
-        return None
+        return Reply(None, False, True)
+    return Reply(handle, status == COPIED, True)
+
+
+def release_target(handle: str) -> bytes:
+    """Return the target of the call that frees the memory of a run."""
+    return f"{_RELEASE_PREFIX}{urllib.parse.quote(handle, safe='')}".encode()
 
 
 def source_of(address: str, handle: str) -> str:
--- a/src/bilberryturn/routing/directory.py
+++ b/src/bilberryturn/routing/directory.py
@@ -52,6 +52,13 @@
         """Return when a leaving server ends; None if it stays."""
         return self._departures.get(lifetime)
 
+    def has_ended(self, lifetime: tuple[str, int]) -> bool:
+        """Return whether a server was removed or has started again."""
+        if lifetime in self._gone:
+            return True
+        known = self._servers.get(lifetime[0])
+        return known is not None and known.lifetime != lifetime
+
     def usable(self, service: str) -> list[types.BackendServer]:
         """Return the servers of a service that take new requests."""
         return [
