Fail a service's unframed answer if its server ended inside it

The caller of a booking got half of an answer with status 200, and the entry recorded it as the result of that call: its service had ended inside an answer without length or chunks. curl reports the close as the end of the body.

The entry now looks whether anything still listens at the server's address, and takes an empty answer without framing for a cut one. A call that runs once then ends as 502 that may have run. Answers of models are JSON or end with [DONE] and are not affected.

The new row of once.feature failed before with status 200 and half of the body.

--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -52,6 +52,10 @@
     standin(context).cut_in_answer = True
 
 
+def end_in(context):
+    standin(context).ends_in_answer = True
+
+
 def answer_late(context):
     standin(context).delay_s = LATE_S
     context.cluster.apply(
@@ -120,6 +124,7 @@
     "table answer to finish lost": lose_finish,
     "service disconnects before answering": cut_before,
     "service disconnects in its answer": cut_in,
+    "service ends in an unframed answer": end_in,
     "service answers too late": answer_late,
     "entry killed after dispatch": kill_after_dispatch,
     "entry killed before dispatch": kill_before_dispatch,
--- a/src/bilberryturn/entry/services.py
+++ b/src/bilberryturn/entry/services.py
@@ -14,6 +14,7 @@
 from bilberryturn.entry import exchange
 from bilberryturn.entry import grants
 from bilberryturn.entry import idempotency
+from bilberryturn.entry import unframed_answers
 from bilberryturn.scheduling import outcomes
 
 MAX_ATTEMPTS = 3
@@ -190,6 +191,15 @@
             else:
                 self._upstream = None
                 break
+        if not event.error:
+            cut = unframed_answers.find_cut(
+                head,
+                call.method,
+                not size,
+                self._holder.grant.address,
+                self._node.settings.node.source_address,
+            )
+            event = event._replace(error=cut)
         if event.error:
             if not event.may_have_run:
                 self._holder.mark_not_sent()
--- a/src/bilberryturn_standins/service.py
+++ b/src/bilberryturn_standins/service.py
@@ -29,6 +29,7 @@
         self.delay_s = 0.0
         self.cut_before_answer = False
         self.cut_in_answer = False
+        self.ends_in_answer = False
 
     def routes(self):
         """Return the routes of the service."""
@@ -52,6 +53,8 @@
             request.transport.abort()
             return web.Response(status=500)
         answer = {"done": key, "number": len(self.executions)}
+        if self.ends_in_answer:
+            return await self._end(request)
         if not self.cut_in_answer:
             return web.json_response(answer)
         response = web.StreamResponse(headers={"Content-Length": "100"})
@@ -60,6 +63,18 @@
         request.transport.abort()
         return response
 
+    async def _end(self, request):
+        """End inside an answer whose head names no length, then restart."""
+        self.ends_in_answer = False
+        self.close_listener()
+        request.transport.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            b'Connection: close\r\n\r\n{"done"'
+        )
+        request.transport.close()
+        asyncio.get_running_loop().create_task(self._restart())
+        return web.Response(status=500)
+
     async def _crash(self, request):
         """Abort the connection and refuse new ones until restarted."""
         self.crashes += 1
