Judge the lines of a stream one by one, in time that grows with their size

A node answered nothing any more, with one core busy and deaf to SIGTERM, after it had read 12 events with CRLF line ends and an error's head in one write.

Cause: the pattern for the lines of a stream could match CRLF as one line end, or as the end of a line and that of a blank one. Under a repetition each choice doubles the ways to match, and all are tried once a later line is no field. The lock of the interpreter is held meanwhile, so no thread and no signal handler runs.

The splitter now cuts and judges line by line. Lines that carry an HTTP message's framing are no fields of an event, and a comment before the first event does not count as the begin of the run.

The test of linear work counts the bytes that are added to the buffer and read from it, as nothing is searched any more; its bound of two for each byte is the same.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -658,7 +658,7 @@
         "a resumed stream may begin anew",
         (
             (
-                "gateway/events_stream.py",
+                "server_sent_events.py",
                 "if not is_next:",
                 "if False:",
             ),
@@ -729,6 +729,31 @@
         "moves",
         "is freed",
     ),
+    Mutant(
+        "the rest of a line is judged again with each read",
+        (
+            (
+                "server_sent_events.py",
+                "                self._line_start = len(self._buffer)\n"
+                "                if not line:",
+                "                if not line:",
+            ),
+        ),
+        "streams",
+        "The work to judge one event of many lines",
+    ),
+    Mutant(
+        "an LF behind the CR of a blank line begins an event",
+        (
+            (
+                "server_sent_events.py",
+                "if is_rest_of_line_end and not self._buffer:",
+                "if False:",
+            ),
+        ),
+        "streams",
+        "byte by byte",
+    ),
     Mutant(
         "the age of a reply counts from when it is applied",
         (
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -12,12 +12,12 @@
 import behave
 import msgspec
 
+from bilberryturn import server_sent_events
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers
 from bilberryturn.edge import peer_state
 from bilberryturn.edge import relays
 from bilberryturn.gateway import drain
-from bilberryturn.gateway import events_stream
 from bilberryturn.gateway import internal_server
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import shared_state
@@ -206,13 +206,18 @@
 
 
 class _CountingBuffer(bytearray):
-    """A buffer that counts the bytes that it searches."""
+    """A buffer that counts the bytes that are added to it or read from it."""
 
-    searched_bytes = 0
+    handled_bytes = 0
 
-    def rfind(self, delimiter, start=0):
-        type(self).searched_bytes += len(self) - start
-        return super().rfind(delimiter, start)
+    def __iadd__(self, data):
+        type(self).handled_bytes += len(data)
+        return super().__iadd__(data)
+
+    def __getitem__(self, key):
+        found = super().__getitem__(key)
+        type(self).handled_bytes += len(found) if isinstance(key, slice) else 1
+        return found
 
 
 @behave.then(
@@ -220,18 +225,19 @@
     " and each byte is searched at most twice"
 )
 def then_linear(context):
-    splitter = events_stream.EventSplitter()
+    splitter = server_sent_events.EventSplitter(response_limits.MAX_EVENT_BYTES)
     splitter._buffer = _CountingBuffer()
     fed_bytes = 0
     try:
         while fed_bytes < 16 * MB:
             fed_bytes += 1024
             list(splitter.feed(b"x" * 1024))
-    except events_stream.EventTooLargeError:
+    except server_sent_events.EventTooLargeError:
         pass
     assert fed_bytes <= response_limits.MAX_EVENT_BYTES + 1024, fed_bytes
-    # Both delimiters are searched for, with an overlap of a few bytes.
-    assert _CountingBuffer.searched_bytes <= 2.02 * fed_bytes
+    # Each byte is added once and read once, as its line ends.
+    assert _CountingBuffer.handled_bytes >= fed_bytes
+    assert _CountingBuffer.handled_bytes <= 2.02 * fed_bytes
 
 
 # A second copy of an answer
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import itertools
+import random
 import re
+from unittest import mock
 
 import behave
 
+from bilberryturn import server_sent_events
 from bilberryturn.gateway import delivery
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import shared_state
@@ -28,6 +31,7 @@
     "an identifier that is an error's head": b"id: " + ERROR_HEAD,
     "an identifier of 5000 digits": b"id: %s1\ndata: x\n\n" % (b"0" * 5000),
     "half of an event": b"id: 4\nda",
+    "half of an event with an error's head": b"id: 4\ndata: to" + ERROR_HEAD,
     "an event without an identifier": b"data: x\n\n",
     "an event with an empty one": b"id:\ndata: x\n\n",
     "a comment": b": still there\n\n",
@@ -95,8 +99,12 @@
 )
 def then_whole(context, count):
     answer = context.answer
-    numbers = [int(n) for n in re.findall(rb"(?m)^id: (\d+)", answer.body)]
-    assert numbers == list(range(1, count + 1)), answer.body
+    # Comments stand between the events.
+    events = re.findall(
+        rb"id: (\d+)[\r\n]+data: ([^\r\n]+)[\r\n]+", answer.body
+    )
+    expected = [(b"%d" % n, b"token-%d" % n) for n in range(1, count + 1)]
+    assert events == expected, answer.body
     assert answer.status == 200 and answer.is_complete
 
 
@@ -169,3 +177,178 @@
 @behave.then("the stream would be resumed behind event {number}")
 def then_resumed_behind(context, number):
     assert context.delivery.last_event_id == number
+
+
+# Line ends
+
+LINE_ENDS = {"LF": (b"\n",), "CRLF": (b"\r\n",), "CR": (b"\r",)}
+LINE_ENDS["mixed"] = (b"\n", b"\r\n", b"\r")
+
+
+def _event(number, rng, line_ends):
+    """Return an event each of whose lines has one of the line ends."""
+    data = b""
+    for line in (b"id: %d" % number, b"data: token-%d" % number, b""):
+        # An LF behind a CR would be the rest of its line end.
+        ends = [
+            e for e in line_ends if line or not (data + e).endswith(b"\r\n")
+        ]
+        data += line + rng.choice(ends or line_ends)
+    return data
+
+
+def _events(count, line_ends):
+    rng = random.Random(count)
+    return [_event(n, rng, line_ends) for n in range(1, count + 1)]
+
+
+@behave.given(
+    "a gateway before a server that sends {count:d} events with {line_ends:w}"
+    " line ends and an error's head in one write"
+)
+def given_hanging(context, count, line_ends):
+    context.events = b"".join(_events(count, LINE_ENDS[line_ends]))
+
+    def spoil(peer, head, body, number):
+        if head.startswith("GET "):
+            peer.answer(head, b"answer")
+            return None
+        peer.start_stream(head)
+        peer.chunk(context.events + ERROR_HEAD)
+        return "close"
+
+    _start(context, [spoil])
+
+
+@behave.when(
+    "a caller requests the resumable stream, and then another one sends a safe"
+    " request"
+)
+def when_both(context):
+    when_requested(context, 0)
+    context.other_answer = gateway_rig.send_request(
+        context.rig.port, gateway_rig.request_text("safe", f"st{next(_ids)}")
+    )
+
+
+@behave.then(
+    "the first caller has the {count:d} events, in a stream that is incomplete"
+)
+def then_events(context, count):
+    assert context.answer.body == context.events, context.answer.body
+    assert not context.answer.is_complete
+
+
+@behave.then("the other caller has its answer")
+def then_other(context):
+    assert context.other_answer.body == b"answer", context.other_answer.head
+
+
+@behave.given(
+    "a gateway before a server that streams {count:d} events with mixed line"
+    " ends"
+)
+def given_mixed(context, count):
+    def stream(peer, head, body, number):
+        peer.start_stream(head)
+        for event in _events(count, LINE_ENDS["mixed"]):
+            peer.chunk(event)
+        peer.chunk(b"")
+
+    _start(context, [stream])
+
+
+MANY = {
+    "events with LF line ends": lambda n: _events(n // 24 + 1, (b"\n",)),
+    "events with CRLF line ends": lambda n: _events(n // 26 + 1, (b"\r\n",)),
+    "events with CR line ends": lambda n: _events(n // 24 + 1, (b"\r",)),
+    "events whose line ends are mixed": lambda n: _events(
+        n // 25 + 1, LINE_ENDS["mixed"]
+    ),
+    "blank lines": lambda n: [b"\r\n\n"] * (n // 3),
+    "one event of many lines": lambda n: [
+        *[b"data: x\r\n"] * (n // 9),
+        b"\r\n",
+    ],
+}
+
+
+class _CountingBuffer(bytearray):
+    """A buffer that counts the bytes that are added to it or read from it."""
+
+    handled_bytes = 0
+
+    def __iadd__(self, data):
+        type(self).handled_bytes += len(data)
+        return super().__iadd__(data)
+
+    def __getitem__(self, key):
+        found = super().__getitem__(key)
+        type(self).handled_bytes += len(found)
+        return found
+
+
+@behave.then(
+    "each line of {what} is judged once and each byte read at most twice, from"
+    " 1 KB to 1 MB and however it is cut"
+)
+def then_linear(context, what):
+    for size_bytes in (1_000, 10_000, 100_000, 1_000_000):
+        data = b"".join(MANY[what](size_bytes))
+        for cut_bytes in (1, 7, 1000, 65536):
+            # The smallest pieces take longest and show as much of less.
+            if size_bytes <= 20_000 * cut_bytes:
+                _check_linear(data, cut_bytes)
+
+
+def _check_linear(data, cut_bytes):
+    _CountingBuffer.handled_bytes = 0
+    judged = []
+
+    def judge(name):
+        judged.append(name)
+        return is_field_name(name)
+
+    is_field_name = server_sent_events.is_field_name
+    splitter = server_sent_events.EventSplitter(2_000_000)
+    module = "bilberryturn.server_sent_events"
+    with (
+        mock.patch(f"{module}.bytearray", _CountingBuffer, create=True),
+        mock.patch(f"{module}.is_field_name", judge),
+    ):
+        splitter.begin_attempt()
+        received = [
+            event.data
+            for start in range(0, len(data), cut_bytes)
+            for event in splitter.feed(data[start : start + cut_bytes])
+        ]
+    assert b"".join(received) + splitter.partial == data
+    lines = [line for line in data.splitlines() if line]
+    assert len(judged) == len(lines), (len(judged), len(lines))
+    assert _CountingBuffer.handled_bytes <= 2 * len(data)
+
+
+@behave.then(
+    "{count:d} events with {line_ends:w} line ends, cut anywhere, are each"
+    " yielded with their last byte and are unchanged together"
+)
+def then_byte_by_byte(context, count, line_ends):
+    events = _events(count, LINE_ENDS[line_ends])
+    splitter = server_sent_events.EventSplitter(1_000_000)
+    sent = b""
+    received = []
+    for event in events:
+        for position in range(len(event)):
+            sent += event[position : position + 1]
+            received += splitter.feed(event[position : position + 1])
+            assert splitter.partial == sent[sum(map(_size, received)) :]
+        # The LF behind a CR at the end of an event comes by itself.
+        rest = event[sum(map(_size, received)) :]
+        assert not rest
+    ids = [e.event_id for e in received if e.event_id is not None]
+    assert ids == [str(n) for n in range(1, count + 1)], ids
+    assert b"".join(e.data for e in received) == b"".join(events)
+
+
+def _size(event):
+    return len(event.data)
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -6,11 +6,11 @@
 import h11
 
 from bilberryturn import events
+from bilberryturn import server_sent_events
 from bilberryturn.gateway import answer_ends
 from bilberryturn.gateway import attempt_types
 from bilberryturn.gateway import crash_records
 from bilberryturn.gateway import delivery
-from bilberryturn.gateway import events_stream
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import shared_state
@@ -332,7 +332,7 @@
         events_before = self._delivery.event_count
         try:
             await self._delivery.forward(head, data)
-        except events_stream.StreamError as error:
+        except server_sent_events.StreamError as error:
             raise upstream.UpstreamError(str(error), True) from error
         finally:
             if self._delivery.event_count > events_before:
--- a/src/bilberryturn/gateway/delivery.py
+++ b/src/bilberryturn/gateway/delivery.py
@@ -4,7 +4,8 @@
 from typing import NamedTuple
 from typing import Protocol
 
-from bilberryturn.gateway import events_stream
+from bilberryturn import server_sent_events
+from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import shared_state
 from bilberryturn.platform import wire
 from bilberryturn.routing import types
@@ -64,9 +65,11 @@
         self._caller = caller
         self._account = account
         self._usage = usage
-        self._splitter = events_stream.EventSplitter()
+        self._splitter = server_sent_events.EventSplitter(
+            response_limits.MAX_EVENT_BYTES
+        )
         # Where a resumed stream goes on: only behind what the caller was sent.
-        self._position = events_stream.Position()
+        self._position = server_sent_events.Position()
         self._is_counted = False
         self.has_started = False
         self.first_chunk_s: float | None = None
@@ -85,7 +88,7 @@
     @property
     def has_partial_event(self) -> bool:
         """Return whether an incomplete event is buffered."""
-        return self._splitter.has_partial
+        return bool(self._splitter.partial)
 
     def answered_s(self) -> float | None:
         """Return the time since the first chunk was sent, or None."""
@@ -105,24 +108,29 @@
             data: Next bytes of the stream.
 
         Raises:
-            events_stream.StreamError: Some bytes are not what may come next;
-                the events before them were sent.
+            server_sent_events.StreamError: Some bytes are not what may come
+                next; the events before them were sent.
         """
-        position, unsent = self._position, []
+        position, unsent, event_count = self._position, [], 0
         try:
             for event in self._splitter.feed(data, head.is_event_stream):
                 position = position.after(event)
                 unsent.append(event.data)
+                event_count += event.is_piece
         finally:
             if unsent:
-                await self._send(head, b"".join(unsent))
+                await self._send(head, b"".join(unsent), event_count > 0)
                 self._position = position
-                self.event_count += len(unsent)
+                self.event_count += event_count
 
-    async def _send(self, head: wire.ServerResponse, data: bytes) -> None:
-        if not self.has_started:
+    async def _send(
+        self, head: wire.ServerResponse, data: bytes, has_event: bool
+    ) -> None:
+        if has_event and self.first_chunk_s is None:
+            # Comments may come before the request runs.
             self.first_chunk_s = time.monotonic()
             self.count_request()
+        if not self.has_started:
             self._start_stream(head)
         await self._caller.send_chunk(data)
 
