Cut the streams of engines with the reader of the gateway

In the firms' own entry, events of an engine whose blank lines had another end than the line before were joined to one, so that the attempt failed or a text had pieces joined; an event of many lines was copied anew for each of them and could grow without end.

Cause: the decoder of the library looks for two equal line ends and appends line by line. The entry now hands it one event at a time, cut by server_sent_events.EventSplitter, with LF line ends, and at most 1 MB. What the decoder skips, such as lines that are no fields, it still skips.

--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -9,6 +9,8 @@
 import behave
 
 from bilberryturn import server_sent_events
+from bilberryturn.entry import attempts
+from bilberryturn.entry import completions
 from bilberryturn.gateway import delivery
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import shared_state
@@ -352,3 +354,47 @@
 
 def _size(event):
     return len(event.data)
+
+
+# The entry for models
+
+
+class _EngineStream:
+    """Stands for the run of a request, whose engine sends some chunks."""
+
+    def __init__(self, chunks):
+        self._chunks = chunks
+
+    def chunks(self, call):
+        return iter(self._chunks)
+
+
+def _decode(chunks):
+    run = _EngineStream(chunks)
+    return list(completions.ModelRun._decode_events(run, None))
+
+
+@behave.then(
+    "an engine's {count:d} events with {line_ends:w} line ends, cut anywhere,"
+    " are decoded one by one"
+)
+def then_decoded(context, count, line_ends):
+    data = b"".join(_events(count, LINE_ENDS[line_ends]))
+    for cut_bytes in (1, 2, 3, 50, len(data)):
+        chunks = [
+            data[start : start + cut_bytes]
+            for start in range(0, len(data), cut_bytes)
+        ]
+        found = [(event.id, event.data) for event in _decode(chunks)]
+        expected = [(str(n), f"token-{n}") for n in range(1, count + 1)]
+        assert found == expected, (cut_bytes, found)
+
+
+@behave.then("an engine's event of more than 1 MB fails the attempt")
+def then_too_large(context):
+    chunks = itertools.repeat(b"data: x\n" * 1000, 1000)
+    try:
+        _decode(chunks)
+    except attempts.AttemptFailedError:
+        return
+    raise AssertionError("the event was taken")
--- a/features/streams.feature
+++ b/features/streams.feature
@@ -94,3 +94,18 @@
     Given a gateway before a server that sends events 1 and 2, then in one write event 3 and half of an event with an error's head, and one that resumes
     When a caller requests the resumable stream of 6 events
     Then the caller has all 6 events once and in order, in a stream that is complete
+
+  # Guards against events of an engine that are joined or grow without end, in
+  # the firms' own entry.
+  Scenario Outline: The entry for models decodes events with <line ends> line ends
+    Then an engine's 40 events with <line ends> line ends, cut anywhere, are decoded one by one
+
+    Examples:
+      | line ends |
+      | LF        |
+      | CRLF      |
+      | CR        |
+      | mixed     |
+
+  Scenario: The entry for models ends a stream whose event grows without end
+    Then an engine's event of more than 1 MB fails the attempt
--- a/src/bilberryturn/entry/completions.py
+++ b/src/bilberryturn/entry/completions.py
@@ -9,6 +9,7 @@
 from bilberryturn import events
 from bilberryturn import messages
 from bilberryturn import metrics
+from bilberryturn import server_sent_events
 from bilberryturn.entry import answers
 from bilberryturn.entry import attempts
 from bilberryturn.entry import bodies
@@ -31,6 +32,7 @@
 # stalled only when it is slower by this factor than the profile's target time
 # per token.
 BUFFERED_STALL_FACTOR = 4.0
+MAX_EVENT_BYTES = 1024 * 1024
 CLIENT_ERRORS = range(400, 500)
 RETRIED_STATUSES = frozenset({404, 408, 425, 429})
 
@@ -358,6 +360,8 @@
             raise attempts.AttemptFailedError(
                 "the stream is not text", False, True
             ) from None
+        except server_sent_events.EventTooLargeError as error:
+            raise attempts.AttemptFailedError(str(error), False, True) from None
 
     def chunks(self, call: backends.Call) -> Iterator[bytes]:
         """Yield the body of a stream as it arrives."""
@@ -474,8 +478,24 @@
         self._run = run
         self._call = call
 
-    def __iter__(self):
-        return self._run.chunks(self._call)
+    def __iter__(self) -> Iterator[bytes]:
+        """Yield one event at a time, in a form that the decoder cuts rightly.
+
+        The decoder joins events whose line ends are mixed, and copies an event
+        anew for each of its lines.
+        """
+        splitter = server_sent_events.EventSplitter(MAX_EVENT_BYTES)
+        for data in self._run.chunks(self._call):
+            # The decoder skips lines that are no fields.
+            for event in splitter.feed(data, is_event_stream=False):
+                yield _with_line_feeds(event.data)
+        yield _with_line_feeds(splitter.partial)
 
     def close(self) -> None:
         """Do nothing; the ModelRun ends the call."""
+
+
+def _with_line_feeds(event: bytes) -> bytes:
+    """Return an event whose lines end with LF, or no bytes for a blank one."""
+    lines = [line for line in event.splitlines() if line]
+    return b"\n".join([*lines, b"", b""]) if lines else b""
