End a node whose event loop stands still

A node that hung in one callback answered nothing any more and ignored SIGTERM until it was killed: no thread and no signal handler runs while a library holds the interpreter's lock.

A timer of the kernel that counts the processor time of the process, set anew by the loop each second, now ends it after 10 s and writes the stacks of all threads before. Weighed and dropped: a thread of Python, which needs the lock; the timer of faulthandler, which counts a pause by signal as a hang.

watchdog.feature shows a hang that holds the lock, and that a pause, a wait and much processor time in short callbacks end nothing.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -671,10 +671,9 @@
         (
             (
                 "gateway/delivery.py",
-                '                await self._send(head, b"".join(unsent))\n'
-                "                self._position = position\n",
+                "                await self._send(",
                 "                self._position = position\n"
-                '                await self._send(head, b"".join(unsent))\n',
+                "                await self._send(",
             ),
         ),
         "streams",
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -22,6 +22,7 @@
 from bilberryturn.edge import relays
 from bilberryturn.edge import shared_clock
 from bilberryturn.edge import usage_windows
+from bilberryturn.edge import watchdog
 from bilberryturn.gateway import drain
 from bilberryturn.gateway import internal_server
 from bilberryturn.gateway import permits
@@ -63,6 +64,7 @@
         self._clock = shared_clock.SharedClock()
         self._clock_samples = shared_clock.OffsetSamples()
         self._started_s = leases.boottime_s()
+        self._watchdog = watchdog.Watchdog()
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT."""
@@ -109,6 +111,7 @@
             callers=str(settings.callers),
             failure_domain=settings.failure_domain,
         )
+        self._watchdog.start()
         tick_task = loop.create_task(self._tick())
         await self._stop_requested.wait()
         # The handlers end with the event loop, before the process does.
@@ -347,6 +350,7 @@
                 self._update_state(now_s)
                 if now_s >= next_sweep_s:
                     next_sweep_s = now_s + SWEEP_INTERVAL_S
+                    self._watchdog.rearm()
                     self._sweep()
             except Exception as error:
                 # Readiness must stay up to date whatever one update meets.
--- a/src/bilberryturn/events.py
+++ b/src/bilberryturn/events.py
@@ -31,6 +31,7 @@
 SETTINGS_RELOADED = Event(1004, "settings_reloaded", logging.INFO)
 SETTINGS_REFUSED = Event(1005, "settings_refused", logging.ERROR)
 JOB_FAILED = Event(1006, "job_failed", logging.ERROR)
+WATCHDOG_UNAVAILABLE = Event(1008, "watchdog_unavailable", logging.WARNING)
 
 # Written directly by log_writer, not by log().
 LOG_LINES_DROPPED = Event(1007, "log_lines_dropped", logging.WARNING)
