Bound the reports on crashes by bytes, and keep what may be the cause

A part at the beginning of prompts of 20 shared parts crashed server after server without end: 40 of 40 requests, 31 later than 4 s after the fifth crash.

Cause: a node reported the last 16 shared parts of a prompt, to keep its row small, so that the cause was in no report. Evidence: no part_quarantined line in the case, and own_reports of a node that saw such crashes lacks the part. A wrong cause and a refusal that matches no request are ruled out by that.

Nodes now keep whole prompts of their own crashes and bound what they report by bytes. If not all fits, answered parts go first, then those of one crash, of which each report keeps others; answers of one prompt are reported together. The search looks at one part of those with the same evidence, as its time grew with the square of the parts.

One scenario, on sound parts behind the deadly one, is red before and after and listed.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -753,6 +753,43 @@
         "streams",
         "byte by byte",
     ),
+    Mutant(
+        "the first of many parts are not reported",
+        (
+            (
+                "routing/part_crashes.py",
+                "            crash_reports.short_names(parts),\n            *",
+                "            crash_reports.short_names(parts[-16:]),\n"
+                "            *",
+            ),
+        ),
+        "part_crashes",
+        "One part of 20 ",
+    ),
+    Mutant(
+        "each crash is reported with the same parts of one crash",
+        (
+            (
+                "routing/crash_reports.py",
+                "salt = zlib.crc32(crash.server.encode())",
+                "salt = 0",
+            ),
+        ),
+        "part_crashes",
+        "A long prompt is found by its part",
+    ),
+    Mutant(
+        "parts that were answered together are reported one by one",
+        (
+            (
+                "routing/crash_reports.py",
+                "MIN_DIGESTED_PARTS = 8",
+                "MIN_DIGESTED_PARTS = 9999",
+            ),
+        ),
+        "part_crashes",
+        "Sound prompts that share all but one",
+    ),
     Mutant(
         "the age of a reply counts from when it is applied",
         (
--- a/features/part_crashes.feature
+++ b/features/part_crashes.feature
@@ -60,10 +60,58 @@
       | and then nobody sent for 100 s   |
       | beside those of 50 other prompts |
 
-  # Guards against long prompts whose first parts no node reports.
-  Scenario: The first of many parts is found
-    Given three crashes of prompts with 15 shared parts that have the first alone in common
-    Then the first part is refused and the others are not
+  # Guards against prompts of which a node reports some parts only, so that the
+  # cause among the others is never found.
+  Scenario Outline: One part of <count> that three prompts have in common is found at the <place>
+    Given three nodes that each saw a crash of a prompt with <count> shared parts that have the one at the <place> alone in common
+    When they exchange their reports
+    Then all of them refuse that part and no other one
+
+    Examples:
+      | count | place     |
+      | 15    | beginning |
+      | 20    | beginning |
+      | 20    | end       |
+      | 400   | beginning |
+      | 400   | middle    |
+      | 400   | end       |
+
+  Scenario Outline: A long prompt is found by its part at the <place> though its node has seen more than it can report
+    Given 9 nodes of which each sees a crash of another prompt of 1300 shared parts in turn, with the one at the <place> alone in common
+    Then all of them refuse that part and no other one after 1 crash of each, whatever its name
+
+    Examples:
+      | place     |
+      | beginning |
+      | middle    |
+      | end       |
+
+  # Guards against sound requests that are refused beside a deadly part, as most
+  # of their many parts are missing among the reported answers.
+  Scenario: Sound prompts that share all but one of 700 parts go on
+    Given three nodes that each saw a crash in a conversation with 700 shared parts
+    And a fourth one that saw it answered without the part in the middle
+    When they exchange their reports
+    Then all of them refuse the part in the middle and no other one
+
+  Scenario Outline: The row of a node stays small: crashes of <count> prompts with <parts> <kind> parts
+    Then a node that saw <count> crashes and answers of prompts with <parts> <kind> parts reports under 10000 bytes
+
+    Examples:
+      | count | parts | kind   |
+      | 80    | 20    | other  |
+      | 80    | 400   | other  |
+      | 80    | 400   | equal  |
+      | 80    | 1300  | other  |
+
+  # Guards against nodes whose event loop is busy with the search for causes.
+  Scenario Outline: The search for causes in <count> crashes of 400 <kind> parts looks at few of them
+    Then the search in <count> crashes of prompts with 400 <kind> parts looks at a part at most <limit> times
+
+    Examples:
+      | count | kind  | limit |
+      | 60    | other | 20    |
+      | 60    | equal | 20    |
 
   # Guards against names that callers make up: a row that the store takes no
   # more would keep the usage counts from being written with it.
@@ -116,3 +164,21 @@
   # Guards against answers that reach the other nodes after the crashes count.
   Scenario: Random traffic with a deadly part while reports take long
     Then in 60 seeded runs with an exchange of reports every 2.9 s the part is refused in time, and no sound part is
+
+  Scenario Outline: Random traffic of prompts with 400 parts, the deadly one <place>
+    Given 3 seeded runs of traffic with 400 parts, the deadly one <place>
+    Then in each run the part is refused within 5 crashes and 4 s
+
+    Examples:
+      | place                        |
+      | first, others never again    |
+      | between parts of sound ones  |
+
+  Scenario Outline: Sound prompts in random traffic of prompts with 400 parts, the deadly one <place>
+    Given 3 seeded runs of traffic with 400 parts, the deadly one <place>
+    Then in no run a sound part is refused
+
+    Examples:
+      | place                        |
+      | first, others never again    |
+      | between parts of sound ones  |
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -358,24 +358,160 @@
         assert node.refused(("f", "new"), now_s) is None, name
 
 
+PLACES = {"beginning": 0.0, "middle": 0.5, "end": 1.0}
+
+
+def _long_prompt(number, count, place, deadly=DEADLY):
+    """Return parts that no other prompt has, but for the deadly one."""
+    parts = [f"{number:04x}{n:04x}" for n in range(count)]
+    parts[int(PLACES[place] * (count - 1))] = deadly
+    return tuple(parts)
+
+
 @behave.given(
-    "three crashes of prompts with {count:d} shared parts that have the first"
-    " alone in common"
+    "three nodes that each saw a crash of a prompt with {count:d} shared parts"
+    " that have the one at the {place:w} alone in common"
 )
-def given_long_prompts(context, count):
-    context.node = part_crashes.PartCrashes()
-    for number in range(3):
-        others = [f"g{number}-{n}" for n in range(count - 1)]
-        crashed_s = 1000.0 + number
-        context.node.record_crash(
-            (f"s{number}", 1), (DEADLY, *others), f"r{number}", crashed_s
+def given_long_prompts(context, count, place):
+    context.nodes = {f"n{n}": part_crashes.PartCrashes() for n in range(3)}
+    for number, node in enumerate(context.nodes.values()):
+        prompt = _long_prompt(number, count, place)
+        node.record_crash(
+            (f"s{number}", 1), prompt, f"r{number}", 1000.0 + number
         )
 
 
-@behave.then("the first part is refused and the others are not")
+@behave.when("they exchange their reports")
+def when_exchange(context):
+    for now_s in (1003.0, 1004.0, 1005.0):
+        _exchange(context.nodes, now_s)
+
+
+def _check_refused(nodes, now_s, deadly, count=400):
+    for name, node in nodes.items():
+        cause = node.refused((deadly,), now_s)
+        assert cause is not None and cause.part == deadly, name
+        for number in range(8):
+            others = [
+                part
+                for part in _long_prompt(number, count, "end")
+                if part != deadly
+            ]
+            assert node.refused(tuple(others), now_s) is None, name
+
+
+@behave.then("all of them refuse that part and no other one")
 def then_first_refused(context):
-    assert context.node.refused((DEADLY,), 1006.0) is not None
-    assert context.node.refused(("g0-0", "g2-13"), 1006.0) is None
+    _check_refused(context.nodes, 1006.5, DEADLY)
+
+
+@behave.given(
+    "{nodes:d} nodes of which each sees a crash of another prompt of {count:d}"
+    " shared parts in turn, with the one at the {place:w} alone in common"
+)
+def given_more_than_reported(context, nodes, count, place):
+    context.node_count = nodes
+    context.place, context.part_count = place, count
+
+
+@behave.then(
+    "all of them refuse that part and no other one after {crashes:d} crash of"
+    " each, whatever its name"
+)
+def then_found_in_part(context, crashes):
+    for deadly in ("dead", "beef", "cafe", "f00d", "5eed", "c0de"):
+        nodes = {
+            f"n{n}": part_crashes.PartCrashes()
+            for n in range(context.node_count)
+        }
+        now_s = 1000.0
+        for number in range(crashes * len(nodes)):
+            node = nodes[f"n{number % len(nodes)}"]
+            prompt = _long_prompt(
+                number, context.part_count, context.place, deadly
+            )
+            node.record_crash((f"s{number}", 1), prompt, f"r{number}", now_s)
+            now_s += 1.0
+            _exchange(nodes, now_s)
+        _check_refused(nodes, now_s + 3.0, deadly, context.part_count)
+
+
+@behave.given(
+    "three nodes that each saw a crash in a conversation with {count:d} shared"
+    " parts"
+)
+def given_conversation(context, count):
+    context.nodes = {f"n{n}": part_crashes.PartCrashes() for n in range(3)}
+    context.prompt = _long_prompt(0, count, "middle")
+    for number, node in enumerate(context.nodes.values()):
+        node.record_crash(
+            (f"s{number}", 1), context.prompt, f"r{number}", 1000.0 + number
+        )
+
+
+@behave.given(
+    "a fourth one that saw it answered without the part in the middle"
+)
+def given_answered_prompt(context):
+    sound = tuple(part for part in context.prompt if part != DEADLY)
+    context.nodes["n3"] = part_crashes.PartCrashes()
+    context.nodes["n3"].record_answer(sound, 1002.5)
+
+
+@behave.then("all of them refuse the part in the middle and no other one")
+def then_middle_refused(context):
+    _check_refused(context.nodes, 1006.5, DEADLY, len(context.prompt))
+
+
+def _many_crashes(count, parts, kind):
+    node = part_crashes.PartCrashes()
+    for number in range(count):
+        prompt = _long_prompt(
+            number if kind == "other" else 0, parts, "beginning"
+        )
+        node.record_crash(
+            (f"server-{number}", 1_700_000_000_000),
+            prompt,
+            f"{number:08x}-{number:08x}",
+            1000.0 + number,
+        )
+        node.record_answer(prompt[1::2], 1000.5 + number)
+    return node
+
+
+@behave.then(
+    "a node that saw {count:d} crashes and answers of prompts with {parts:d}"
+    " {kind:w} parts reports under {limit:d} bytes"
+)
+def then_small(context, count, parts, kind, limit):
+    node = _many_crashes(count, parts, kind)
+    reports = node.own_reports(1000.0 + count)
+    assert reports
+    size_bytes = len(msgspec.json.encode(reports))
+    assert size_bytes < limit, size_bytes
+
+
+@behave.then(
+    "the search in {count:d} crashes of prompts with 400 {kind:w} parts looks"
+    " at a part at most {limit:d} times"
+)
+def then_few_steps(context, count, kind, limit):
+    crashes = [
+        crash_causes.Crash(
+            f"s{number}",
+            _long_prompt(number if kind == "other" else 0, 400, "beginning"),
+            f"r{number}",
+            1000.0 + number,
+        )
+        for number in range(count)
+    ]
+    evidence = crash_causes._Evidence
+    with mock.patch.object(
+        evidence, "_cause", autospec=True, side_effect=evidence._cause
+    ) as look:
+        causes = crash_causes.find_causes(crashes, {}, 1100.0)
+    assert len(causes) == 1, causes
+    assert look.call_count <= limit, look.call_count
 
 
 NAMES = {
@@ -652,8 +788,10 @@
     EXCHANGE_S = 2.0
     LATE_S = 4.0
 
-    def __init__(self, seed, share, exchange_s=EXCHANGE_S):
+    def __init__(self, seed, share, exchange_s=EXCHANGE_S, place=None):
         self._exchange_s = exchange_s
+        self._place = place
+        self._sent_count = 0
         self._rng = random.Random(seed)
         self._share = share
         self._nodes = {
@@ -686,11 +824,28 @@
                 _exchange(self._nodes, now_s)
 
     def _parts(self):
+        if self._place is not None:
+            return self._long_parts()
         first = self._rng.choice(("f1", "f1", "f2", "f3"))
         if self._rng.random() < self._share:
             return ("f1", DEADLY)
         return (first, f"g{self._rng.randrange(30)}")
 
+    def _long_parts(self):
+        """Return a conversation of 400 parts, the first of two that repeat."""
+        self._sent_count += 1
+        # Sound requests come first, about 10 s long.
+        is_deadly = self._sent_count > 70 and self._rng.random() < self._share
+        if self._place == "first, others never again":
+            number = self._rng.randrange(2**16)
+            first = DEADLY if is_deadly else f"f{number % 3}"
+            return (first, *(f"{number:04x}{n:04x}" for n in range(399)))
+        conversation = self._rng.randrange(2)
+        parts = [f"c{conversation}{n:04x}" for n in range(400)]
+        if is_deadly:
+            parts[200] = DEADLY
+        return tuple(parts)
+
     def _send(self, now_s):
         node = self._nodes[self._rng.choice(list(self._nodes))]
         parts = self._parts()
@@ -756,3 +911,25 @@
         fleet.run(40.0)
         assert fleet.late_count <= 3, (seed, fleet.late_count)
         assert not fleet.refused_sound, (seed, fleet.refused_sound)
+
+
+@behave.given(
+    "{runs:d} seeded runs of traffic with 400 parts, the deadly one {place}"
+)
+def given_long_runs(context, runs, place):
+    context.fleets = [_Fleet(seed, 0.2, place=place) for seed in range(runs)]
+    for fleet in context.fleets:
+        fleet.run(50.0)
+        assert len(fleet.deadly_crash_times_s) >= 3, "too few crashes"
+
+
+@behave.then("in each run the part is refused within 5 crashes and 4 s")
+def then_refused_in_time(context):
+    late = [fleet.late_count for fleet in context.fleets]
+    assert max(late) <= 3, late
+
+
+@behave.then("in no run a sound part is refused")
+def then_no_sound(context):
+    refused = [fleet.refused_sound for fleet in context.fleets]
+    assert not any(refused), refused
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -16,6 +16,7 @@
 from bilberryturn.gateway import upstream
 from bilberryturn.routing import budget
 from bilberryturn.routing import choice
+from bilberryturn.routing import crash_reports
 from bilberryturn.routing import directory
 from bilberryturn.routing import part_crashes
 from bilberryturn.routing import server_limits
@@ -261,7 +262,7 @@
         self.part_crashes.merge(node, reports)
         self.availability.limits.merge(reports)
         for name, count in reports.items():
-            if part_crashes.is_report(name) or server_limits.is_report(name):
+            if crash_reports.is_report(name) or server_limits.is_report(name):
                 continue
             self.suspects.merge(name, node, count, now_s)
 
--- a/src/bilberryturn/routing/crash_causes.py
+++ b/src/bilberryturn/routing/crash_causes.py
@@ -31,15 +31,17 @@
 
     Attributes:
         server: Identifies the lifetime of the server.
-        parts: The last shared parts of the request's prompt, in prefill order.
+        parts: The shared parts of the request's prompt, in prefill order.
         request: Identifies the request across its retries.
         at_s: Time of the crash on the clock that all nodes share.
+        is_partial: Whether some of the parts are missing.
     """
 
     server: str
     parts: Chain
     request: str
     at_s: float
+    is_partial: bool = False
 
     @property
     def suspects(self) -> Chain:
@@ -65,7 +67,11 @@
 
 
 class _Evidence:
-    """Crashes by part, without those before the part's last answer."""
+    """Crashes by suspect, without those before the suspect's last answer.
+
+    A prompt may have hundreds of parts, most of which come in few crashes or
+    always together. Only one of those that come together is looked at.
+    """
 
     def __init__(
         self,
@@ -76,18 +82,57 @@
         self._answered = answered
         self._now_s = now_s
         self._times: dict[str, dict[str, float]] = {}
-        self._followers: dict[str, set[str]] = {}
+        # Parts that have another part behind them.
+        self._followed: set[str] = set()
         self._requests: set[str] = set()
-        for crash in crashes:
-            self._requests.add(crash.request)
-            for position, part in enumerate(crash.suspects):
-                if crash.at_s <= answered.get(part, 0.0):
-                    continue
-                times = self._times.setdefault(part, {})
-                earlier_s = times.get(crash.server, crash.at_s)
-                times[crash.server] = min(earlier_s, crash.at_s)
-                followers = self._followers.setdefault(part, set())
-                followers.update(crash.suspects[position + 1 :])
+        crashes = list(crashes)
+        candidates = _in_enough_crashes(crashes)
+        chains = [self._add(crash, candidates) for crash in crashes]
+        representatives = self._representatives(chains)
+        self._times = {p: self._times[p] for p in representatives}
+        self._chains = [
+            [part for part in chain if part in representatives]
+            for chain in chains
+        ]
+
+    def _add(self, crash: Crash, candidates: set[str]) -> list[str]:
+        """Add a crash; returns what may have caused it, in order."""
+        chain: list[str] = []
+        self._requests.add(crash.request)
+        last = len(crash.parts) - 1
+        for position, part in enumerate(crash.suspects):
+            if part not in candidates:
+                continue
+            if crash.at_s <= self._answered.get(part, 0.0):
+                continue
+            chain.append(part)
+            times = self._times.setdefault(part, {})
+            earlier_s = times.get(crash.server, crash.at_s)
+            times[crash.server] = min(earlier_s, crash.at_s)
+            if position < last or (crash.is_partial and position <= last):
+                self._followed.add(part)
+        return chain
+
+    def _representatives(self, chains: list[list[str]]) -> set[str]:
+        """Return one of the parts with the same evidence, the last in a prompt.
+
+        Requests without the last one then stay allowed.
+        """
+        numbers: dict[tuple[bool, frozenset], int] = {}
+        group_of: dict[str, int] = {}
+        found: dict[int, str] = {}
+        for part, times in self._times.items():
+            evidence = self._was_answered(part), frozenset(times.items())
+            group = numbers.setdefault(evidence, len(numbers))
+            group_of[part] = group
+            found[group] = max(part, found.get(group, part))
+        for chain in chains:
+            last_of = {group_of[part]: part for part in chain}
+            for part in chain:
+                group = group_of[part]
+                if part == found[group]:
+                    found[group] = last_of[group]
+        return set(found.values())
 
     def find_cause(self, explained: set[str]) -> Cause | None:
         """Return the clearest cause of the other crashes, or None.
@@ -116,8 +161,7 @@
     def _cause(self, part: str, explained: set[str]) -> Cause | None:
         """Return a part as a cause if its evidence is sufficient."""
         is_answered = self._was_answered(part)
-        has_follower = bool(self._followers[part] - self._requests)
-        is_delayed = is_answered or has_follower
+        is_delayed = is_answered or part in self._followed
         until_s = self._now_s - (REPORT_DELAY_S if is_delayed else 0.0)
         times_s = sorted(
             at_s
@@ -154,11 +198,13 @@
         Requests without the later part then stay allowed. The last one is the
         request itself: one that its caller repeats condemns no part.
         """
-        followers = [
+        followers = {
             causes[part]
-            for part in self._followers[cause.part]
+            for chain in self._chains
+            if cause.part in chain
+            for part in chain[chain.index(cause.part) + 1 :]
             if part in causes and part != cause.part
-        ]
+        }
         for follower in sorted(followers, key=self._rank, reverse=True):
             rest = explained | self.servers(follower.part)
             if self._cause(cause.part, rest) is None:
@@ -166,6 +212,15 @@
         return None
 
 
+def _in_enough_crashes(crashes: list[Crash]) -> set[str]:
+    """Return the suspects of enough servers' crashes to be a cause."""
+    servers: dict[str, set[str]] = {}
+    for crash in crashes:
+        for part in crash.suspects:
+            servers.setdefault(part, set()).add(crash.server)
+    return {p for p, found in servers.items() if len(found) >= MIN_CRASHES}
+
+
 def find_causes(
     crashes: Iterable[Crash], answered: dict[str, float], now_s: float
 ) -> list[Cause]:
--- a/src/bilberryturn/routing/part_crashes.py
+++ b/src/bilberryturn/routing/part_crashes.py
@@ -11,12 +11,11 @@
 
 import collections
 from collections.abc import Iterable
-import hashlib
 import itertools
-import re
-from typing import NamedTuple
+from typing import TypeVar
 
 from bilberryturn.routing import crash_causes
+from bilberryturn.routing import crash_reports
 from bilberryturn.routing import types
 
 # After this time a refused part is tried again.
@@ -29,32 +28,19 @@
 UPDATE_INTERVAL_S = 0.5
 # New reports are weighed together.
 MIN_UPDATE_INTERVAL_S = 0.1
-MAX_ANSWERED_PARTS = 4096
-# Bounds on the reports of one node; its row stays under 10 KB.
-MAX_CRASH_REPORTS = 60
-MAX_CRASH_REPORT_BYTES = 6000
-MAX_ANSWER_REPORTS = 60
-MAX_REPORTED_PARTS = 16
+# Prompts of hundreds of parts soon fill it.
+MAX_ANSWERED_PARTS = 16384
+# Bounds on the crashes that a node keeps; what it reports of them is less.
+MAX_CRASHES = 60
+MAX_CRASH_BYTES = 64 * 1024
 MAX_NODES = 1000
+# The parts of crashes are collected anew for those that expire.
+INDEX_INTERVAL_S = 5.0
+
+_Key = TypeVar("_Key")
 # Shared times of answers are this old at most.
 ANSWER_REPORT_INTERVAL_S = 1.0
 
-_CRASH_PREFIX = "crash:"
-_ANSWER_PREFIX = "answered:"
-# Other names, which callers may make up, are replaced by a digest.
-_PLAIN_NAME = re.compile(r"[0-9A-Za-z_.-]{1,32}")
-_DIGEST_BYTES = 8
-
-
-class _NodeReports(NamedTuple):
-    """The decoded reports of one node."""
-
-    crashes: tuple[crash_causes.Crash, ...]
-    answered: dict[str, float]
-
-
-_NO_REPORTS = _NodeReports((), {})
-
 
 class PartCrashes:
     """Collects the reports of all nodes and refuses parts.
@@ -70,9 +56,13 @@
             collections.OrderedDict()
         )
         self._reported_answers: dict[str, float] = {}
-        self._others: collections.OrderedDict[str, _NodeReports] = (
-            collections.OrderedDict()
-        )
+        self._others: collections.OrderedDict[str, crash_reports.NodeReports]
+        self._others = collections.OrderedDict()
+        # Last answers that other nodes reported, by part and by its number.
+        self._others_answered: dict[str, float] = {}
+        self._others_numbers: dict[int, float] = {}
+        self._index: crash_reports.Suspects | None = None
+        self._indexed_s = 0.0
         self._causes: dict[str, crash_causes.Cause] = {}
         self._new_causes: list[crash_causes.Cause] = []
         self._is_changed = False
@@ -96,26 +86,27 @@
         if not parts:
             return
         name = f"{server[0]}/{server[1]}"
-        chain = _short_names(parts[-MAX_REPORTED_PARTS:])
         crash = crash_causes.Crash(
-            name, chain, *_short_names((request,)), now_s
+            name,
+            crash_reports.short_names(parts),
+            *crash_reports.short_names((request,)),
+            now_s,
         )
         self._own.setdefault((name, crash.suspects), crash)
-        while not self._has_room():
-            self._own.popitem(last=False)
+        self._drop_oldest()
+        self._index = None
         self._is_changed = True
 
-    def _has_room(self) -> bool:
-        """Return whether the crash reports are within their bounds."""
-        size_bytes = sum(len(_crash_name(c)) for c in self._own.values())
-        return (
-            len(self._own) <= MAX_CRASH_REPORTS
-            and size_bytes <= MAX_CRASH_REPORT_BYTES
-        )
+    def _drop_oldest(self) -> None:
+        """Keep the crashes of this node within their bounds."""
+        size_bytes = sum(map(_size_bytes, self._own.values()))
+        while len(self._own) > MAX_CRASHES or size_bytes > MAX_CRASH_BYTES:
+            _, dropped = self._own.popitem(last=False)
+            size_bytes -= _size_bytes(dropped)
 
     def record_answer(self, parts: crash_causes.Chain, now_s: float) -> None:
         """Record an answer that shows that its parts are sound."""
-        for part in _short_names(parts):
+        for part in crash_reports.short_names(parts):
             self._own_answered[part] = now_s
             self._own_answered.move_to_end(part)
             self._is_changed = self._is_changed or part in self._causes
@@ -129,61 +120,73 @@
             node: types.Lifetime of the node.
             reports: As from own_reports; other names are ignored.
         """
-        decoded = _decode(reports)
-        if self._others.get(node, _NO_REPORTS) == decoded:
+        decoded = crash_reports.decode(reports)
+        if self._others.get(node, crash_reports.NO_REPORTS) == decoded:
             return
         self._others[node] = decoded
-        if decoded == _NO_REPORTS:
+        if decoded == crash_reports.NO_REPORTS:
             del self._others[node]
         while len(self._others) > MAX_NODES:
             self._others.popitem(last=False)
+        self._index = None
         self._is_changed = True
 
     def own_reports(self, now_s: float) -> dict[str, int]:
         """Return this node's reports, for other nodes."""
-        answered = self._answered(now_s)
-        reports = {
-            _crash_name(c): _to_ms(c.at_s)
-            for c in self._own.values()
-            if _is_current(c.at_s, now_s)
-            and any(c.at_s > answered.get(part, 0.0) for part in c.parts)
+        suspects = self._suspects(now_s)
+        crashes = [
+            crash
+            for crash in self._own.values()
+            if _is_current(crash.at_s, now_s)
+            and any(
+                crash.at_s > self._answered_s(p, now_s) for p in crash.parts
+            )
+        ]
+        self._reported_answers = self._answers_to_report(suspects, now_s)
+        return {
+            **crash_reports.encode_crashes(
+                crashes, suspects, lambda part: self._answered_s(part, now_s)
+            ),
+            **crash_reports.encode_answers(self._reported_answers),
         }
-        self._reported_answers = self._answers_to_report(now_s)
-        for part, at_s in self._reported_answers.items():
-            reports[_ANSWER_PREFIX + part] = _to_ms(at_s)
-        return reports
 
-    def _answers_to_report(self, now_s: float) -> dict[str, float]:
+    def _suspects(self, now_s: float) -> crash_reports.Suspects:
+        """Return the parts of all crashes; they expire a little later.
+
+        Also brings the answers that other nodes reported up to date.
+        """
+        is_old = abs(now_s - self._indexed_s) >= INDEX_INTERVAL_S
+        if self._index is None or is_old:
+            self._index = crash_reports.Suspects(self._all_crashes(now_s))
+            self._indexed_s = now_s
+            others = self._others.values()
+            self._others_answered = _newest(
+                (reports.answered for reports in others), now_s
+            )
+            self._others_numbers = _newest(
+                (reports.answered_numbers for reports in others), now_s
+            )
+        return self._index
+
+    def _answers_to_report(
+        self, suspects: crash_reports.Suspects, now_s: float
+    ) -> dict[str, float]:
         """Return when this node last saw answers to suspected parts.
 
-        A time that was reported is kept for a while, so that the reports do
-        not change with each answer.
+        The parts that are closest to refusal come first. An answer is reported
+        for as long as the crashes that it clears. A time that was reported is
+        kept for a while, so that the reports do not change with each answer.
         """
         found: dict[str, float] = {}
-        for part in self._parts_to_clear(now_s):
-            answered_s = self._own_answered[part]
+        for part in suspects.parts:
+            answered_s = self._own_answered.get(part)
+            if answered_s is None or not _is_current(answered_s, now_s):
+                continue
             reported_s = self._reported_answers.get(part, 0.0)
             is_due = answered_s - reported_s >= ANSWER_REPORT_INTERVAL_S
             found[part] = answered_s if is_due else reported_s
         return found
 
-    def _parts_to_clear(self, now_s: float) -> list[str]:
-        """Return answered parts under crashes, the closest to refusal first.
-
-        An answer is reported for as long as the crashes that it clears.
-        """
-        servers: dict[str, set[str]] = {}
-        for crash in self._all_crashes(now_s):
-            for part in crash.parts:
-                servers.setdefault(part, set()).add(crash.server)
-        parts = [
-            part
-            for part in servers
-            if _is_current(self._own_answered.get(part, 0.0), now_s)
-        ]
-        parts.sort(key=lambda part: len(servers[part]), reverse=True)
-        return parts[:MAX_ANSWER_REPORTS]
-
     def refused(
         self, parts: crash_causes.Chain, now_s: float
     ) -> crash_causes.Cause | None:
@@ -196,7 +199,7 @@
             self._update(now_s)
         if not self._causes:
             return None
-        for part in _short_names(parts):
+        for part in crash_reports.short_names(parts):
             if part in self._causes:
                 return self._causes[part]
         return None
@@ -229,36 +232,38 @@
     def _answered(self, now_s: float) -> dict[str, float]:
         """Return when each suspected part was last answered by any node."""
         answered = {
-            part: self._own_answered[part]
-            for crash in self._all_crashes(now_s)
-            for part in crash.parts
-            if _is_current(self._own_answered.get(part, 0.0), now_s)
+            part: self._answered_s(part, now_s)
+            for part in self._suspects(now_s).parts
         }
-        for reports in self._others.values():
-            for part, at_s in reports.answered.items():
-                if _is_current(at_s, now_s):
-                    answered[part] = max(at_s, answered.get(part, 0.0))
-        return answered
-
-
-def is_report(name: str) -> bool:
-    """Return whether a name stands for a report, not for a fingerprint."""
-    return name.startswith((_CRASH_PREFIX, _ANSWER_PREFIX))
-
-
-def _short_names(parts: crash_causes.Chain) -> crash_causes.Chain:
-    """Return names of parts that fit into reports."""
-    return tuple(
-        part if _PLAIN_NAME.fullmatch(part) else _digest(part) for part in parts
-    )
+        return {part: at_s for part, at_s in answered.items() if at_s}
+
+    def _answered_s(self, part: str, now_s: float) -> float:
+        """Return when any node last saw a part answered, 0 if none did."""
+        own_s = self._own_answered.get(part, 0.0)
+        if not _is_current(own_s, now_s):
+            own_s = 0.0
+        number = crash_reports.part_number(part)
+        return max(
+            own_s,
+            self._others_answered.get(part, 0.0),
+            self._others_numbers.get(number, 0.0),
+        )
 
 
-def _digest(part: str) -> str:
-    return hashlib.blake2b(part.encode(), digest_size=_DIGEST_BYTES).hexdigest()
+def _newest(
+    answered: Iterable[dict[_Key, float]], now_s: float
+) -> dict[_Key, float]:
+    """Return the newest time of each key that still counts."""
+    newest: dict[_Key, float] = {}
+    for times in answered:
+        for key, at_s in times.items():
+            if _is_current(at_s, now_s):
+                newest[key] = max(at_s, newest.get(key, 0.0))
+    return newest
 
 
-def _crash_name(crash: crash_causes.Crash) -> str:
-    return f"{_CRASH_PREFIX}{crash.server}:{','.join(crash.suspects)}"
+def _size_bytes(crash: crash_causes.Crash) -> int:
+    return sum(map(len, crash.suspects))
 
 
 def _is_current(at_s: float, now_s: float) -> bool:
@@ -267,22 +272,3 @@
     A time in the future was taken before the node knew the shared clock.
     """
     return -MAX_CLOCK_ERROR_S < now_s - at_s < CRASH_TTL_S
-
-
-def _to_ms(at_s: float) -> int:
-    return int(at_s * 1000)
-
-
-def _decode(reports: dict[str, int]) -> _NodeReports:
-    crashes: list[crash_causes.Crash] = []
-    answered: dict[str, float] = {}
-    for name, at_ms in reports.items():
-        if name.startswith(_ANSWER_PREFIX):
-            answered[name.removeprefix(_ANSWER_PREFIX)] = at_ms / 1000
-        elif name.startswith(_CRASH_PREFIX):
-            server, _, names = name.removeprefix(_CRASH_PREFIX).rpartition(":")
-            *parts, request = names.split(",")
-            crashes.append(
-                crash_causes.Crash(server, tuple(parts), request, at_ms / 1000)
-            )
-    return _NodeReports(tuple(crashes), answered)
