Free the memory of a run that has no copy without its caller waiting

The reply to a move that stopped a run without a copy was handed on only after the call that frees the run's memory, up to 1 s later, while the caller of the stream waited. That call now follows in the background with the others. Reasons in the log name the size of a malformed line instead of its bytes, which may be part of an answer.

moves, answers, streams and operators.feature pass.

--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -298,9 +298,9 @@
         if cut is not None:
             raise upstream.UpstreamError(
                 f"answer may be cut: {cut.reason}",
-                True,
-                cut.is_crash,
-                cut.is_crash,
+                was_sent=True,
+                is_disconnect=cut.is_crash,
+                may_be_crash=cut.is_crash,
             )
 
     async def _stream(
--- a/src/bilberryturn/gateway/moves.py
+++ b/src/bilberryturn/gateway/moves.py
@@ -54,9 +54,13 @@
 
     Attributes:
         may_have_stopped: Whether its engine may have stopped it all the same.
+        source: HOST:PORT of the engine that ran it.
+        handle: Names the memory of the stopped run there, or None.
     """
 
     may_have_stopped: bool
+    source: str
+    handle: str | None
 
 
 MoveResult = MovedRun | NotMoved
@@ -112,9 +116,10 @@
 
 
 class UnusedCopies:
-    """Frees the copies of runs with which no request goes on.
+    """Frees the memory of stopped runs with which no request goes on.
 
-    They would hold memory at both engines until they expire there.
+    It would be held at the engines until it expires there. A source that leaves
+    takes no request to go on with a run that has no copy.
     """
 
     def __init__(self, pool: upstream.ConnectionPool):
@@ -133,7 +138,7 @@
         self, move_task: "asyncio.Task[MoveResult]"
     ) -> None:
         result = await move_task
-        if isinstance(result, MovedRun):
+        if result.handle is not None:
             await release(self._pool, result.source, result.handle)
 
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
@@ -169,10 +174,7 @@
     )
     if reply.is_copied:
         return MovedRun(chosen, source.address, reply.handle)
-    if reply.handle is not None:
-        # The source leaves and takes no request to go on with the run.
-        await release(pool, source.address, reply.handle)
-    return NotMoved(reply.may_have_stopped)
+    return NotMoved(reply.may_have_stopped, source.address, reply.handle)
 
 
 async def _request_move(
--- a/src/bilberryturn/server_sent_events.py
+++ b/src/bilberryturn/server_sent_events.py
@@ -133,8 +133,9 @@
         if not name:
             return
         if not is_field_name(name):
+            # The line may be part of an answer, which logs must not hold.
             raise MalformedEventError(
-                f"a line of the stream is no field: {line[:40]!r}"
+                f"a line of {len(line)} bytes in the stream is no field"
             )
         if name == b"id":
             self._event_id = _read_id(value)
@@ -185,7 +186,7 @@
     event_id = value.strip().decode("latin-1")
     if event_id and not _EVENT_ID.fullmatch(event_id):
         raise MalformedEventError(
-            f"{event_id[:40]!r} is no identifier of an event"
+            f"{len(event_id)} bytes are no identifier of an event"
         )
     return event_id
 
