--- a/features/mutants.py
+++ b/features/mutants.py
@@ -709,7 +709,7 @@
         (
             (
                 "gateway/answer_ends.py",
-                "if is_ending(shared, server.lifetime, time.monotonic()):",
+                "if _is_ending(shared, server.lifetime, time.monotonic()):",
                 "if False:",
             ),
         ),
--- a/src/bilberryturn/gateway/answer_ends.py
+++ b/src/bilberryturn/gateway/answer_ends.py
@@ -10,11 +10,14 @@
 
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import shared_state
+from bilberryturn.gateway import upstream
+from bilberryturn.platform import wire
 from bilberryturn.routing import types
 
 # A server leaves at most this much earlier than its report, as it was received
 # here, says.
 REPORT_LAG_S = 1.5
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 class Cut(NamedTuple):
@@ -29,22 +32,48 @@
     is_crash: bool = False
 
 
-async def find_cut(
+def has_end(head: wire.ServerResponse, method: bytes) -> bool:
+    """Return whether a response shows its end by itself."""
+    has_no_body = head.status in STATUSES_WITHOUT_BODY or method == b"HEAD"
+    return head.has_framing or has_no_body
+
+
+async def check(
     shared: shared_state.SharedState,
     server: types.BackendServer,
     move: asyncio.Task[moves.MoveResult] | None,
-) -> Cut | None:
-    """Return what else may have ended a connection than the answer's end.
+    is_empty: bool,
+) -> None:
+    """Check that a connection was closed because its answer has ended.
 
     Args:
         shared: State that all requests share.
         server: The server that closed the connection.
         move: The move of the run that was asked for, if any; its response may
             come later than the end of the connection.
+        is_empty: Whether the answer has no body.
 
-    Returns:
-        What may have cut the answer, or None if it is complete.
+    Raises:
+        UpstreamError: The answer may have been cut.
     """
+    if is_empty:
+        raise upstream.UpstreamError("answer ended at once", True, True)
+    cut = await _find_cut(shared, server, move)
+    if cut is not None:
+        raise upstream.UpstreamError(
+            f"answer may be cut: {cut.reason}",
+            was_sent=True,
+            is_disconnect=cut.is_crash,
+            may_be_crash=cut.is_crash,
+        )
+
+
+async def _find_cut(
+    shared: shared_state.SharedState,
+    server: types.BackendServer,
+    move: asyncio.Task[moves.MoveResult] | None,
+) -> Cut | None:
+    """Return what else may have ended a connection than the answer's end."""
     if move is not None:
         # The move goes on if the request is cancelled meanwhile.
         result = await asyncio.shield(move)
@@ -52,7 +81,7 @@
             return Cut("its run was moved")
         if result.may_have_stopped:
             return Cut("its run may have been stopped")
-    if is_ending(shared, server.lifetime, time.monotonic()):
+    if _is_ending(shared, server.lifetime, time.monotonic()):
         return Cut("its server was about to end")
     if shared.directory.has_ended(server.lifetime):
         return Cut("its server has ended")
@@ -61,7 +90,7 @@
     return None
 
 
-def is_ending(
+def _is_ending(
     shared: shared_state.SharedState, lifetime: types.Lifetime, now_s: float
 ) -> bool:
     """Return whether a leaving server may end at any moment."""
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -216,8 +216,7 @@
         if head.status < 300 and self._request.route.is_stream:
             return await self._stream(head)
         body = await self._read_body()
-        if self._ends_with_connection(head):
-            await self._check_end(not body)
+        await self._check_end(head, not body)
         if self._delivery.has_started:
             raise upstream.UpstreamError("resumption failed", True)
         self._delivery.count_request()
@@ -276,32 +275,15 @@
             if size_bytes > response_limits.MAX_BUFFERED_BODY_BYTES:
                 raise upstream.UpstreamError("answer too large", True)
 
-    def _ends_with_connection(self, head: wire.ServerResponse) -> bool:
-        """Return whether the response has a body that ends in no other way."""
-        has_body = (
-            head.status not in (204, 304)
-            and self._request.incoming.method != b"HEAD"
-        )
-        return has_body and not head.has_framing
-
-    async def _check_end(self, is_empty: bool) -> None:
-        """Check that the connection ended with the response, not before.
-
-        Raises:
-            UpstreamError: The response may have been cut.
-        """
-        if is_empty:
-            raise upstream.UpstreamError("answer ended at once", True, True)
-        cut = await answer_ends.find_cut(
-            self._shared, self._chosen.server, self._move
+    async def _check_end(
+        self, head: wire.ServerResponse, is_empty: bool
+    ) -> None:
+        """Check that a response has ended, and not only its connection."""
+        if answer_ends.has_end(head, self._request.incoming.method):
+            return
+        await answer_ends.check(
+            self._shared, self._chosen.server, self._move, is_empty
         )
-        if cut is not None:
-            raise upstream.UpstreamError(
-                f"answer may be cut: {cut.reason}",
-                was_sent=True,
-                is_disconnect=cut.is_crash,
-                may_be_crash=cut.is_crash,
-            )
 
     async def _stream(
         self, head: wire.ServerResponse
@@ -320,8 +302,7 @@
             raise upstream.UpstreamError(
                 "stream ended inside an event", True, not head.has_framing
             )
-        if self._ends_with_connection(head):
-            await self._check_end(self._first_event_s is None)
+        await self._check_end(head, self._first_event_s is None)
         self._delivery.end_stream(head)
         self._shared.suspects.clear(self._request.fingerprint)
         self._shared.record_prompt_answer(self._prompt)
