Report crashes of long prompts whose time was not current at first

A node that saw crashes of prompts with more parts than fit into its reports, while its clock was ahead, reported nothing for up to 5 s: the list of suspected parts was kept from before the crashes' time became current, and a part that it lacked raised an error in the node's periodic work.

A part that is not in the list now counts as one of a single crash. The new scenario failed before with a KeyError. The buffer that counts the work of the splitter is shared by the two step files that use it.

--- a/features/part_crashes.feature
+++ b/features/part_crashes.feature
@@ -104,6 +104,12 @@
       | 80    | 400   | equal  |
       | 80    | 1300  | other  |
 
+  # Guards against a node that stops to report, as it saw a crash while its clock
+  # was ahead.
+  Scenario: Crashes of long prompts that a clock 10 s ahead has dated
+    Given a node that saw crashes of prompts with 1300 shared parts while its clock was 10 s ahead
+    Then it reports in each of the next 12 s
+
   # Guards against nodes whose event loop is busy with the search for causes.
   Scenario Outline: The search for causes in <count> crashes of 400 <kind> parts looks at few of them
     Then the search in <count> crashes of prompts with 400 <kind> parts looks at a part at most <limit> times
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -25,6 +25,7 @@
 from bilberryturn.platform import rows
 from bilberryturn.routing import table
 from bilberryturn.routing import types
+from support import counting
 from support import gateway_rig
 from support import platform_data
 from support import scripted
@@ -205,28 +206,14 @@
     assert context.other_answer.body == WHOLE, context.other_answer.head
 
 
-class _CountingBuffer(bytearray):
-    """A buffer that counts the bytes that are added to it or read from it."""
-
-    handled_bytes = 0
-
-    def __iadd__(self, data):
-        type(self).handled_bytes += len(data)
-        return super().__iadd__(data)
-
-    def __getitem__(self, key):
-        found = super().__getitem__(key)
-        type(self).handled_bytes += len(found) if isinstance(key, slice) else 1
-        return found
-
-
 @behave.then(
     "16 MB in pieces of 1 kB without an event boundary are refused after 1 MB"
     " and each byte is searched at most twice"
 )
 def then_linear(context):
     splitter = server_sent_events.EventSplitter(response_limits.MAX_EVENT_BYTES)
-    splitter._buffer = _CountingBuffer()
+    counting.CountingBuffer.handled_bytes = 0
+    splitter._buffer = counting.CountingBuffer()
     fed_bytes = 0
     try:
         while fed_bytes < 16 * MB:
@@ -236,8 +223,8 @@
         pass
     assert fed_bytes <= response_limits.MAX_EVENT_BYTES + 1024, fed_bytes
     # Each byte is added once and read once, as its line ends.
-    assert _CountingBuffer.handled_bytes >= fed_bytes
-    assert _CountingBuffer.handled_bytes <= 2.02 * fed_bytes
+    assert counting.CountingBuffer.handled_bytes >= fed_bytes
+    assert counting.CountingBuffer.handled_bytes <= 2.02 * fed_bytes
 
 
 # A second copy of an answer
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -491,6 +491,27 @@
     assert size_bytes < limit, size_bytes
 
 
+@behave.given(
+    "a node that saw crashes of prompts with {count:d} shared parts while its"
+    " clock was {ahead_s:d} s ahead"
+)
+def given_clock_ahead(context, count, ahead_s):
+    context.node = part_crashes.PartCrashes()
+    for number in range(3):
+        prompt = _long_prompt(number, count, "beginning")
+        context.node.record_crash(
+            (f"s{number}", 1), prompt, f"r{number}", 1000.0 + ahead_s
+        )
+
+
+@behave.then("it reports in each of the next {duration_s:d} s")
+def then_reports(context, duration_s):
+    for step in range(duration_s * 4):
+        reports = context.node.own_reports(1000.0 + step / 4)
+        is_dated = step / 4 > 5.0
+        assert bool(reports) == is_dated, (step, reports)
+
+
 @behave.then(
     "the search in {count:d} crashes of prompts with 400 {kind:w} parts looks"
     " at a part at most {limit:d} times"
--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -15,6 +15,7 @@
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import shared_state
 from bilberryturn.platform import wire
+from support import counting
 from support import gateway_rig
 from support import scripted
 
@@ -275,21 +276,6 @@
 }
 
 
-class _CountingBuffer(bytearray):
-    """A buffer that counts the bytes that are added to it or read from it."""
-
-    handled_bytes = 0
-
-    def __iadd__(self, data):
-        type(self).handled_bytes += len(data)
-        return super().__iadd__(data)
-
-    def __getitem__(self, key):
-        found = super().__getitem__(key)
-        type(self).handled_bytes += len(found)
-        return found
-
-
 @behave.then(
     "each line of {what} is judged once and each byte read at most twice, from"
     " 1 KB to 1 MB and however it is cut"
@@ -304,7 +290,7 @@
 
 
 def _check_linear(data, cut_bytes):
-    _CountingBuffer.handled_bytes = 0
+    counting.CountingBuffer.handled_bytes = 0
     judged = []
 
     def judge(name):
@@ -315,7 +301,7 @@
     splitter = server_sent_events.EventSplitter(2_000_000)
     module = "bilberryturn.server_sent_events"
     with (
-        mock.patch(f"{module}.bytearray", _CountingBuffer, create=True),
+        mock.patch(f"{module}.bytearray", counting.CountingBuffer, create=True),
         mock.patch(f"{module}.is_field_name", judge),
     ):
         splitter.begin_attempt()
@@ -327,7 +313,7 @@
     assert b"".join(received) + splitter.partial == data
     lines = [line for line in data.splitlines() if line]
     assert len(judged) == len(lines), (len(judged), len(lines))
-    assert _CountingBuffer.handled_bytes <= 2 * len(data)
+    assert counting.CountingBuffer.handled_bytes <= 2 * len(data)
 
 
 @behave.then(
--- a/src/bilberryturn/routing/crash_reports.py
+++ b/src/bilberryturn/routing/crash_reports.py
@@ -85,7 +85,7 @@
 
     def is_shared(self, part: str) -> bool:
         """Return whether more than one server crashed under a part."""
-        return self._counts[part] > 1
+        return self._counts.get(part, 0) > 1
 
 
 def encode_crashes(
