--- a/features/part_crashes.feature
+++ b/features/part_crashes.feature
@@ -60,6 +60,11 @@
       | and then nobody sent for 100 s   |
       | beside those of 50 other prompts |
 
+  # Guards against long prompts whose first parts no node reports.
+  Scenario: The first of many parts is found
+    Given three crashes of prompts with 15 shared parts that have the first alone in common
+    Then the first part is refused and the others are not
+
   # Guards against prompts of which a node reports some parts only, so that the
   # cause among the others is never found.
   Scenario Outline: One part of <count> that three prompts have in common is found at the <place>
--- a/features/steps/part_crash_steps.py
+++ b/features/steps/part_crash_steps.py
@@ -358,6 +358,26 @@
         assert node.refused(("f", "new"), now_s) is None, name
 
 
+@behave.given(
+    "three crashes of prompts with {count:d} shared parts that have the first"
+    " alone in common"
+)
+def given_first_in_common(context, count):
+    context.node = part_crashes.PartCrashes()
+    for number in range(3):
+        others = [f"g{number}-{n}" for n in range(count - 1)]
+        crashed_s = 1000.0 + number
+        context.node.record_crash(
+            (f"s{number}", 1), (DEADLY, *others), f"r{number}", crashed_s
+        )
+
+
+@behave.then("the first part is refused and the others are not")
+def then_only_first_refused(context):
+    assert context.node.refused((DEADLY,), 1006.0) is not None
+    assert context.node.refused(("g0-0", "g2-13"), 1006.0) is None
+
+
 PLACES = {"beginning": 0.0, "middle": 0.5, "end": 1.0}
 
 
