--- a/src/bilberryturn/platform/operator_config.py
+++ b/src/bilberryturn/platform/operator_config.py
@@ -31,6 +31,7 @@
     resumable: bool = False
     # Maximum gap between events, not between individual tokens.
     itl_target_ms: float = 0.0
+    home_regions: list[str] | None = None
 
 
 class _Engine(msgspec.Struct, rename="camel"):
@@ -70,6 +71,7 @@
     name: str
     api_keys: list[str] = []
     priority: int | None = None
+    home_regions: list[str] | None = None
 
 
 class _Config(msgspec.Struct):
@@ -94,7 +96,9 @@
     if config.tenants is not None:
         accounts = {
             table.key_hash(key): types.ClientAccount(
-                account.name, account.priority
+                account.name,
+                account.priority,
+                frozenset(account.home_regions or ()),
             )
             for account in config.tenants
             for key in account.api_keys
@@ -134,6 +138,7 @@
         attempts=max(1, route.attempts),
         is_public=route.public,
         targets=targets,
+        home_regions=frozenset(route.home_regions or ()),
     )
 
 
--- a/src/bilberryturn/platform/rows.py
+++ b/src/bilberryturn/platform/rows.py
@@ -27,6 +27,8 @@
 # Tables that the users' platform defines.
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
+# Keys of the operator's table, followed by the name of a failure domain.
+EVACUATE_PREFIX = "evacuate/"
 SERVER_TABLE = "servers"
 # A table that only the nodes write: the crashes that each node counted.
 SUSPECT_TABLE = "suspects"
@@ -79,6 +81,40 @@
     era: int | None = None
 
 
+class DrainRows(NamedTuple):
+    """The rows of drained failure domains in a reading of the operator's table.
+
+    Attributes:
+        drained: Failure domains that have a row.
+        undone: Failure domains whose row was removed.
+        malformed: Keys that name no failure domain.
+    """
+
+    drained: frozenset[str]
+    undone: frozenset[str]
+    malformed: tuple[str, ...]
+
+
+def read_drains(values: dict[str, bytes | None]) -> DrainRows:
+    """Return the drained failure domains in rows of the operator's table.
+
+    Args:
+        values: Values by key; None for a removed row.
+    """
+    drained: set[str] = set()
+    undone: set[str] = set()
+    malformed = []
+    for key, value in values.items():
+        if not key.startswith(EVACUATE_PREFIX):
+            continue
+        failure_domain = key.removeprefix(EVACUATE_PREFIX)
+        if not failure_domain.strip():
+            malformed.append(key)
+            continue
+        (undone if value is None else drained).add(failure_domain)
+    return DrainRows(frozenset(drained), frozenset(undone), tuple(malformed))
+
+
 class _Answer(NamedTuple):
     """Answer to a read."""
 
--- a/src/bilberryturn/platform/settings_file.py
+++ b/src/bilberryturn/platform/settings_file.py
@@ -45,6 +45,8 @@
         is_first_start: Whether the deployment starts for the first time.
         memory_mb: Memory of the VM; a process that uses more is ended. 0 if it
             is not stated.
+        evacuate_s: Time within which a drained failure domain must stop
+            receiving requests.
     """
 
     name: str
@@ -72,6 +74,14 @@
     usage_due_s: float
     is_first_start: bool
     memory_mb: float = 0.0
+    evacuate_s: float = 5.0
+
+    def domain_regions(self) -> dict[str, str]:
+        """Return the region of each failure domain whose region is known."""
+        regions = {**self.regions}
+        if self.region:
+            regions[self.failure_domain] = self.region
+        return {domain: region for domain, region in regions.items() if region}
 
 
 def parse_lines(text: str) -> dict[str, str]:
@@ -198,6 +208,7 @@
         usage_due_s=reader.number("bounds.usageDelayS", 10.0),
         is_first_start=reader.text("bootstrap", "false") == "true",
         memory_mb=reader.number("limits.memoryMb", 0.0),
+        evacuate_s=reader.number("bounds.evacuateMs", 5000) / 1000,
     )
     if reader.faults:
         return expression.Error(reader.faults)
--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -52,12 +52,15 @@
         prompt: The prompt, or None for a service without engines.
         gap_target_s: Longest gap between events that meets the target; 0 if
             there is no target.
+        home_regions: Regions in which the request may be served; None if there
+            is no restriction. An empty set allows no server.
     """
 
     service: types.Service
     failure_domain: str
     prompt: types.Prompt | None
     gap_target_s: float = 0.0
+    home_regions: frozenset[str] | None = None
 
 
 class Choice(NamedTuple):
--- a/src/bilberryturn/routing/types.py
+++ b/src/bilberryturn/routing/types.py
@@ -32,6 +32,8 @@
         gap_target_s: Target for the longest gap between events of a stream.
         priority: Priority; 0 is the highest.
         attempts: Most backend servers on which one request is tried.
+        home_regions: Regions in which the requests may be served; empty if
+            there is no restriction.
     """
 
     name: str
@@ -46,6 +48,7 @@
     attempts: int
     is_public: bool
     targets: tuple[Target, ...]
+    home_regions: frozenset[str] = frozenset()
 
     @property
     def is_retryable(self) -> bool:
@@ -93,10 +96,16 @@
 
 
 class ClientAccount(NamedTuple):
-    """Owner of API keys; its priority overrides that of a route."""
+    """Owner of API keys; its priority overrides that of a route.
+
+    Attributes:
+        home_regions: Regions in which its requests may be served; empty if
+            there is no restriction.
+    """
 
     name: str
     priority: int | None
+    home_regions: frozenset[str] = frozenset()
 
 
 class Limits(NamedTuple):
