Read drained failure domains and pass them on to peers

The rows come with the configuration (one long poll, no further call). The list is soft state with the era of the store and the time at which the store confirmed it: a newer era wins, then the later time. It goes with each reply to a poll, as config_age_s is its age only if it was confirmed together with the configuration; otherwise, and from peers of an older version, it is omitted and the known list stays. Using the era of the configuration was ruled out: a configuration that waits in its order keeps an earlier one.

The polling intervals keep evacuateMs if it is shorter than configMs.

--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bilberryturn import events
+from bilberryturn import metrics
 from bilberryturn.edge import config_feed
 from bilberryturn.edge import config_order
 from bilberryturn.edge import followers
@@ -85,14 +86,44 @@
         self.peer_revision = ""
         self._raw.config_read_s = now_s
         self.confirm_config(now_s)
-        value = reading.values().get(rows.CONFIG_KEY)
+        values = reading.values()
+        era = _era_number(reading.era)
+        drains = rows.read_drains(values)
+        for key in drains.malformed:
+            events.log(events.DRAIN_KEY_REFUSED, key=key)
+        has_changed = self._raw.drained.apply_reading(
+            drains, reading.is_snapshot, era, now_s
+        )
+        if has_changed:
+            self._set_drained(config_feed.Source.STORE)
+        value = values.get(rows.CONFIG_KEY)
         if value is not None:
-            era = _era_number(reading.era)
             written_era = config_order.NO_ERA if reading.is_snapshot else era
             self._configs.apply(
                 value, config_feed.Source.STORE, era, written_era
             )
 
+    def _set_drained(self, source: config_feed.Source) -> None:
+        """Put the drained failure domains in force and pass them on."""
+        drained = self._raw.drained.domains
+        self._raw.mark_changed(peer_state.Content.DRAINED)
+        for domain in sorted(self._shared.placement.set_drained(drained)):
+            is_drained = domain in drained
+            metrics.set_gauge(
+                metrics.DOMAIN_DRAINED,
+                {"failure_domain": domain},
+                float(is_drained),
+            )
+            events.log(
+                events.DOMAIN_DRAINED
+                if is_drained
+                else events.DOMAIN_DRAIN_UNDONE,
+                failure_domain=domain,
+                drained=sorted(drained),
+                source=source.value,
+                era=self._raw.drained.era,
+            )
+
     def on_servers_read(self, reading: followers.Reading) -> None:
         """Apply a reading of the servers' entries."""
         self.peer_revision = ""
@@ -269,6 +300,13 @@
             self.set_nodes(state.nodes)
             if self._deliver_nodes is not None:
                 self._deliver_nodes(state.nodes)
+        has_changed = self._raw.drained.apply_peer(
+            state.drained_domains,
+            state.drained_era,
+            received_s - state.config_age_s,
+        )
+        if has_changed:
+            self._set_drained(config_feed.Source.PEER)
         has_config = self._apply_peer_config(state, received_s)
         has_servers = self._apply_peer_servers(state, received_s)
         # Content that was not applied has to be requested again.
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -87,6 +87,7 @@
                 lambda domain: self._node_presence.addresses(domain),
             ),
             settings.memory_mb,
+            settings.domain_regions(),
         )
         self._applier = feeds.Applier(
             self.shared,
@@ -145,7 +146,10 @@
             store_followers.on_loop(loop, self._applier.set_nodes),
         )
         poll_intervals = intervals.from_bounds(
-            settings.drain_s, settings.config_s, settings.settle_s
+            settings.drain_s,
+            # Drained failure domains are read with the configuration.
+            min(settings.config_s, settings.evacuate_s),
+            settings.settle_s,
         )
         followers = [
             store_followers.Follower(
--- a/src/bilberryturn/edge/peer_state.py
+++ b/src/bilberryturn/edge/peer_state.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bilberryturn.edge import config_order
+from bilberryturn.edge import drained_domains
 
 CONFIG_DIGEST_BYTES = 12
 # Changes retained for peers that know an earlier revision. More than the
@@ -23,9 +24,9 @@
     """Platform state that a node returns to a peer.
 
     Attributes:
-        revision: Changes with the configuration, the content of the entries,
-            the known nodes and the reports; not with mere heartbeats of
-            servers.
+        revision: Changes with the configuration, the drained failure domains,
+            the content of the entries, the known nodes and the reports; not
+            with mere heartbeats of servers.
         config: The operator's configuration as stored, in Base64; None if
             the peer already has it.
         is_config_compressed: Whether the configuration was compressed (zlib)
@@ -54,6 +55,9 @@
         config_era: Last era in which the store showed the configuration.
         config_written_era: Era in which the configuration is known to have been
             written.
+        drained_domains: All drained failure domains, as the store confirmed
+            them together with the configuration; None if they are unknown.
+        drained_era: Era of the store in which they were confirmed.
     """
 
     revision: str
@@ -73,6 +77,8 @@
     servers_era: int = config_order.NO_ERA
     config_era: int = config_order.NO_ERA
     config_written_era: int = config_order.NO_ERA
+    drained_domains: list[str] | None = None
+    drained_era: int = config_order.NO_ERA
 
 
 class Known(NamedTuple):
@@ -100,6 +106,7 @@
     SERVER = enum.auto()
     SUSPECTS = enum.auto()
     NODES = enum.auto()
+    DRAINED = enum.auto()
 
 
 class _Change(NamedTuple):
@@ -127,6 +134,7 @@
         self.servers_read_s = -1e9
         self.servers_era = config_order.NO_ERA
         self.config_order = config_order.ConfigOrder()
+        self.drained = drained_domains.DrainedDomains()
         self.suspects: dict[str, dict[str, int]] = {}
         self._lifetime = secrets.token_hex(4)
         self._change_count = 0
@@ -169,6 +177,13 @@
         if in_force is not None:
             state.config_era = in_force.era
             state.config_written_era = in_force.written_era
+        drained = self.drained
+        # A peer of an older version may have confirmed the configuration since,
+        # but not the drained failure domains.
+        is_confirmed = drained.confirmed_s >= self.config_confirmed_s
+        if drained.domains is not None and is_confirmed:
+            state.drained_domains = sorted(drained.domains)
+            state.drained_era = drained.era
         if known.revision == self.revision:
             return state
         changes = self._changes_since(known.revision)
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import time
 from typing import NamedTuple
 
@@ -20,6 +21,7 @@
 from bilberryturn.routing import crash_causes
 from bilberryturn.routing import directory
 from bilberryturn.routing import part_crashes
+from bilberryturn.routing import placement
 from bilberryturn.routing import table as route_tables
 from bilberryturn.routing import types
 
@@ -138,6 +140,7 @@
             seconds.
         drain_s: Time for which leaving servers go on at least, in seconds.
         memory: Account of the bytes that requests hold.
+        placement: In which failure domains requests may be served.
     """
 
     def __init__(
@@ -150,8 +153,10 @@
         drain_s: float = DEFAULT_DRAIN_S,
         peers: permits.Peers = permits.NO_PEERS,
         memory_mb: float = 0.0,
+        regions: Mapping[str, str] | None = None,
     ):
         self.failure_domain = failure_domain
+        self.placement = placement.Placement(regions)
         self.table: route_tables.RouteTable | None = None
         self.directory = directory.Directory()
         self.drain_s = drain_s
@@ -189,6 +194,40 @@
             return None
         return round(self.drain.started_s - arrived_s, 3)
 
+    def candidates(
+        self, requirements: choice.Requirements
+    ) -> list[types.BackendServer]:
+        """Return the servers that may take a request, whatever their load."""
+        return self.placement.allowed(
+            self.directory.usable(requirements.service.name),
+            requirements.home_regions,
+        )
+
+    def may_send(
+        self, server: types.BackendServer, requirements: choice.Requirements
+    ) -> bool:
+        """Return whether a server that was chosen may still take a request."""
+        return self.placement.allows(server, requirements.home_regions)
+
+    def has_home_region(self, requirements: choice.Requirements) -> bool:
+        """Return whether the home regions of a request can serve it.
+
+        They can if a server of its service is in one of them, even if it takes
+        no request now. While the service has no server at all, this can't be
+        told from home regions that name some region.
+        """
+        home_regions = requirements.home_regions
+        if home_regions is None:
+            return True
+        servers = [
+            server
+            for server in self.directory.all_servers()
+            if server.service == requirements.service.name
+        ]
+        if not servers:
+            return bool(home_regions)
+        return self.placement.has_home(servers, home_regions)
+
     def retry_budget(self, service: str) -> budget.RetryBudget:
         """Return the retry budget of a service."""
         retry_budget = self._budgets.get(service)
@@ -278,6 +317,20 @@
         """Return the time since the server list was last confirmed."""
         return _age_s(self.servers_confirmed_s)
 
+    def record_home_refusal(
+        self, route: str, client_account: str | None
+    ) -> None:
+        """Record a request that no home region can serve in the metrics."""
+        metrics.add(
+            metrics.HOME_REFUSALS,
+            {
+                "route": route,
+                "client_account": metrics.account_label(
+                    client_account or "none"
+                ),
+            },
+        )
+
     def record_ended_request(
         self,
         route: str,
--- a/src/bilberryturn/metrics.py
+++ b/src/bilberryturn/metrics.py
@@ -114,6 +114,18 @@
         "bilberryturn_config_version", "Version of declarations in force."
     )
 )
+DOMAIN_DRAINED = _register(
+    aioprometheus.Gauge(
+        "bilberryturn_domain_drained",
+        "1 while the operator has drained a failure domain.",
+    )
+)
+HOME_REFUSALS = _register(
+    aioprometheus.Counter(
+        "bilberryturn_home_region_refusals_total",
+        "Requests whose home regions have no server, by route and account.",
+    )
+)
 CONTROL_BYTES = _register(
     aioprometheus.Counter(
         "bilberryturn_control_bytes_total", "Control bytes, by direction."
