Keep requests in home regions and out of drained failure domains

First attempts, retries, resumptions, moves and Retry-After used all usable servers. They use SharedState.candidates now. Home regions without a server of the service are refused as no_home_region before anything is sent.

Paths checked besides: permits, polls of relays and reports of crashes carry no request body; checks after a crash only connect. Orders for servers still count those of drained failure domains, which are to come back.

--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -190,7 +190,7 @@
         }
         chosen = shared.load_balancer.choose(
             request.requirements,
-            shared.directory.usable(request.service.name),
+            shared.candidates(request.requirements),
             now_s,
             frozenset(excluded),
         )
--- a/src/bilberryturn/gateway/availability.py
+++ b/src/bilberryturn/gateway/availability.py
@@ -104,15 +104,17 @@
         }
 
     def retry_after_s(
-        self, service: str, priority: int, now_s: float
+        self,
+        servers: list[types.BackendServer],
+        priority: int,
+        now_s: float,
     ) -> float | None:
-        """Return when the first server may take a request.
+        """Return when the first of some servers may take a request.
 
         None if one takes requests now, or there is none.
         """
         waits_s = [
-            self._wait_s(server.lifetime, priority, now_s)
-            for server in self._servers.usable(service)
+            self._wait_s(server.lifetime, priority, now_s) for server in servers
         ]
         return min(waits_s, default=0.0) or None
 
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -12,6 +12,7 @@
 from bilberryturn.gateway import shared_state
 from bilberryturn.routing import choice
 from bilberryturn.routing import crash_causes
+from bilberryturn.routing import placement
 from bilberryturn.routing import request_names
 from bilberryturn.routing import table as route_tables
 
@@ -52,6 +53,7 @@
         # Kept for the log, which covers refused requests too.
         self._route_name: str | None = None
         self._account_name: str | None = None
+        self._home_regions: frozenset[str] | None = None
 
     async def run(self) -> None:
         """Respond to the request; cancelling it releases its resources."""
@@ -120,6 +122,17 @@
         if service is None:
             return outcomes.no_server(RETRY_AFTER_S)
         prompt = headers.prompt if service.engine else None
+        requirements = choice.Requirements(
+            service,
+            shared.failure_domain,
+            prompt,
+            route.gap_target_s,
+            placement.home_regions(route, account),
+        )
+        self._home_regions = requirements.home_regions
+        if not shared.has_home_region(requirements):
+            shared.record_home_refusal(self._route_name, self._account_name)
+            return outcomes.NO_HOME_REGION
         crash_name = request_names.name(
             account.name if account else "",
             target,
@@ -133,12 +146,6 @@
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
-        requirements = choice.Requirements(
-            service,
-            shared.failure_domain,
-            prompt,
-            route.gap_target_s,
-        )
         self._request = attempt_types.RoutedRequest(
             incoming,
             route,
@@ -170,6 +177,11 @@
                 return 200, "streamed"
             if isinstance(result, moves.MovedRun):
                 may_have_run = True
+                if not self._may_send(result.chosen):
+                    # Its failure domain was drained during the copy.
+                    self._shared.unused_copies.release(result)
+                    self._last_failure = "destination_drained"
+                    continue
                 self._last_failure = "moved"
                 moved = result
                 if not self._delivery.can_resume:
@@ -234,7 +246,7 @@
                 unavailable |= shared.availability.limited()
             chosen = shared.load_balancer.choose(
                 request.requirements,
-                shared.directory.usable(request.service.name),
+                shared.candidates(request.requirements),
                 now_s,
                 frozenset(self._excluded | unavailable | not_permitted),
             )
@@ -243,10 +255,14 @@
             is_permitted = await shared.availability.permits.acquire(
                 chosen.server, request.priority
             )
-            if is_permitted:
+            # The failure domain may have been drained in the meantime.
+            if is_permitted and self._may_send(chosen):
                 return chosen
             not_permitted.add(chosen.server.server_id)
 
+    def _may_send(self, chosen: choice.Choice) -> bool:
+        return self._shared.may_send(chosen.server, self._request.requirements)
+
     async def _attempt(
         self, moved: moves.MovedRun | None
     ) -> attempt_types.AttemptResult | None:
@@ -299,7 +315,9 @@
                 outcomes.no_valid_response(self._last_failure or "failed")
             )
         wait_s = self._shared.availability.retry_after_s(
-            self._request.service.name, self._request.priority, time.monotonic()
+            self._shared.candidates(self._request.requirements),
+            self._request.priority,
+            time.monotonic(),
         )
         return self._refuse(outcomes.no_server(wait_s or RETRY_AFTER_S))
 
@@ -336,6 +354,11 @@
             request=self._incoming.headers.request_id,
             route=self._route_name,
             client_account=self._account_name,
+            home_regions=(
+                None
+                if self._home_regions is None
+                else sorted(self._home_regions)
+            ),
             status=status,
             reason=reason,
             server=chosen.server.server_id if chosen else None,
--- a/src/bilberryturn/gateway/outcomes.py
+++ b/src/bilberryturn/gateway/outcomes.py
@@ -105,6 +105,15 @@
     )
 
 
+NO_HOME_REGION = Refusal(
+    503,
+    "no_home_region",
+    "No region that the home regions of the route and of the client account"
+    " allow has servers of this service; the request has not run, correct the"
+    " lists of home regions",
+)
+
+
 def no_valid_response(reason: str) -> Refusal:
     """End a request that was sent and got no valid response.
 
