--- a/features/moves.feature
+++ b/features/moves.feature
@@ -74,3 +74,29 @@
       | ending                                   |
       | ends whole before its move is answered   |
       | loses its caller before its move is answered |
+
+  # Guards against a run that a move takes out of its home regions, or into a
+  # failure domain that the operator has drained.
+  Scenario Outline: A stream is not moved to an engine in <where>
+    Given streams that have to stay in region north
+    And two engines, the first of which sends 2 events and refuses the move and goes on
+    But the second engine is in <where>
+    When the first engine is reported to end in 2 s
+    Then the caller of the stream sees the whole stream
+    And the first engine was not asked to move it
+    And the second engine received nothing
+
+    Examples:
+      | where                    |
+      | another region           |
+      | a drained failure domain |
+
+  # Guards against a request that reaches a drained failure domain with the copy
+  # of its run, and against a copy there that is never freed.
+  Scenario: The destination of a move is drained while the run is copied
+    Given two engines, the first of which streams in chunks and closes after it has answered that it moved the run
+    But the failure domain of the second is drained as a run is copied
+    When the first engine is reported to end in 9 s and its streams are moved
+    Then the caller of the stream sees a broken stream
+    And the second engine received nothing
+    And the first engine is asked to free the copy once
--- a/features/steps/move_steps.py
+++ b/features/steps/move_steps.py
@@ -150,7 +150,9 @@
     route_table = table.RouteTable(
         1,
         [
-            gateway_rig.make_route("stream"),
+            gateway_rig.make_route(
+                "stream", home_regions=getattr(context, "home", frozenset())
+            ),
             gateway_rig.make_route("resumable", timeout_s=8.0),
         ],
         [types.Service("app", 100, types.Engine(8, 100_000, 1, True), None)],
@@ -161,7 +163,11 @@
             )
         },
     )
-    context.rig = gateway_rig.GatewayRig([context.engines[0]], route_table)
+    context.rig = gateway_rig.GatewayRig(
+        [context.engines[0]],
+        route_table,
+        {"here": "north", "near": "north", "there": "south"},
+    )
     context.closers.append(context.rig.close)
 
 
@@ -306,6 +312,8 @@
         self._has_chunks = has_chunks
         self._may_close = threading.Event()
         self.has_closed = threading.Event()
+        # Called before the request to move the run is answered.
+        self.on_move = lambda: None
 
     def script(self, peer, head, body, number):
         if " /kv-move " in head:
@@ -337,6 +345,7 @@
 
     def _handle_move(self, peer, body):
         self.move = json.loads(body)
+        self.on_move()
         answers_first = "after it has answered" in self._when
         if not answers_first:
             self._may_close.set()
@@ -445,3 +454,32 @@
         5,
         lambda: context.first.released,
     )
+
+
+# Home regions and drained failure domains
+
+
+@behave.given("streams that have to stay in region north")
+def given_home(context):
+    context.home = frozenset(["north"])
+
+
+@behave.given("the second engine is in {where}")
+def given_where(context, where):
+    is_drained = where == "a drained failure domain"
+    domain = "near" if is_drained else "there"
+    context.engines[1] = context.engines[1]._replace(failure_domain=domain)
+    if is_drained:
+        _drain(context, domain)
+
+
+def _drain(context, domain):
+    async def drain():
+        context.rig.shared.placement.set_drained(frozenset([domain]))
+
+    context.rig.call(drain)
+
+
+@behave.given("the failure domain of the second is drained as a run is copied")
+def given_drained_meanwhile(context):
+    context.first.on_move = lambda: _drain(context, "here")
--- a/features/support/gateway_rig.py
+++ b/features/support/gateway_rig.py
@@ -70,7 +70,8 @@
         port: The port that callers connect to.
     """
 
-    def __init__(self, servers, route_table=None):
+    def __init__(self, servers, route_table=None, regions=None):
+        self._regions = regions
         self.loop = asyncio.new_event_loop()
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
         self.call(self._start, servers, route_table or make_table())
@@ -87,6 +88,7 @@
             shared_state.RetryLimits(0.2, 90.0, 10.0),
             5.0,
             upstream.ConnectionPool(),
+            regions=self._regions,
         )
         self.shared.table = route_table
         for backend_server in servers:
