--- a/features/mutants.py
+++ b/features/mutants.py
@@ -972,6 +972,132 @@
         "partition",
         "without servers of its own",
     ),
+    Mutant(
+        "a placement that ignores home regions",
+        (("routing/placement.py", "if home_regions is None:", "if True:"),),
+        "placement",
+        "A safe request whose server",
+    ),
+    Mutant(
+        "a placement that allows failure domains without a region",
+        (
+            (
+                "routing/placement.py",
+                "self._regions.get(server.failure_domain) in",
+                'self._regions.get(server.failure_domain, "east") in',
+            ),
+        ),
+        "placement",
+        "Home regions",
+    ),
+    Mutant(
+        "a placement rule of the route that replaces the account's",
+        (
+            (
+                "routing/placement.py",
+                "route.home_regions & account_regions",
+                "route.home_regions",
+            ),
+        ),
+        "placement",
+        "Home regions",
+    ),
+    Mutant(
+        "a placement that retries don't ask",
+        (
+            (
+                "gateway/exchange.py",
+                "shared.candidates(request.requirements),",
+                "shared.directory.usable(request.service.name),",
+            ),
+        ),
+        "placement",
+        "whose server in its home region",
+    ),
+    Mutant(
+        "a placement that permits don't wait for",
+        (
+            (
+                "gateway/exchange.py",
+                "if is_permitted and self._may_send(chosen):",
+                "if is_permitted:",
+            ),
+        ),
+        "placement",
+        "waits for its permit",
+    ),
+    Mutant(
+        "a placement that moves don't ask",
+        (
+            (
+                "gateway/attempts.py",
+                "shared.candidates(request.requirements),",
+                "shared.directory.usable(request.service.name),",
+            ),
+        ),
+        "moves",
+        "is not moved to an engine in",
+    ),
+    Mutant(
+        "a placement that copies of runs don't ask",
+        (
+            (
+                "gateway/exchange.py",
+                "if not self._may_send(result.chosen):",
+                "if False:",
+            ),
+        ),
+        "moves",
+        "is drained while the run is copied",
+    ),
+    Mutant(
+        "a placement that forgets the era of the store",
+        (
+            (
+                "edge/drained_domains.py",
+                "(era, confirmed_s) <= (\n            self.era,",
+                "(0, confirmed_s) <= (\n            0,",
+            ),
+        ),
+        "placement",
+        "The drained failure domains after",
+    ),
+    Mutant(
+        "a placement that takes changes for all rows",
+        (("edge/drained_domains.py", "if not is_snapshot:", "if False:"),),
+        "placement",
+        "The drained failure domains after",
+    ),
+    Mutant(
+        "a placement that keeps what a snapshot lacks",
+        (("edge/drained_domains.py", "if not is_snapshot:", "if True:"),),
+        "placement",
+        "The drained failure domains after",
+    ),
+    Mutant(
+        "a placement that peers don't tell",
+        (("edge/feeds.py", "state.drained_domains,", "None,"),),
+        "placement",
+        "The drained failure domains after",
+    ),
+    Mutant(
+        "a placement that Retry-After doesn't ask",
+        (
+            (
+                "gateway/exchange.py",
+                "self._shared.candidates(self._request.requirements),",
+                "self._shared.directory.usable(self._request.service.name),",
+            ),
+        ),
+        "placement",
+        "wants no requests for a time",
+    ),
+    Mutant(
+        "a placement without the regions of the settings",
+        (("edge/node.py", "settings.domain_regions(),", "{},"),),
+        "placement",
+        "Two node processes",
+    ),
 )
 
 
--- a/features/placement.feature
+++ b/features/placement.feature
@@ -37,11 +37,13 @@
     Then home regions east stay in force
 
   # Guards against servers of the node's own failure domain that count as in no
-  # region, and against failure domains whose region is stated as empty.
+  # region, against failure domains whose region is stated as empty, and against
+  # relays that are polled too rarely for drains.
   Scenario: Regions in the settings
     Then the settings "zone=a;region=r1;zones.b=r2;zones.c=" give the regions "a=r1, b=r2"
     And the settings "zone=a;region=;zones.b=r2" give the regions "b=r2"
-    And without bounds.evacuateMs drains are in force after 5 s, with 3000 after 3 s
+    And the settings "zone=a;bounds.configMs=4000" want the operator's rows within 4 s
+    And the settings "zone=a;bounds.configMs=4000;bounds.evacuateMs=3000" want the operator's rows within 3 s
 
   # Guards against drains that a reading without the configuration, a malformed
   # key, a restore, or a peer that is behind or of an older version undoes or
@@ -102,6 +104,14 @@
     And the refusal is counted for its route and account
     And the second server got 0 requests
 
+  # Guards against callers who come back too early, as a server that their request
+  # can't reach takes requests.
+  Scenario: The only server in the home region wants no requests for a time
+    Given a route with home region north and two servers, of which the first wants none for 2 s
+    When a caller sends a safe request
+    Then its response is 503 no_server
+    And the answer has a Retry-After of more than 1 s
+
   # Guards against requests to a drained failure domain, and against one that
   # gets none after its drain is undone. The first server is nearer.
   Scenario: All failure domains are drained, and one of the drains is undone
@@ -109,7 +119,7 @@
     When both failure domains are drained
     And a caller sends a safe request
     Then its response is 503 no_server
-    And the answer has a Retry-After
+    And the answer has a Retry-After of more than 0 s
     When only the failure domain of the first server is drained
     And a caller asks 10 times in turn
     Then the second server got 10 requests
@@ -139,6 +149,8 @@
     Given 2 node processes before server s3 in zone-0 of region north and s4 in zone-1 of region south
     When the operator drains zone-0
     Then later than 5 s after that only s4 gets requests and all of them are answered
+    When a node is killed and starts again
+    Then later than 0 s after that only s4 gets requests and all of them are answered
     When the operator undoes the drain of zone-0
     Then s3 gets requests within 5 s
     When the operator writes home region north for the route
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -3,6 +3,7 @@
 import collections
 import itertools
 import json
+import signal
 import threading
 import time
 
@@ -190,12 +191,10 @@
 
 
 @behave.then(
-    "without bounds.evacuateMs drains are in force after 5 s, with 3000 after"
-    " 3 s"
+    'the settings "{text}" want the operator\'s rows within {due_s:g} s'
 )
-def then_evacuate(context):
-    assert _settings("zone=a").evacuate_s == 5.0
-    assert _settings("zone=a;bounds.evacuateMs=3000").evacuate_s == 3.0
+def then_due(context, text, due_s):
+    assert _settings(text).operator_s == due_s
 
 
 # Readings of the store and states of peers
@@ -292,10 +291,11 @@
             peer.chunk(scripted.event(1))
             peer.chunk(scripted.event(2))
             return "close"
-        if fails == "takes no request":
-            peer.answer(
-                head, status="503 Busy", extra="X-Bilberryturn-Not-Run: 1\r\n"
-            )
+        if fails in ("takes no request", "wants none for 2 s"):
+            extra = "X-Bilberryturn-Not-Run: 1\r\n"
+            if fails == "wants none for 2 s":
+                extra += "Retry-After: 2\r\n"
+            peer.answer(head, status="503 Busy", extra=extra)
             return None
         if fails != "answers":
             return "close"
@@ -409,9 +409,9 @@
     assert len(server.requests) == count, server.requests
 
 
-@behave.then("the answer has a Retry-After")
-def then_retry_after(context):
-    assert float(context.answer.header("Retry-After")) > 0
+@behave.then("the answer has a Retry-After of more than {least_s:g} s")
+def then_retry_after(context, least_s):
+    assert float(context.answer.header("Retry-After")) > least_s
 
 
 @behave.then(
@@ -516,6 +516,8 @@
             request = gateway_rig.request_text(
                 "safe", f"q{next(_ids)}", "key-a"
             )
+            if not node.is_serving():
+                continue
             connection = gateway_rig.connect(node.port, node.ip)
             with connection:
                 answer = gateway_rig.send_request(
@@ -568,6 +570,18 @@
     context.changed_s = time.monotonic()
 
 
+@behave.when("a node is killed and starts again")
+def when_restarts(context):
+    node = context.testbed.nodes[1]
+    node.is_stopping = True
+    time.sleep(0.5)
+    node.signal(signal.SIGKILL)
+    node.process.wait(10)
+    node.start()
+    node.wait_ready(2)
+    context.changed_s = time.monotonic()
+
+
 @behave.when("the operator undoes the drain of zone-0")
 def when_undoes(context):
     context.testbed.store.remove("op", "evacuate/zone-0")
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -147,8 +147,7 @@
         )
         poll_intervals = intervals.from_bounds(
             settings.drain_s,
-            # Drained failure domains are read with the configuration.
-            min(settings.config_s, settings.evacuate_s),
+            settings.operator_s,
             settings.settle_s,
         )
         followers = [
--- a/src/bilberryturn/platform/settings_file.py
+++ b/src/bilberryturn/platform/settings_file.py
@@ -76,6 +76,14 @@
     memory_mb: float = 0.0
     evacuate_s: float = 5.0
 
+    @property
+    def operator_s(self) -> float:
+        """Return the time in which changes of the operator's rows are due.
+
+        Drained failure domains are read with the configuration.
+        """
+        return min(self.config_s, self.evacuate_s)
+
     def domain_regions(self) -> dict[str, str]:
         """Return the region of each failure domain whose region is known."""
         regions = {**self.regions}
