Show that a peer's list from before a restore is not taken

The scenario's peer had not taken the earlier era itself and omitted its list, so that the row passed without the rule; a mutant that ignores eras showed it. The peer is a new node now.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -1010,6 +1010,11 @@
                 "shared.candidates(request.requirements),",
                 "shared.directory.usable(request.service.name),",
             ),
+            (
+                "gateway/exchange.py",
+                "if is_permitted and self._may_send(chosen):",
+                "if is_permitted:",
+            ),
         ),
         "placement",
         "whose server in its home region",
@@ -1080,6 +1085,36 @@
         "placement",
         "The drained failure domains after",
     ),
+    Mutant(
+        "a placement that takes older lists of peers",
+        (
+            (
+                "edge/drained_domains.py",
+                "or (era, confirmed_s) <=",
+                "or (era, 1e12) <=",
+            ),
+        ),
+        "placement",
+        "The drained failure domains after",
+    ),
+    Mutant(
+        "a placement that passes on lists that weren't confirmed",
+        (
+            (
+                "edge/peer_state.py",
+                "drained.domains is not None and is_confirmed",
+                "drained.domains is not None",
+            ),
+        ),
+        "placement",
+        "A list that was not confirmed",
+    ),
+    Mutant(
+        "a placement that drains a failure domain without a name",
+        (("platform/rows.py", "if not failure_domain.strip():", "if False:"),),
+        "placement",
+        "The drained failure domains after",
+    ),
     Mutant(
         "a placement that Retry-After doesn't ask",
         (
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -244,10 +244,9 @@
         return
     if what in PEERS:
         domains, era = PEERS[what]
+        context.peer = _Node("n2")
         context.peer.read({f"evacuate/{d}": {} for d in domains}, True, era)
-    if "restore" in what:
-        # The peer's reading may have been applied to a newer era by itself.
-        context.peer.raw.drained.era = PEERS[what][1]
+        assert context.peer.raw.state(peer_state.Known("")).drained_era == era
     if "omits" in what:
         context.peer.raw.drained.domains = None
         context.peer.applier.confirm_config(time.monotonic())
