--- a/features/mutants.py
+++ b/features/mutants.py
@@ -972,6 +972,59 @@
         "partition",
         "without servers of its own",
     ),
+    Mutant(
+        "a placement that retries don't ask",
+        (
+            (
+                "gateway/exchange.py",
+                "shared.candidates(request.requirements),",
+                "shared.directory.usable(request.service.name),",
+            ),
+            (
+                "gateway/exchange.py",
+                "if is_permitted and self._may_send(chosen):",
+                "if is_permitted:",
+            ),
+        ),
+        "placement",
+        "whose server in its home region",
+    ),
+    Mutant(
+        "a placement that moves don't ask",
+        (
+            (
+                "gateway/attempts.py",
+                "shared.candidates(request.requirements),",
+                "shared.directory.usable(request.service.name),",
+            ),
+        ),
+        "moves",
+        "is not moved to an engine in",
+    ),
+    Mutant(
+        "a placement that copies of runs don't ask",
+        (
+            (
+                "gateway/exchange.py",
+                "if not self._may_send(result.chosen):",
+                "if False:",
+            ),
+        ),
+        "moves",
+        "is drained while the run is copied",
+    ),
+    Mutant(
+        "a placement that forgets the era of the store",
+        (
+            (
+                "edge/drained_domains.py",
+                "(era, confirmed_s) <= (\n            self.era,",
+                "(0, confirmed_s) <= (\n            0,",
+            ),
+        ),
+        "placement",
+        "The drained failure domains after",
+    ),
 )
 
 
