Pause between reads of the reports on crashes

What operators would see: calls to the store that grow with the square of the number of relays while reports change.

Cause: the follower of table `suspects` read again at once after each change.

Ruled out: joining the writes only, since six relays still write at six moments.

Change: half of the time of a long poll is a pause now.

The nodes that the new feature simulates run the code of the threads that call the store, in simulated time and without a network.

Each crash was known to all nodes within 5 s. The scenario fails with the shares of before.

--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -534,9 +534,8 @@
 @behave.then("a crash is known on every node in time")
 def then_crash_known(context):
     times = context.times
-    known_s = (
-        duties.WRITE_INTERVAL_S + duties.STEP_INTERVAL_S + times.suspect_wait_s
-    )
+    write_s = duties.WRITE_INTERVAL_S + duties.STEP_INTERVAL_S
+    known_s = write_s + times.suspect_pause_s + times.suspect_wait_s
     assert known_s + 2 * times.max_relay_poll_s < context.bounds[2], known_s
 
 
--- /dev/null
+++ b/features/steps/store_call_steps.py
@@ -0,0 +1,123 @@
+"""Steps of store_calls.feature: calls of simulated nodes to the store."""
+
+import behave
+
+from support import simulated_fleet
+
+REQUESTS_PER_S = 60.0
+CRASH_INTERVAL_S = 4.0
+# Requests that a server has in hand when it crashes, and the time after which
+# their retries are answered.
+LOST_REQUESTS = 5
+RETRY_S = 0.6
+POPULAR_REQUESTS = 8
+SEED = 1
+
+
+@behave.given(
+    "{count:d} nodes in {domains:d} failure domains that have started"
+)
+def given_started(context, count, domains):
+    context.fleet = simulated_fleet.Fleet(count, domains, SEED)
+    context.fleet.power_up(is_first_start=True)
+    context.fleet.run(6.0)
+    assert len(context.fleet.relays()) == domains
+    context.fleet.take_calls()
+
+
+class _CrashTraffic:
+    """Requests that are answered at all nodes while servers crash.
+
+    Attributes:
+        known_after_s: For each crash the time until all nodes knew of it.
+    """
+
+    def __init__(self, fleet, is_alike):
+        self._fleet = fleet
+        self._is_alike = is_alike
+        self._number = 0
+        self._due = 0.0
+        self._next_crash_s = fleet.now_s + 1.0
+        self._retries = []
+        self._unknown = {}
+        self.known_after_s = []
+
+    def step(self):
+        """Answer the requests of one step."""
+        fleet = self._fleet
+        self._due += REQUESTS_PER_S * simulated_fleet.STEP_S
+        while self._due >= 1.0:
+            self._due -= 1.0
+            self._answer(fleet.rng.choice(fleet.nodes), *self._names())
+        while self._retries and self._retries[0][0] <= fleet.now_s:
+            self._answer(*self._retries.pop(0)[1:])
+        if fleet.now_s >= self._next_crash_s:
+            self._next_crash_s += CRASH_INTERVAL_S
+            self._crash()
+        for request, at_s in list(self._unknown.items()):
+            if all(n.knows_crash(request) for n in fleet.nodes):
+                self.known_after_s.append(fleet.now_s - at_s)
+                del self._unknown[request]
+
+    def check_all_known(self, bound_s):
+        """Fail if a crash was not known to all nodes within a time."""
+        assert len(self.known_after_s) >= 4, self.known_after_s
+        late = [s for s in self.known_after_s if s > bound_s]
+        assert not late, self.known_after_s
+        now_s = self._fleet.now_s
+        unknown = [at for at in self._unknown.values() if now_s - at > bound_s]
+        assert not unknown, unknown
+
+    def _names(self):
+        """Return the parts and the name of a new request."""
+        self._number += 1
+        rng = self._fleet.rng
+        if self._is_alike:
+            return (), f"{rng.randrange(POPULAR_REQUESTS):016x}"
+        request = f"{self._number:016x}_{rng.randrange(7):08x}"
+        return ("system", f"tool{rng.randrange(5)}"), request
+
+    def _answer(self, node, parts, request):
+        node.shared.part_crashes.record_answer(
+            parts, node.clock.now_s(), request
+        )
+
+    def _crash(self):
+        fleet = self._fleet
+        server = (f"s{fleet.rng.randrange(70)}", self._number)
+        for _ in range(LOST_REQUESTS):
+            node = fleet.rng.choice(fleet.nodes)
+            names = self._names()
+            self._record(node, server, *names)
+            self._retries.append((fleet.now_s + RETRY_S, node, *names))
+        # One that is not retried and has no other name in common.
+        deadly = f"dead{self._number:012x}"
+        self._record(fleet.rng.choice(fleet.nodes), server, (), deadly)
+        self._unknown[deadly] = fleet.now_s
+
+    def _record(self, node, server, parts, request):
+        now_s = node.clock.now_s()
+        node.shared.part_crashes.record_crash(
+            server, parts, request, now_s, now_s - 0.3
+        )
+
+
+@behave.when(
+    "requests that {share} are answered for {duration_s:d} s while servers"
+    " crash"
+)
+def when_answered(context, share, duration_s):
+    context.traffic = _CrashTraffic(context.fleet, share == "are alike")
+    context.fleet.run(duration_s, context.traffic.step)
+    context.calls = context.fleet.take_calls()
+
+
+@behave.then("the relays have read the reports at most {limit:d} times")
+def then_read(context, limit):
+    found = context.calls["/rows-feed", "suspects"]
+    assert 0 < found <= limit, found
+
+
+@behave.then("each crash was known to all nodes within {bound_s:d} s")
+def then_known(context, bound_s):
+    context.traffic.check_all_known(bound_s)
--- a/src/bilberryturn/edge/intervals.py
+++ b/src/bilberryturn/edge/intervals.py
@@ -19,10 +19,13 @@
 SERVERS_MAX_AGE_SHARE = 0.6
 # Share of the shorter of both bounds.
 RELAY_POLL_SHARE = 0.2
-# Share of the time within which all nodes must know a request that crashes its
-# servers: the longest wait of a long poll for the crash counts. The rest is
-# left for two polls of a relay and one write of the count.
-SUSPECT_WAIT_SHARE = 0.3
+# Shares of the time within which all nodes must know a request that crashes its
+# servers: the longest wait of a long poll for the crash counts, and the pause
+# between these calls. A write by any relay ends the long polls of all of them,
+# so that without a pause the calls grow with the square of their number. The
+# rest is left for two polls of a relay and one write of the count.
+SUSPECT_WAIT_SHARE = 0.15
+SUSPECT_PAUSE_SHARE = 0.15
 # The interval between polls varies by this share in both directions, so that
 # nodes that start together do not poll together.
 RELAY_POLL_JITTER = 0.2
@@ -46,6 +49,7 @@
             the relay is skipped as stale.
         suspect_wait_s: Longest time for which the store holds a call until
             a crash count changes (long poll).
+        suspect_pause_s: Pause between these calls.
         relay_poll_s: Mean pause between polls of a relay.
         relay_timeout_s: Timeout of a request to a relay.
     """
@@ -55,6 +59,7 @@
     server_poll_s: float
     servers_max_age_s: float
     suspect_wait_s: float
+    suspect_pause_s: float
     relay_poll_s: float
     relay_timeout_s: float
 
@@ -81,6 +86,7 @@
         SERVER_POLL_SHARE * drain_s,
         SERVERS_MAX_AGE_SHARE * drain_s,
         SUSPECT_WAIT_SHARE * settle_s,
+        SUSPECT_PAUSE_SHARE * settle_s,
         relay_poll_s,
         min(relay_poll_s, MAX_RELAY_TIMEOUT_S),
     )
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -173,7 +173,7 @@
                 (
                     rows.SUSPECT_TABLE,
                     poll_intervals.suspect_wait_s,
-                    0.0,
+                    poll_intervals.suspect_pause_s,
                     self._applier.on_suspects_read,
                 ),
             )
