Try the store less often behind a relay that is turned away too

What operators would see: some 150 calls more in each outage of the store, as each of 80 nodes behind a relay tried it each 0.3 to 1.2 s, and read it for a while when it was back.

Cause: the backoff was the same for relays and for nodes that no other polls. These see by their polls, which cost nothing, when a relay or a fallback node is current again.

Ruled out: leaving out the first try, since the store may refuse the relay and both fallback nodes alone, and a configuration must be in force in time then too.

Change: such a node tries each 2.4 s, and does duties and reads other tables itself only if no relay is current 2.5 s after the end of the outage (1.5 s before, which is less than the relay's longest backoff and a poll).

--- a/features/steps/store_call_steps.py
+++ b/features/steps/store_call_steps.py
@@ -1,7 +1,10 @@
 """Steps of store_calls.feature: calls of simulated nodes to the store."""
 
+import math
+
 import behave
 
+from bilberryturn import rendezvous
 from support import simulated_fleet
 
 REQUESTS_PER_S = 60.0
@@ -121,3 +124,76 @@
 @behave.then("each crash was known to all nodes within {bound_s:d} s")
 def then_known(context, bound_s):
     context.traffic.check_all_known(bound_s)
+
+
+# Outages
+
+FAULTS = {"refuses": "503", "doesn't answer": "silent"}
+
+
+@behave.when("the store {fault} the calls of all nodes for {duration_s:g} s")
+def when_away(context, fault, duration_s):
+    context.fleet.faults = {"": FAULTS[fault]}
+    context.fleet.run(duration_s)
+    context.fleet.faults = {}
+
+
+@behave.when(
+    "the store refuses the calls of the first {count:d} nodes of a failure"
+    " domain for {duration_s:g} s"
+)
+def when_refused(context, count, duration_s):
+    relay = context.fleet.relays()[0]
+    ranked = rendezvous.rank(relay.presence.domain_peers(), relay.domain)
+    context.fleet.faults = {
+        node.name: "503"
+        for node in context.fleet.nodes
+        if node.address in ranked[:count]
+    }
+    context.fleet.run(duration_s)
+
+
+@behave.when(
+    "the operator writes version {version:d} {when}, {duration_s:g} s before"
+    " the end"
+)
+def when_written(context, version, when, duration_s):
+    fleet = context.fleet
+    fleet.write_config(version)
+    written_s = fleet.now_s
+    context.in_force_after_s = {}
+
+    def observe():
+        for node in fleet.nodes:
+            table = node.shared.table
+            if table is not None and table.version == version:
+                context.in_force_after_s.setdefault(
+                    node.name, fleet.now_s - written_s
+                )
+
+    fleet.run(duration_s + 2 * simulated_fleet.STEP_S, observe)
+    context.calls = fleet.take_calls()
+
+
+@behave.then(
+    "all nodes that are not turned away have version {version:d} within"
+    " {bound_s:g} s"
+)
+def then_in_force(context, version, bound_s):
+    fleet = context.fleet
+    late = [
+        node.name
+        for node in fleet.nodes
+        if node.name not in fleet.faults
+        and context.in_force_after_s.get(node.name, math.inf) > bound_s
+    ]
+    assert not late, late
+
+
+@behave.then("the nodes have tried to read the servers at most {limit:d} times")
+def then_tried(context, limit):
+    found = (
+        context.calls["/rows-feed", "servers"]
+        + context.calls["/rows-get", "servers"]
+    )
+    assert 0 < found <= limit, found
--- a/features/store_calls.feature
+++ b/features/store_calls.feature
@@ -8,3 +8,25 @@
     When requests that share parts are answered for 20 s while servers crash
     Then the relays have read the reports at most 170 times
     And each crash was known to all nodes within 5 s
+
+  # Answers the load of an outage of the store, in which each node behind a relay
+  # tried again and again although its relay does so for it.
+  Scenario Outline: The store <fault> all calls for 4.5 s
+    Given 86 nodes in 6 failure domains that have started
+    When the store <fault> the calls of all nodes for 4.5 s
+    And the operator writes version 2 as the store is back, 4 s before the end
+    Then all nodes that are not turned away have version 2 within 4 s
+    And the nodes have tried to read the servers at most <limit> times
+
+    Examples:
+      | fault          | limit |
+      | refuses        | 300   |
+      | doesn't answer | 250   |
+
+  # Guards against a node that waits for its relay, as that node alone can reach
+  # the store.
+  Scenario: The store refuses the relay and the fallback nodes of a failure domain
+    Given 86 nodes in 6 failure domains that have started
+    When the store refuses the calls of the first 3 nodes of a failure domain for 5 s
+    And the operator writes version 2 meanwhile, 4 s before the end
+    Then all nodes that are not turned away have version 2 within 4 s
--- a/features/support/simulated_fleet.py
+++ b/features/support/simulated_fleet.py
@@ -335,7 +335,7 @@
         self._node_count = node_count
         self._domain_count = domain_count
         self.store = _Store()
-        self.store.put("op", "config", platform_data.make_config(1))
+        self.write_config(1)
         for number in range(70):
             self.store.put("servers", f"s{number}", platform_data.make_entry())
 
@@ -351,6 +351,10 @@
         ):
             yield
 
+    def write_config(self, version):
+        """Write a configuration, as the operator does."""
+        self.store.put("op", "config", platform_data.make_config(version))
+
     def fault_of(self, node):
         """Return the fault of a node's calls, empty for none."""
         return self.faults.get("") or self.faults.get(node.name, "")
--- a/src/bilberryturn/edge/followers.py
+++ b/src/bilberryturn/edge/followers.py
@@ -93,7 +93,11 @@
 
 
 class Follower:
-    """Follows the changes of one table on a thread of its own."""
+    """Follows the changes of one table on a thread of its own.
+
+    Attributes:
+        min_backoff_s: Shortest mean pause after a failed call in seconds.
+    """
 
     def __init__(
         self,
@@ -128,6 +132,7 @@
         self._since: int | None = None
         self._since_era: int | None = None
         self._backoff_s = INITIAL_BACKOFF_S
+        self.min_backoff_s = 0.0
         self.outage = OutageTracker(f"store/{table}")
         self.active = threading.Event()
         self.active.set()
@@ -228,7 +233,8 @@
         self._reached_since_s = None
         for dependent in self._dependents:
             dependent.pause()
-        pause_s = self._backoff_s * random.uniform(0.7, 1.3)
+        backoff_s = max(self._backoff_s, self.min_backoff_s)
+        pause_s = backoff_s * random.uniform(0.7, 1.3)
         self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
         return pause_s
 
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -32,9 +32,14 @@
 # Nodes that one relay serves.
 NODES_PER_RELAY = 48
 START_POLL_INTERVAL_S = 0.2
-# Time for the relay to be current again after an outage of the store. A node
-# that others do not poll reads only the servers' entries until then.
-RETURN_WAIT_S = 1.5
+# Time for the relay to be current again after an outage of the store: its
+# longest backoff and one poll. A node that others do not poll reads only the
+# servers' entries until then.
+RETURN_WAIT_S = 2.5
+# Backoff of such a node after a failed call. The store has then turned away the
+# relay, the fallback nodes and itself, and a poll shows when one of them reads
+# it again; the node's own call is for the case that none of them does.
+LAST_NODE_BACKOFF_S = 2.4
 
 
 class StartWaits(NamedTuple):
@@ -260,6 +265,7 @@
         if not self._followers:
             return
         first, *others = self._followers
+        first.min_backoff_s = LAST_NODE_BACKOFF_S if self._is_last else 0.0
         if not reads_store:
             first.set_dependents(())
             for follower in self._followers:
