Don't take nodes for lost that have not started yet

What operators would see: some 250 calls more as a deployment has lost power and all nodes start again.

Cause: a node that asked its relay 0.1 s before that one listened skipped it for 5 s. Many nodes then ranked first among those they could reach, took themselves for relays, read all tables and wrote counts.

Ruled out: waiting for the relay before the first reading, as in a first start, since callers wait for nodes that start again.

Change: in the first 3 s a node without a relay asks each peer again, each 0.2 s instead of 0.8 s, which costs no call. After it has read all rows of a table a node waits for 0.5 s before its long poll, as it has mostly found its relay by then.

--- a/features/steps/store_call_steps.py
+++ b/features/steps/store_call_steps.py
@@ -197,3 +197,61 @@
         + context.calls["/rows-get", "servers"]
     )
     assert 0 < found <= limit, found
+
+
+# Starts
+
+FOLLOWED = ("servers", "op", "suspects")
+
+
+@behave.when("all of them lose power and start again within {spread_s:g} s")
+def when_power_fails(context, spread_s):
+    fleet = context.fleet
+    fleet.power_down()
+    fleet.run(1.0)
+    fleet.take_calls()
+    context.ready_after_s = {}
+    context.led_after_s = {}
+
+    def observe():
+        for node in fleet.nodes:
+            after_s = fleet.now_s - node.started_s
+            shared = node.shared
+            if shared.table is not None and shared.directory.all_servers():
+                context.ready_after_s.setdefault(node.name, after_s)
+            if node.relay._relay or not node.relay._candidates():
+                context.led_after_s.setdefault(node.name, after_s)
+
+    fleet.power_up(is_first_start=False, spread_s=spread_s, act=observe)
+    fleet.run(7.0 - spread_s, observe)
+    context.calls = fleet.take_calls()
+    assert len(fleet.nodes) == len(fleet.by_address)
+
+
+@behave.then(
+    "each has the configuration and the servers within {bound_s:g} s of its"
+    " start"
+)
+def then_ready(context, bound_s):
+    found = context.ready_after_s
+    assert len(found) == len(context.fleet.nodes), len(found)
+    assert max(found.values()) <= bound_s, found
+
+
+@behave.then("each knows its relay within {bound_s:g} s of its start")
+def then_led(context, bound_s):
+    found = context.led_after_s
+    assert len(found) == len(context.fleet.nodes), len(found)
+    assert max(found.values()) <= bound_s, found
+
+
+@behave.then(
+    "within 7 s they have read the tables for relays at most {limit:d} times"
+)
+def then_read_tables(context, limit):
+    found = sum(
+        count
+        for (path, table), count in context.calls.items()
+        if path != "/rows-tx" and table in FOLLOWED
+    )
+    assert 0 < found <= limit, found
--- a/features/store_calls.feature
+++ b/features/store_calls.feature
@@ -30,3 +30,12 @@
     When the store refuses the calls of the first 3 nodes of a failure domain for 5 s
     And the operator writes version 2 meanwhile, 4 s before the end
     Then all nodes that are not turned away have version 2 within 4 s
+
+  # Answers the load of a deployment that has lost power: nodes took their relay
+  # for lost as it started 0.1 s after them, and read the store for 5 s.
+  Scenario: All nodes lose power and start again within 0.5 s
+    Given 86 nodes in 6 failure domains that have started
+    When all of them lose power and start again within 0.5 s
+    Then each has the configuration and the servers within 1 s of its start
+    And each knows its relay within 3 s of its start
+    And within 7 s they have read the tables for relays at most 170 times
--- a/features/support/simulated_fleet.py
+++ b/features/support/simulated_fleet.py
@@ -181,7 +181,7 @@
         )  # fmt: skip
         self.relay._clients = _PeerClients(fleet)
         self.duties = self._duty_runner(store, is_first_start)
-        self._started_s = fleet.now_s
+        self.started_s = fleet.now_s
         self._polls = {}
         self._relay_starts = True
         # Time at which each thread goes on, and what it does then.
@@ -273,13 +273,11 @@
 
     def _run_relay(self):
         if self._relay_starts:
-            waited_s = self.fleet.now_s - self._started_s
+            waited_s = self.fleet.now_s - self.started_s
             has_nodes = self.presence.first_read.is_set()
             if not has_nodes and waited_s < self._waits.peers_s:
                 return 0.0
-            self.relay._start_wait_until_s = (
-                self.fleet.now_s + self._waits.relay_s
-            )
+            self.relay.begin()
             self._relay_starts = False
         self.relay._step()
         return self.relay._pause_s()
@@ -359,7 +357,7 @@
         """Return the fault of a node's calls, empty for none."""
         return self.faults.get("") or self.faults.get(node.name, "")
 
-    def power_up(self, is_first_start, spread_s=0.3):
+    def power_up(self, is_first_start, spread_s=0.3, act=None):
         """Start all nodes anew within some time."""
         self.starts += 1
         self.power_down()
@@ -375,7 +373,7 @@
                     node = Node(self, domain, number, is_first_start)
                 self.nodes.append(node)
                 self.by_address[node.address] = node
-            self.run(STEP_S)
+            self.run(STEP_S, act)
 
     def power_down(self):
         """End all nodes; the store keeps its rows."""
--- a/src/bilberryturn/edge/followers.py
+++ b/src/bilberryturn/edge/followers.py
@@ -23,6 +23,9 @@
 INITIAL_BACKOFF_S = 0.3
 MAX_BACKOFF_S = 1.2
 ACTIVE_CHECK_INTERVAL_S = 0.5
+# Shortest pause after all rows were read. A node that starts and finds its
+# relay at the next polls has no use for the long poll that would follow.
+SNAPSHOT_PAUSE_S = 0.5
 
 
 class Reading(NamedTuple):
@@ -178,6 +181,7 @@
 
     def _run_step(self) -> float:
         """Make one call; returns the pause until the next one in seconds."""
+        is_snapshot = self._since is None
         try:
             result = self._step()
         except Exception as error:
@@ -192,7 +196,7 @@
             return MAX_BACKOFF_S
         if result.is_error():
             return self._handle_failure(result.error)
-        return self._pause_s
+        return max(self._pause_s, SNAPSHOT_PAUSE_S if is_snapshot else 0.0)
 
     def _step(self) -> expression.Result:
         is_snapshot = self._since is None
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -32,6 +32,9 @@
 # Nodes that one relay serves.
 NODES_PER_RELAY = 48
 START_POLL_INTERVAL_S = 0.2
+# Time after its start in which a node without a relay polls at that interval,
+# as the nodes of a deployment that has lost power start one after the other.
+START_PHASE_S = 3.0
 # Time for the relay to be current again after an outage of the store: its
 # longest backoff and one poll. A node that others do not poll reads only the
 # servers' entries until then.
@@ -192,6 +195,7 @@
         self._is_last = False
         self._has_had_relay = False
         self._start_wait_until_s = 0.0
+        self._start_phase_until_s = 0.0
         for follower in followers:
             follower.pause()
 
@@ -208,7 +212,7 @@
     def run(self, stopping: threading.Event) -> None:
         """Poll until the node stops."""
         self._peers_known.wait(self._start_waits.peers_s)
-        self._start_wait_until_s = time.monotonic() + self._start_waits.relay_s
+        self.begin()
         while not stopping.is_set():
             try:
                 self._step()
@@ -222,9 +226,17 @@
                 )
             stopping.wait(self._pause_s())
 
+    def begin(self) -> None:
+        """Begin to wait for a relay, now that other nodes may be known."""
+        now_s = time.monotonic()
+        self._start_wait_until_s = now_s + self._start_waits.relay_s
+        self._start_phase_until_s = now_s + START_PHASE_S
+
     def _pause_s(self) -> float:
         if not self._relay and self._waits_for_relay():
             return START_POLL_INTERVAL_S
+        if self._is_in_start_phase():
+            return START_POLL_INTERVAL_S
         jitter = random.uniform(-1.0, 1.0) * intervals.RELAY_POLL_JITTER
         return self._intervals.relay_poll_s * (1 + jitter)
 
@@ -232,6 +244,11 @@
         """Return whether a relay may not have read the store yet."""
         return time.monotonic() < self._start_wait_until_s
 
+    def _is_in_start_phase(self) -> bool:
+        """Return whether its relay may have started after this node."""
+        is_early = time.monotonic() < self._start_phase_until_s
+        return is_early and not self._has_had_relay
+
     def _step(self) -> None:
         has_relay = False
         addresses = self._candidates()
@@ -329,9 +346,12 @@
         sent_boottime_s = leases.boottime_s()
         result = client.call("PUT", "/state", request, is_idempotent=True)
         if result.is_error() or result.ok.status != 200:
-            self._unreachable_until_s[address] = (
-                time.monotonic() + UNREACHABLE_BACKOFF_S
+            # If all nodes start, one that has not started yet would be taken
+            # for lost, and many others for the relay.
+            backoff_s = (
+                0.0 if self._is_in_start_phase() else UNREACHABLE_BACKOFF_S
             )
+            self._unreachable_until_s[address] = time.monotonic() + backoff_s
             events.log(events.MEMBER_LOST, member=address)
             return False
         self._unreachable_until_s.pop(address, None)
