--- a/src/bilberryturn/edge/followers.py
+++ b/src/bilberryturn/edge/followers.py
@@ -23,6 +23,9 @@
 INITIAL_BACKOFF_S = 0.3
 MAX_BACKOFF_S = 1.2
 ACTIVE_CHECK_INTERVAL_S = 0.5
+# Shortest pause after all rows were read. A node that starts and finds its
+# relay at the next polls has no use for the long poll that would follow.
+SNAPSHOT_PAUSE_S = 0.5
 
 
 class Reading(NamedTuple):
@@ -93,7 +96,11 @@
 
 
 class Follower:
-    """Follows the changes of one table on a thread of its own."""
+    """Follows the changes of one table on a thread of its own.
+
+    Attributes:
+        min_backoff_s: Shortest mean pause after a failed call in seconds.
+    """
 
     def __init__(
         self,
@@ -128,6 +135,7 @@
         self._since: int | None = None
         self._since_era: int | None = None
         self._backoff_s = INITIAL_BACKOFF_S
+        self.min_backoff_s = 0.0
         self.outage = OutageTracker(f"store/{table}")
         self.active = threading.Event()
         self.active.set()
@@ -173,6 +181,7 @@
 
     def _run_step(self) -> float:
         """Make one call; returns the pause until the next one in seconds."""
+        is_snapshot = self._since is None
         try:
             result = self._step()
         except Exception as error:
@@ -187,7 +196,7 @@
             return MAX_BACKOFF_S
         if result.is_error():
             return self._handle_failure(result.error)
-        return self._pause_s
+        return max(self._pause_s, SNAPSHOT_PAUSE_S if is_snapshot else 0.0)
 
     def _step(self) -> expression.Result:
         is_snapshot = self._since is None
@@ -228,7 +237,8 @@
         self._reached_since_s = None
         for dependent in self._dependents:
             dependent.pause()
-        pause_s = self._backoff_s * random.uniform(0.7, 1.3)
+        backoff_s = max(self._backoff_s, self.min_backoff_s)
+        pause_s = backoff_s * random.uniform(0.7, 1.3)
         self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
         return pause_s
 
