Read which servers are cold and pass it on

Cause: a server that has just started crashes under a load that it bears when warm. Neither coldS and coldPerS of a service nor coldLeftMs of an entry was read.

Change: both are decoded, and X-Bilberryturn-Cold-Ms of any answer. A coldLeftMs that is no number, negative or over an hour counts as not cold; the entry stays. The time counts from the first reading of an entry.

Ruled out: passing each heartbeat of a cold server on; it says nothing new.

--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -20,6 +20,7 @@
 from bilberryturn.platform import server_entries
 from bilberryturn.platform import settings_file
 from bilberryturn.routing import directory as server_directory
+from bilberryturn.routing import slow_start
 from bilberryturn.routing import types
 
 # An entry expires after three missed heartbeats, the first of which may have
@@ -174,10 +175,9 @@
                 )
                 content[server_id] = value
                 continue
-            decoded.append(result.ok)
-            content[server_id] = result.ok._replace(
-                sequence=0, leaves_in_s=None
-            )
+            server = self._with_cold_end(result.ok)
+            decoded.append(server)
+            content[server_id] = self._content_of(server)
         self._raw.after_outage = after_outage
         self._mark_changed_entries(content)
         restore_until_s = self._restore_until_s(confirmed_s, after_outage)
@@ -201,6 +201,32 @@
                 )
         self._record_changes(changes, confirmed_s)
 
+    def _with_cold_end(
+        self, server: types.BackendServer
+    ) -> types.BackendServer:
+        """Return a server with the end of the cold time that it states."""
+        if not server.cold_left_s:
+            return server
+        return server._replace(
+            cold_until_s=self._shared.time_of_day() + server.cold_left_s
+        )
+
+    def _content_of(self, server: types.BackendServer) -> types.BackendServer:
+        """Return what peers are told of a server."""
+        known = self._entry_content.get(server.server_id)
+        known_until_s = 0.0
+        is_known = isinstance(known, types.BackendServer)
+        if is_known and known.lifetime == server.lifetime:
+            known_until_s = known.cold_until_s
+        return server._replace(
+            sequence=0,
+            leaves_in_s=None,
+            cold_left_s=0.0,
+            cold_until_s=slow_start.passed_on_until_s(
+                known_until_s, server.cold_until_s, self._shared.time_of_day()
+            ),
+        )
+
     def _restore_until_s(
         self, confirmed_s: float, after_outage: bool
     ) -> float | None:
--- a/src/bilberryturn/platform/operator_config.py
+++ b/src/bilberryturn/platform/operator_config.py
@@ -57,6 +57,10 @@
     max_conns: int = 100
     engine: _Engine | None = None
     scaling: _Scaling | None = None
+    # Time for which a server is cold after its start, and the requests a second
+    # that it takes then; absent or 0 means no limit.
+    cold_s: float | None = None
+    cold_per_s: float | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -162,4 +166,11 @@
             service.scaling.spot_price,
             service.scaling.zone_prices,
         )
-    return types.Service(service.name, service.max_conns, engine, scaling)
+    return types.Service(
+        service.name,
+        service.max_conns,
+        engine,
+        scaling,
+        max(0.0, service.cold_s or 0.0),
+        max(0.0, service.cold_per_s or 0.0),
+    )
--- a/src/bilberryturn/platform/server_entries.py
+++ b/src/bilberryturn/platform/server_entries.py
@@ -16,6 +16,8 @@
 
 # More than any server has; the store also holds entries of other writers.
 _MAX_SLOTS = 1_000_000
+# A longer time is taken for an error of its writer.
+_MAX_COLD_LEFT_MS = 3_600_000
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
@@ -32,6 +34,9 @@
     born: _Count = 0
     # Time until a server that is taken away ends.
     leaves_ms: float | None = msgspec.field(default=None, name="leaves_ms")
+    # Time for which the server stays cold; decoded apart, so that a bad value
+    # doesn't lose the entry.
+    cold_left_ms: msgspec.Raw = msgspec.Raw(b"0")
 
 
 def decode(
@@ -70,10 +75,25 @@
             leaves_in_s=(
                 None if entry.leaves_ms is None else entry.leaves_ms / 1000
             ),
+            cold_left_s=_cold_left_s(entry.cold_left_ms),
         )
     )
 
 
+def _cold_left_s(value: msgspec.Raw) -> float:
+    """Return the time for which a server stays cold.
+
+    A value that is no number, negative or implausibly long counts as not cold:
+    a server that has just started is cold without it.
+    """
+    try:
+        cold_left_ms = decoding.decode_json(bytes(value), type=float)
+    except msgspec.DecodeError:
+        return 0.0
+    is_plausible = 0 <= cold_left_ms <= _MAX_COLD_LEFT_MS
+    return cold_left_ms / 1000 if is_plausible else 0.0
+
+
 def _is_ip_address(text: str) -> bool:
     try:
         ipaddress.ip_address(text)
--- a/src/bilberryturn/platform/wire.py
+++ b/src/bilberryturn/platform/wire.py
@@ -21,6 +21,8 @@
 # Requests a second that a server in need takes from all nodes together.
 SERVER_LIMIT = b"server-limit"
 SERVER_LEAVING = b"server-leaving"
+# Milliseconds for which the server stays cold.
+COLD_LEFT = b"x-bilberryturn-cold-ms"
 NOT_RUN = b"x-bilberryturn-not-run"
 URGENCY = b"x-bilberryturn-request-urgency"
 LAST_EVENT_ID = b"last-event-id"
@@ -33,6 +35,7 @@
 
 MOST_URGENT = 0
 LEAST_URGENT = 9
+_MAX_COLD_LEFT_S = 3600.0
 
 # Set only by nodes and backend servers; removed from callers' requests.
 _SYSTEM_HEADERS = frozenset(
@@ -181,6 +184,8 @@
             together, or None if it names no limit.
         is_leaving: Whether the server is about to end and takes no more
             requests.
+        cold_left_s: Time for which the server stays cold; None if it does not
+            say.
         is_event_stream: Whether the body consists of server-sent events.
         headers: Headers to forward to the caller.
     """
@@ -198,6 +203,7 @@
     is_leaving: bool
     is_event_stream: bool
     headers: Headers
+    cold_left_s: float | None = None
 
 
 def read_server_response(status: int, headers: Headers) -> ServerResponse:
@@ -221,9 +227,17 @@
         is_leaving=values.get(SERVER_LEAVING, b"0").strip() != b"0",
         is_event_stream=media_type.strip().lower() == b"text/event-stream",
         headers=[pair for pair in headers if pair[0] not in _HOP_BY_HOP],
+        cold_left_s=_cold_left_s(values.get(COLD_LEFT)),
     )
 
 
+def _cold_left_s(value: bytes | None) -> float | None:
+    cold_left_s = _milliseconds_to_s(value)
+    # A longer time is taken for an error of the server.
+    is_plausible = cold_left_s is not None and cold_left_s <= _MAX_COLD_LEFT_S
+    return cold_left_s if is_plausible else None
+
+
 def _decode_text(value: bytes) -> str:
     return value.decode("latin-1").strip()
 
--- a/src/bilberryturn/routing/directory.py
+++ b/src/bilberryturn/routing/directory.py
@@ -99,6 +99,13 @@
             known.sequence,
         ):
             return None
+        is_same_report = known is not None and (
+            (known.lifetime, known.sequence)
+            == (server.lifetime, server.sequence)
+        )
+        if is_same_report:
+            # The time for which it stays cold counts from the first reading.
+            server = server._replace(cold_until_s=known.cold_until_s)
         if (server.server_id, server.started_ms) in self._tombstones:
             server = server._replace(is_leaving=True)
         if server.is_leaving:
--- a/src/bilberryturn/routing/types.py
+++ b/src/bilberryturn/routing/types.py
@@ -84,12 +84,21 @@
 
 
 class Service(NamedTuple):
-    """A group of interchangeable backend servers."""
+    """A group of interchangeable backend servers.
+
+    Attributes:
+        cold_s: Seconds for which a server is cold after its start; 0 if its
+            servers are never cold.
+        cold_rate_per_s: Requests a second that a cold server takes from all
+            nodes together; 0 for no limit.
+    """
 
     name: str
     max_connections: int
     engine: Engine | None
     scaling: Scaling | None
+    cold_s: float = 0.0
+    cold_rate_per_s: float = 0.0
 
 
 class ClientAccount(NamedTuple):
@@ -117,6 +126,10 @@
         is_cheap: Whether its failure domain may be reclaimed at any time.
         leaves_in_s: Time until a leaving server ends, as it last reported;
             None if unknown.
+        cold_left_s: Time for which it stays cold, as it last reported; 0 if it
+            is warm or did not say.
+        cold_until_s: End of that time on the clock that all nodes share, in
+            Unix seconds, counted from when the report was read.
     """
 
     server_id: str
@@ -130,6 +143,8 @@
     started_ms: int
     sequence: int
     leaves_in_s: float | None = None
+    cold_left_s: float = 0.0
+    cold_until_s: float = 0.0
 
     @property
     def address(self) -> str:
