Keep all nodes together to the limit of a cold server

The permits of servers that name a limit don't bound it for all nodes: a node that reaches no issuer went on alone with the whole limit, and so did each of those that disagree about the issuer.

Change: cold servers need permits. The first issuer hands out the limit and saves up 2, the second by rank (or one that started under 2 s ago) a quarter and 1; no other node issues. A node that reaches neither has turns, spread evenly over all nodes, a quarter of the limit together; one that knows no nodes sends nothing. The issuer applies what it knows itself if the asking node knows less. A refused or broken connection makes a server cold for the node that met it, as it may have started again before its entry says so. A request asks for two permits at most while a warm server takes it. A moved run whose destination has become cold waits for a permit.

Requests to a service without coldS and coldPerS are as before; asks for permits of warm servers too.

--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -85,6 +85,7 @@
             permits.Peers(
                 str(settings.peers or ""),
                 lambda domain: self._node_presence.addresses(domain),
+                lambda: self._node_presence.are_known(),
             ),
             settings.memory_mb,
         )
@@ -365,6 +366,7 @@
     def _update_state(self, now_s: float) -> None:
         self._applier.expire()
         self.shared.evacuation.step(now_s)
+        self.shared.availability.log_cold()
         for cause in self.shared.part_crashes.new_causes():
             event = (
                 events.REQUEST_QUARANTINED
--- a/src/bilberryturn/edge/presence.py
+++ b/src/bilberryturn/edge/presence.py
@@ -95,6 +95,11 @@
             if len(nodes) >= len(self._nodes):
                 self._nodes = nodes
 
+    def are_known(self) -> bool:
+        """Return whether the nodes have been read."""
+        with self._lock:
+            return bool(self._nodes)
+
     def domain_peers(self) -> list[str]:
         """Return the addresses of the nodes of this failure domain."""
         own = _domain_of(self._key)
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -117,6 +117,8 @@
             )
         except upstream.UpstreamError as error:
             self._end_attempt(False)
+            if error.is_disconnect:
+                self._shared.availability.record_end(self._chosen.server)
             return attempt_types.AttemptFailed(error.reason, False)
         self._was_reused = self._connection.is_reused
         remaining_s = request.deadline_s - time.monotonic()
@@ -368,6 +370,8 @@
                 self._has_response,
             ),
         )
+        if self._is_crash:
+            self._shared.availability.record_end(self._chosen.server)
 
     def _record_answer(self, prompt: types.Prompt | None) -> None:
         self._shared.record_answer(prompt, self._request.crash_name)
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -19,8 +19,6 @@
 MIN_ATTEMPT_S = 0.05
 # Sent as Retry-After if no server can take the request.
 RETRY_AFTER_S = 0.3
-# Limited servers that are tried for one request before it goes to others.
-MAX_PERMITS_ASKED = 3
 
 
 class Exchange:
@@ -227,17 +225,20 @@
         not_permitted: set[str] = set()
         while True:
             now_s = time.monotonic()
-            unavailable = shared.availability.unavailable(
-                request.priority, now_s
-            )
-            if len(not_permitted) >= MAX_PERMITS_ASKED:
-                unavailable |= shared.availability.limited()
-            chosen = shared.load_balancer.choose(
-                request.requirements,
-                shared.directory.usable(request.service.name),
-                now_s,
-                frozenset(self._excluded | unavailable | not_permitted),
+            servers = shared.availability.spread(
+                shared.directory.usable(request.service.name)
             )
+            for unavailable in shared.availability.exclusions(
+                request.priority, now_s, not_permitted
+            ):
+                chosen = shared.load_balancer.choose(
+                    request.requirements,
+                    servers,
+                    now_s,
+                    frozenset(self._excluded | unavailable),
+                )
+                if chosen is not None:
+                    break
             if chosen is None:
                 return None
             is_permitted = await shared.availability.permits.acquire(
@@ -259,6 +260,13 @@
         chosen = moved.chosen if moved else await self._choose()
         if chosen is None:
             return None
+        if moved and not await shared.availability.wait_for_permit(
+            chosen.server,
+            self._request.priority,
+            self._request.deadline_s - MIN_ATTEMPT_S,
+        ):
+            shared.unused_copies.release(moved)
+            return None
         self._chosen = chosen
         self._excluded.add(chosen.server.server_id)
         attempt = attempts.Attempt(
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -161,7 +161,11 @@
         self.part_crashes = part_crashes.PartCrashes()
         self.crash_checks = crash_checks.CrashChecks(pool)
         self.availability = availability.Availability(
-            self.directory, pool, peers, time_of_day
+            self.directory,
+            pool,
+            peers,
+            time_of_day,
+            lambda: self.table.services if self.table else {},
         )
         self.time_of_day = time_of_day
         self.usage = UsageCounts(usage_window_s, time_of_day)
--- a/src/bilberryturn/metrics.py
+++ b/src/bilberryturn/metrics.py
@@ -106,6 +106,11 @@
         "bilberryturn_pool_running", "Granted requests, by pool."
     )
 )
+COLD_SERVERS = _register(
+    aioprometheus.Gauge(
+        "bilberryturn_cold_servers", "Servers that this node takes for cold."
+    )
+)
 LEASE_HELD = _register(
     aioprometheus.Gauge("bilberryturn_lease_held", "1 while a lease is held.")
 )
--- a/src/bilberryturn/routing/permits.py
+++ b/src/bilberryturn/routing/permits.py
@@ -8,11 +8,13 @@
 """
 
 import collections
+import math
 import random
 from typing import NamedTuple
 
 from bilberryturn import rendezvous
 from bilberryturn.routing import server_limits
+from bilberryturn.routing import slow_start
 from bilberryturn.routing import types
 
 # Permits that may be saved up while no node asks.
@@ -42,19 +44,22 @@
         limit_per_s: Requests a second that the server takes.
         priority: Priority of the caller's request; 0 is the highest.
         node: Address of the asking node.
+        cold_rank: Rank of the asked node among the issuers of a cold server;
+            None for a warm one.
     """
 
     lifetime: types.Lifetime
     limit_per_s: float
     priority: int
     node: str
+    cold_rank: int | None = None
 
 
 class _Bucket:
     """The permits of one server."""
 
-    def __init__(self, now_s: float):
-        self.permits = 0.0
+    def __init__(self, now_s: float, first_permits: float):
+        self.permits = first_permits
         self.updated_s = now_s
         self.asked_s: dict[str, float] = {}
         self.active_s: dict[int, float] = {}
@@ -62,8 +67,7 @@
             lambda: now_s
         )
 
-    def refill(self, limit_per_s: float, now_s: float) -> None:
-        burst = max(MIN_BURST, limit_per_s * BURST_S)
+    def refill(self, limit_per_s: float, burst: float, now_s: float) -> None:
         gained = limit_per_s * max(0.0, now_s - self.updated_s)
         self.permits = min(burst, self.permits + gained)
         self.updated_s = now_s
@@ -89,7 +93,13 @@
 class Issuer:
     """Hands out the permits of the servers for which nodes ask this one."""
 
-    def __init__(self):
+    def __init__(self, started_s: float = -math.inf):
+        """Initialize without permits.
+
+        Args:
+            started_s: Start of this node, in the seconds of grant.
+        """
+        self._started_s = started_s
         self._buckets: dict[types.Lifetime, _Bucket] = {}
 
     def grant(self, ask: Ask, now_s: float) -> float:
@@ -102,11 +112,18 @@
         Returns:
             0 if the permit is granted, else the seconds to wait.
         """
+        limit_per_s = max(server_limits.MIN_LIMIT_PER_S, ask.limit_per_s)
+        burst, max_wait_s = max(MIN_BURST, limit_per_s * BURST_S), MAX_WAIT_S
+        first_permits = 0.0
+        if ask.cold_rank is not None:
+            issued = slow_start.issued(ask.cold_rank, now_s - self._started_s)
+            limit_per_s *= issued.share
+            burst, first_permits = issued.burst, issued.first_permits
+            max_wait_s = slow_start.MAX_WAIT_S
         bucket = self._buckets.get(ask.lifetime)
         if bucket is None:
-            bucket = self._buckets[ask.lifetime] = _Bucket(now_s)
-        limit_per_s = max(server_limits.MIN_LIMIT_PER_S, ask.limit_per_s)
-        bucket.refill(limit_per_s, now_s)
+            bucket = self._buckets[ask.lifetime] = _Bucket(now_s, first_permits)
+        bucket.refill(limit_per_s, burst, now_s)
         bucket.record_ask(ask, now_s)
         needed = bucket.needed(ask.priority, now_s)
         if bucket.permits >= needed:
@@ -115,7 +132,7 @@
             return 0.0
         next_s = (needed - bucket.permits) / limit_per_s
         share_s = len(bucket.asked_s) / (ASK_RATIO * limit_per_s)
-        return min(MAX_WAIT_S, max(next_s, share_s))
+        return min(max_wait_s, max(next_s, share_s))
 
     def retain(self, live: set[types.Lifetime]) -> None:
         """Drop the permits of server lifetimes that have ended."""
