--- a/features/mutants.py
+++ b/features/mutants.py
@@ -660,6 +660,42 @@
         "limits",
         "limit of s3, one",
     ),
+    Mutant(
+        "cold servers have no limit",
+        (
+            (
+                "routing/slow_start.py",
+                "if service.cold_s <= 0 or service.cold_rate_per_s <= 0:",
+                "if True:",
+            ),
+        ),
+        "slow_start",
+        "A warm server takes",
+    ),
+    Mutant(
+        "a relay passes no new end of a cold time on",
+        (
+            (
+                "routing/slow_start.py",
+                "return known_s if is_same and not is_new else until_s",
+                "return known_s",
+            ),
+        ),
+        "slow_start",
+        "becomes cold again",
+    ),
+    Mutant(
+        "each node that reaches no issuer sends what it likes",
+        (
+            (
+                "routing/slow_start.py",
+                "if elapsed_s < TURN_S and",
+                "if True or",
+            ),
+        ),
+        "slow_start",
+        "Nodes that reach no issuer",
+    ),
     Mutant(
         "lower tiers leave no permit in reserve",
         (("routing/permits.py", "RESERVE = 1.0", "RESERVE = 0.0"),),
--- a/features/soak/testbed.py
+++ b/features/soak/testbed.py
@@ -204,6 +204,7 @@
         stop_grace_s=STOP_GRACE_S,
         timeout_ms=TIMEOUT_MS,
         settings=(),
+        app_options=None,
     ):
         self.folder = folder
         self.subnet = subnet
@@ -212,6 +213,8 @@
         self._timeout_ms = timeout_ms
         # Further lines of the nodes' settings.
         self.settings = settings
+        # Further fields of the service app in the configuration.
+        self._app_options = app_options or {}
         self._script = script or self._answer
         self.keys = ["key-a", "key-b"]
         self.version = 0
@@ -224,18 +227,19 @@
         self._stopping = threading.Event()
         self.leaving = set()
         for number in range(max(MIN_BACKENDS, node_count // NODES_PER_BACKEND)):
-            self._add_backend(f"s{number}", "llm" if number % 5 < 3 else "app")
+            self.add_backend(f"s{number}", "llm" if number % 5 < 3 else "app")
         self.publish_config()
         self.nodes = []
         self.nodes.extend(Node(self, n) for n in range(node_count))
         for node in self.nodes:
             node.start(is_first=True)
 
-    def _add_backend(self, name, service):
+    def add_backend(self, name, service, **fields):
+        """Start a server and write its entry, with further fields."""
         server = scripted.ScriptedServer(self._script)
         address = self.proxy.listen(f"127.0.0.1:{server.port}")
         self.backends[name] = (server, address, service)
-        self.store.put("servers", name, self.entry(name, 1))
+        self.store.put("servers", name, {**self.entry(name, 1), **fields})
 
     def entry(self, name, sequence, state="ready"):
         """Return a server's entry in its stored form."""
@@ -279,7 +283,7 @@
                     for kind, route in routes.items()
                 ],
                 "services": [
-                    {"name": "app", "maxConns": 50},
+                    {"name": "app", "maxConns": 50, **self._app_options},
                     {
                         "name": "llm",
                         "maxConns": 50,
