Measure the speed of servers and choose engines by it

On the deployment with engines of relative speeds 0.7, 0.7 and 1.7 the fixed costs treat all engines alike, and the most urgent streams were late most often. Nodes take the time to the first event and the gaps between events from answers as they pass; relays combine the samples of their failure domain.

Ruled out: roles by each engine's own class, on which failure domains did not agree; affinity by load, whose copies cost a third more prefill.

--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -269,6 +269,7 @@
             self.set_nodes(state.nodes)
             if self._deliver_nodes is not None:
                 self._deliver_nodes(state.nodes)
+        self._merge_speeds(state, received_s)
         has_config = self._apply_peer_config(state, received_s)
         has_servers = self._apply_peer_servers(state, received_s)
         # Content that was not applied has to be requested again.
@@ -276,6 +277,16 @@
             state.revision if has_config and has_servers else ""
         )
 
+    def _merge_speeds(
+        self, state: peer_state.PeerState, received_s: float
+    ) -> None:
+        data = bytes(state.server_speeds)
+        if data == peer_state.NO_SPEEDS:
+            return
+        problem = self._shared.server_speeds.merge(data, received_s)
+        if problem is not None:
+            events.log(events.SPEEDS_REFUSED, member="relay", problem=problem)
+
     def _apply_peer_config(
         self, state: peer_state.PeerState, received_s: float
     ) -> bool:
--- a/src/bilberryturn/edge/peer_state.py
+++ b/src/bilberryturn/edge/peer_state.py
@@ -14,6 +14,8 @@
 from bilberryturn.edge import config_order
 
 CONFIG_DIGEST_BYTES = 12
+# Of a node that does not measure the speed of servers.
+NO_SPEEDS = b"null"
 # Changes retained for peers that know an earlier revision. More than the
 # restart of all servers of the largest deployment causes between two polls.
 MAX_CHANGES = 2000
@@ -54,6 +56,9 @@
         config_era: Last era in which the store showed the configuration.
         config_written_era: Era in which the configuration is known to have been
             written.
+        server_speeds: Estimates of the servers' speeds from the samples of the
+            nodes that poll this one, as ServerSpeeds.combined returns it; null
+            without. Decoded apart, so that a malformed one costs nothing else.
     """
 
     revision: str
@@ -73,6 +78,7 @@
     servers_era: int = config_order.NO_ERA
     config_era: int = config_order.NO_ERA
     config_written_era: int = config_order.NO_ERA
+    server_speeds: msgspec.Raw = msgspec.Raw(NO_SPEEDS)
 
 
 class Known(NamedTuple):
--- a/src/bilberryturn/events.py
+++ b/src/bilberryturn/events.py
@@ -77,6 +77,8 @@
 GRANT_EXPIRED = Event(1404, "grant_expired", logging.WARNING)
 SERVER_CHANGED = Event(1405, "server_changed", logging.INFO)
 SERVER_ENTRY_REFUSED = Event(1406, "server_entry_refused", logging.WARNING)
+SERVER_SPEEDS_CHANGED = Event(1408, "server_speeds_changed", logging.INFO)
+SPEEDS_REFUSED = Event(1409, "speeds_refused", logging.WARNING)
 SERVER_LIMIT_CHANGED = Event(1407, "server_limit_changed", logging.INFO)
 
 LEASE_ACQUIRED = Event(1501, "lease_acquired", logging.INFO)
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -11,6 +11,7 @@
 from bilberryturn.gateway import availability
 from bilberryturn.gateway import crash_checks
 from bilberryturn.gateway import drain
+from bilberryturn.gateway import loop_delay
 from bilberryturn.gateway import memory
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import permits
@@ -20,6 +21,7 @@
 from bilberryturn.routing import crash_causes
 from bilberryturn.routing import directory
 from bilberryturn.routing import part_crashes
+from bilberryturn.routing import server_speeds
 from bilberryturn.routing import table as route_tables
 from bilberryturn.routing import types
 
@@ -138,6 +140,9 @@
             seconds.
         drain_s: Time for which leaving servers go on at least, in seconds.
         memory: Account of the bytes that requests hold.
+        server_speeds: Measured speeds of the servers.
+        loop_delay: When the event loop was late, so that it does not count as
+            slowness of a server.
     """
 
     def __init__(
@@ -157,7 +162,9 @@
         self.drain_s = drain_s
         self.evacuation = moves.Evacuation(self.directory, drain_s)
         self.unused_copies = moves.UnusedCopies(pool)
-        self.load_balancer = choice.LoadBalancer()
+        self.server_speeds = server_speeds.ServerSpeeds()
+        self.loop_delay = loop_delay.LoopDelay()
+        self.load_balancer = choice.LoadBalancer(self.server_speeds)
         self.part_crashes = part_crashes.PartCrashes()
         self.crash_checks = crash_checks.CrashChecks(pool)
         self.availability = availability.Availability(
--- a/src/bilberryturn/metrics.py
+++ b/src/bilberryturn/metrics.py
@@ -106,6 +106,12 @@
         "bilberryturn_pool_running", "Granted requests, by pool."
     )
 )
+SERVERS_BY_SPEED = _register(
+    aioprometheus.Gauge(
+        "bilberryturn_servers_by_speed",
+        "Servers by service and relative speed, where measured speeds differ.",
+    )
+)
 LEASE_HELD = _register(
     aioprometheus.Gauge("bilberryturn_lease_held", "1 while a lease is held.")
 )
--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -5,13 +5,18 @@
 their health check passes. The expected time to the first token is estimated
 from the prompts not yet prefilled, the running requests and the prefix that is
 likely to be cached. Rendezvous hashing on the shared prefix of a prompt gives
-it the same affinity server on all nodes without coordination.
+it the same affinity server on all nodes without coordination. Where the
+measured speeds of a service's engines differ, speed_costs replaces the fixed
+costs.
 """
 
 import collections
+import random
 from typing import NamedTuple
 
 from bilberryturn import rendezvous
+from bilberryturn.routing import server_speeds
+from bilberryturn.routing import speed_costs
 from bilberryturn.routing import types
 from bilberryturn.scheduling import breakers
 
@@ -40,6 +45,7 @@
 # Cost of sending a request to an engine of the other kind: the token gaps of
 # this request, or of all requests running there, exceed their target.
 MISMATCH_COST_S = 0.4
+UNKNOWN_SPEED = server_speeds.Estimate(0, 0, None, 0.0)
 # Most prompt parts tracked per server.
 MAX_CACHED_PARTS = 4000
 
@@ -136,11 +142,29 @@
 class LoadBalancer:
     """Chooses servers by the load that this node has placed on them."""
 
-    def __init__(self):
+    def __init__(
+        self,
+        speeds: server_speeds.ServerSpeeds | None = None,
+        rng: random.Random | None = None,
+    ):
+        """Initialize a load balancer.
+
+        Args:
+            speeds: Measured speeds of the servers.
+            rng: Spreads the requests of many nodes over equal engines.
+        """
+        self._speeds = speeds or server_speeds.ServerSpeeds()
+        self._rng = rng or random.Random()
         self._loads: dict[tuple[str, int], _ServerLoad] = {}
         # The servers of the last choice and which of them are low-latency.
         self._ranked_servers: list[types.BackendServer] = []
         self._low_latency_ids: set[str] = set()
+        # The same where speeds differ, and the speeds that it follows from.
+        self._role_servers: list[types.BackendServer] = []
+        self._role_speeds: server_speeds.ServiceSpeeds | None = None
+        self._roles: speed_costs.Roles | None = None
+        self._mean_loads: speed_costs.Loads | None = None
+        self._prefix_work = speed_costs.PrefixWork()
 
     def choose(
         self,
@@ -153,6 +177,13 @@
         candidates = [s for s in servers if s.server_id not in excluded]
         allowed = [s for s in candidates if self._load(s).breaker.allows(now_s)]
         allowed = allowed or candidates
+        if requirements.prompt is not None and allowed:
+            service = requirements.service
+            speeds = self._speeds.service(service.name, now_s)
+            if speeds is not None and service.engine is not None:
+                return self._choose_by_speed(
+                    requirements, servers, allowed, speeds, now_s
+                )
         low_latency = (
             self._low_latency_servers(servers)
             if requirements.prompt is not None
@@ -186,6 +217,14 @@
     ) -> InFlightRequest:
         """Add a request to the load of its server."""
         load = self._load(choice.server)
+        if requirements.prompt is not None:
+            work = server_speeds.work_tokens(
+                requirements.prompt, choice.uncached_tokens
+            )
+            self._speeds.observe_work(choice.server.lifetime, work, now_s)
+            self._prefix_work.record(
+                shared_prefix_part(requirements.prompt), work, now_s
+            )
         load.running += 1
         load.prefill_tokens += choice.uncached_tokens
         load.breaker.record_start(now_s)
@@ -244,6 +283,82 @@
             self._low_latency_ids = low_latency_servers(servers)
         return self._low_latency_ids
 
+    def _choose_by_speed(
+        self,
+        requirements: Requirements,
+        servers: list[types.BackendServer],
+        allowed: list[types.BackendServer],
+        speeds: server_speeds.ServiceSpeeds,
+        now_s: float,
+    ) -> Choice:
+        """Return the server with the least cost at its measured speed."""
+        self._update_roles(requirements.service.engine, servers, speeds)
+        roles, loads = self._roles.by_server, self._mean_loads
+        gap_target_s = requirements.gap_target_s
+        parts = requirements.prompt.parts
+        own_tokens = parts[-1].tokens if parts else 0
+        role_costs_s = speed_costs.role_costs_s(
+            requirements.service.engine,
+            gap_target_s,
+            own_tokens,
+            self._roles.tight_gap_s,
+            speeds,
+        )
+        overloads_s = speed_costs.role_overloads_s(loads)
+        part = shared_prefix_part(requirements.prompt)
+        affinity: frozenset[str] = frozenset()
+        if part is not None:
+            most_s = speed_costs.AFFINITY_COST_S + min(
+                role_costs_s[roles[s.server_id]] for s in allowed
+            )
+            matching = [
+                s for s in allowed if role_costs_s[roles[s.server_id]] <= most_s
+            ]
+            affinity = speed_costs.affinity_servers(
+                part,
+                matching,
+                speeds,
+                self._prefix_work.share(part) * len(servers),
+            )
+        best, best_cost_s = None, 0.0
+        for server in allowed:
+            estimate = speeds.estimates.get(server.lifetime, UNKNOWN_SPEED)
+            speed, role = estimate.relative_speed, roles[server.server_id]
+            choice = self._estimate(
+                requirements,
+                server,
+                now_s,
+                server.server_id in affinity,
+                speeds.tokens_per_s * speed,
+                SLOT_COST_S / speed,
+            )
+            mean_load = loads.by_domain[role, server.failure_domain]
+            cost_s = (
+                choice.expected_s
+                + role_costs_s[role]
+                + overloads_s[role]
+                + speed_costs.server_cost_s(
+                    gap_target_s, own_tokens, estimate, mean_load
+                )
+                + self._rng.expovariate(speed / speed_costs.SPREAD_COST_S)
+            )
+            if best is None or cost_s < best_cost_s:
+                best, best_cost_s = choice, cost_s
+        return best
+
+    def _update_roles(
+        self,
+        engine: types.Engine,
+        servers: list[types.BackendServer],
+        speeds: server_speeds.ServiceSpeeds,
+    ) -> None:
+        """Compute the roles and loads of the engines if they may change."""
+        if speeds is self._role_speeds and servers == self._role_servers:
+            return
+        self._role_servers, self._role_speeds = list(servers), speeds
+        self._roles = speed_costs.roles(engine, servers, speeds)
+        self._mean_loads = speed_costs.loads(servers, self._roles, speeds)
+
     def _load(self, server: types.BackendServer) -> _ServerLoad:
         key = server.lifetime
         load = self._loads.get(key)
@@ -267,11 +382,13 @@
         server: types.BackendServer,
         now_s: float,
         has_affinity: bool,
+        tokens_per_s: float = PREFILL_TOKENS_PER_S,
+        slot_cost_s: float = SLOT_COST_S,
     ) -> Choice:
         load = self._load(server)
         uncached = self._uncached_tokens(requirements, load, has_affinity)
-        expected_s = (load.prefill_tokens + uncached) / PREFILL_TOKENS_PER_S
-        expected_s += load.running * SLOT_COST_S
+        expected_s = (load.prefill_tokens + uncached) / tokens_per_s
+        expected_s += load.running * slot_cost_s
         slots = max(1, server.slots)
         if load.running >= slots:
             expected_s += (load.running - slots + 1) / slots
