--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -45,7 +45,6 @@
 # Cost of sending a request to an engine of the other kind: the token gaps of
 # this request, or of all requests running there, exceed their target.
 MISMATCH_COST_S = 0.4
-UNKNOWN_SPEED = server_speeds.Estimate(0, 0, None, 0.0)
 # Most prompt parts tracked per server.
 MAX_CACHED_PARTS = 4000
 
@@ -159,11 +158,8 @@
         # The servers of the last choice and which of them are low-latency.
         self._ranked_servers: list[types.BackendServer] = []
         self._low_latency_ids: set[str] = set()
-        # The same where speeds differ, and the speeds that it follows from.
-        self._role_servers: list[types.BackendServer] = []
-        self._role_speeds: server_speeds.ServiceSpeeds | None = None
-        self._roles: speed_costs.Roles | None = None
-        self._mean_loads: speed_costs.Loads | None = None
+        # Services whose engines differ in speed.
+        self._views: dict[str, speed_costs.ServiceView] = {}
         self._prefix_work = speed_costs.PrefixWork()
 
     def choose(
@@ -292,8 +288,8 @@
         now_s: float,
     ) -> Choice:
         """Return the server with the least cost at its measured speed."""
-        self._update_roles(requirements.service.engine, servers, speeds)
-        roles, loads = self._roles.by_server, self._mean_loads
+        view = self._view(requirements.service, servers, speeds)
+        engines, overloads_s = view.engines, view.overloads_s
         gap_target_s = requirements.gap_target_s
         parts = requirements.prompt.parts
         own_tokens = parts[-1].tokens if parts else 0
@@ -301,63 +297,65 @@
             requirements.service.engine,
             gap_target_s,
             own_tokens,
-            self._roles.tight_gap_s,
+            view.tight_gap_s,
             speeds,
         )
-        overloads_s = speed_costs.role_overloads_s(loads)
         part = shared_prefix_part(requirements.prompt)
         affinity: frozenset[str] = frozenset()
         if part is not None:
             most_s = speed_costs.AFFINITY_COST_S + min(
-                role_costs_s[roles[s.server_id]] for s in allowed
+                role_costs_s[engines[s.server_id].role] for s in allowed
             )
-            matching = [
-                s for s in allowed if role_costs_s[roles[s.server_id]] <= most_s
-            ]
             affinity = speed_costs.affinity_servers(
                 part,
-                matching,
+                [
+                    s
+                    for s in allowed
+                    if role_costs_s[engines[s.server_id].role] <= most_s
+                ],
                 speeds,
                 self._prefix_work.share(part) * len(servers),
             )
+        load_share = speed_costs.prompt_share(own_tokens)
         best, best_cost_s = None, 0.0
         for server in allowed:
-            estimate = speeds.estimates.get(server.lifetime, UNKNOWN_SPEED)
-            speed, role = estimate.relative_speed, roles[server.server_id]
+            engine = engines[server.server_id]
             choice = self._estimate(
                 requirements,
                 server,
                 now_s,
                 server.server_id in affinity,
-                speeds.tokens_per_s * speed,
-                SLOT_COST_S / speed,
+                speeds.tokens_per_s * engine.speed,
+                SLOT_COST_S / engine.speed,
             )
-            mean_load = loads.by_domain[role, server.failure_domain]
             cost_s = (
                 choice.expected_s
-                + role_costs_s[role]
-                + overloads_s[role]
-                + speed_costs.server_cost_s(
-                    gap_target_s, own_tokens, estimate, mean_load
+                + role_costs_s[engine.role]
+                + overloads_s[engine.role]
+                + engine.load_cost_s * load_share
+                + speed_costs.gap_cost_s(
+                    gap_target_s, engine.estimate.high_gap_s
+                )
+                + self._rng.expovariate(
+                    engine.speed / speed_costs.SPREAD_COST_S
                 )
-                + self._rng.expovariate(speed / speed_costs.SPREAD_COST_S)
             )
             if best is None or cost_s < best_cost_s:
                 best, best_cost_s = choice, cost_s
         return best
 
-    def _update_roles(
+    def _view(
         self,
-        engine: types.Engine,
+        service: types.Service,
         servers: list[types.BackendServer],
         speeds: server_speeds.ServiceSpeeds,
-    ) -> None:
-        """Compute the roles and loads of the engines if they may change."""
-        if speeds is self._role_speeds and servers == self._role_servers:
-            return
-        self._role_servers, self._role_speeds = list(servers), speeds
-        self._roles = speed_costs.roles(engine, servers, speeds)
-        self._mean_loads = speed_costs.loads(servers, self._roles, speeds)
+    ) -> speed_costs.ServiceView:
+        """Return the view of a service, cached until it may change."""
+        view = self._views.get(service.name)
+        if view is None or speeds is not view.speeds or servers != view.servers:
+            view = speed_costs.view(service.engine, servers, speeds)
+            self._views[service.name] = view
+        return view
 
     def _load(self, server: types.BackendServer) -> _ServerLoad:
         key = server.lifetime
@@ -398,6 +396,8 @@
         return Choice(server, expected_s, uncached, load.running)
 
     def _failure_rate(self, load: _ServerLoad, now_s: float) -> float:
+        if not load.failure_rate:
+            return 0.0
         age_s = max(0.0, now_s - load.failure_updated_s)
         return load.failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
 
--- a/src/bilberryturn/routing/speed_costs.py
+++ b/src/bilberryturn/routing/speed_costs.py
@@ -1,6 +1,7 @@
 """Costs of sending a request to engines whose measured speeds differ."""
 
 import enum
+import functools
 import math
 from typing import NamedTuple
 
@@ -44,6 +45,7 @@
 # Time constant of the work by prefix, and most prefixes counted.
 PREFIX_TIME_S = 20.0
 MAX_PREFIXES = 1000
+UNKNOWN = server_speeds.Estimate(0, 0, None, 0.0)
 _HASH_RANGE = 2.0**64
 
 
@@ -72,6 +74,40 @@
     tight_gap_s: float
 
 
+class EngineView(NamedTuple):
+    """What the choice needs of one engine.
+
+    Attributes:
+        role: What it is used for.
+        estimate: What is measured of it.
+        speed: Its relative speed.
+        load_cost_s: Cost of its load for a long prompt.
+    """
+
+    role: Role
+    estimate: server_speeds.Estimate
+    speed: float
+    load_cost_s: float
+
+
+class ServiceView(NamedTuple):
+    """What the choice needs of a service whose engines differ.
+
+    Attributes:
+        servers: The servers that it was computed from.
+        speeds: The speeds that it was computed from.
+        engines: View of each engine, by identifier.
+        tight_gap_s: As in Roles.
+        overloads_s: Cost of each role that takes more than its share.
+    """
+
+    servers: list[types.BackendServer]
+    speeds: server_speeds.ServiceSpeeds
+    engines: dict[str, EngineView]
+    tight_gap_s: float
+    overloads_s: dict[Role, float]
+
+
 class Loads(NamedTuple):
     """Mean loads, weighed by speed.
 
@@ -177,8 +213,9 @@
         Role.SLOW: slow * MISMATCH_COST_S,
     }
     if not 0 < gap_target_s < tight_gap_s:
-        share = min(1.0, prompt_tokens / LONG_PROMPT_TOKENS)
-        costs_s[Role.LOW_LATENCY] = share * MISMATCH_COST_S
+        costs_s[Role.LOW_LATENCY] = (
+            prompt_share(prompt_tokens) * MISMATCH_COST_S
+        )
     if not slow:
         costs_s[Role.FAST] += FAST_COST_S
     return costs_s
@@ -193,28 +230,45 @@
     }
 
 
-def server_cost_s(
-    gap_target_s: float,
-    prompt_tokens: int,
-    estimate: server_speeds.Estimate,
-    mean_load: float,
-) -> float:
-    """Return the cost of an engine beyond that of its role.
+def view(
+    engine: types.Engine,
+    servers: list[types.BackendServer],
+    speeds: server_speeds.ServiceSpeeds,
+) -> ServiceView:
+    """Return what the choice needs of a service, until something changes."""
+    server_roles = roles(engine, servers, speeds)
+    mean_loads = loads(servers, server_roles, speeds)
+    engines = {}
+    for server in servers:
+        role = server_roles.by_server[server.server_id]
+        estimate = speeds.estimates.get(server.lifetime, UNKNOWN)
+        mean_load = mean_loads.by_domain[role, server.failure_domain]
+        ratio = estimate.load / mean_load if mean_load > 0 else 0.0
+        engines[server.server_id] = EngineView(
+            role,
+            estimate,
+            estimate.relative_speed,
+            min(MAX_LOAD_RATIO, ratio) * LOAD_COST_S,
+        )
+    return ServiceView(
+        list(servers),
+        speeds,
+        engines,
+        server_roles.tight_gap_s,
+        role_overloads_s(mean_loads),
+    )
 
-    Args:
-        gap_target_s: Pause target of the request; 0 if it has none.
-        prompt_tokens: Tokens of its prompt that no other request has.
-        estimate: What is measured of the engine.
-        mean_load: Mean load of its role in its failure domain.
-    """
-    cost_s = 0.0
-    if mean_load > 0:
-        ratio = min(MAX_LOAD_RATIO, estimate.load / mean_load)
-        share = min(1.0, prompt_tokens / LONG_PROMPT_TOKENS)
-        cost_s = ratio * share * LOAD_COST_S
-    if estimate.high_gap_s is not None:
-        cost_s += _excess(estimate.high_gap_s, gap_target_s) * MISMATCH_COST_S
-    return cost_s
+
+def prompt_share(prompt_tokens: int) -> float:
+    """Return how far a prompt counts as a long one, from 0 to 1."""
+    return min(1.0, prompt_tokens / LONG_PROMPT_TOKENS)
+
+
+def gap_cost_s(gap_target_s: float, high_gap_s: float | None) -> float:
+    """Return the cost of an engine whose measured pauses are too long."""
+    if high_gap_s is None:
+        return 0.0
+    return _excess(high_gap_s, gap_target_s) * MISMATCH_COST_S
 
 
 class PrefixWork:
@@ -270,6 +324,7 @@
     return min(1.0, max(0.0, gap_s / target_s - 1.0))
 
 
+@functools.lru_cache(maxsize=65536)
 def _distance(server_id: str, part: str) -> float:
     """Return a number from an exponential distribution with mean 1."""
     hashed = int.from_bytes(rendezvous.weight(server_id, part), "big")
