--- a/features/server_speeds.feature
+++ b/features/server_speeds.feature
@@ -67,3 +67,9 @@
   # Guards against versions that do not understand each other.
   Scenario: Older versions without the fields are understood
     Then a request and a reply without the new fields are decoded and change nothing
+
+  # Guards against a path on which nothing is measured.
+  Scenario: A streamed answer gives a sample of each kind
+    Given a gateway before an engine that streams 8 events 30 ms apart
+    When a caller requests a stream with a prompt
+    Then the gateway has samples of the first event, low and high gaps and work
--- a/features/steps/server_speed_steps.py
+++ b/features/steps/server_speed_steps.py
@@ -11,10 +11,13 @@
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
 from bilberryturn.routing import server_speeds
+from bilberryturn.routing import types
 from support import engine_model
 from support import gateway_rig
+from support import scripted
 
-RUN_S = 24.0
+# A day of the deployment.
+RUN_S = 42.0
 URGENT = engine_model.KINDS[0]
 
 
@@ -232,3 +235,46 @@
             msgspec.json.encode(older), type=type(message)
         )
         assert bytes(getattr(decoded, field)) == peer_state.NO_SPEEDS
+
+
+@behave.given("a gateway before an engine that streams 8 events 30 ms apart")
+def given_engine(context):
+    def stream(peer, head, body, number):
+        peer.start_stream(head)
+        for event in range(8):
+            time.sleep(0.03)
+            peer.chunk(scripted.event(event + 1))
+        peer.chunk(b"")
+
+    engine = scripted.ScriptedServer(stream)
+    routes = gateway_rig.make_table()
+    routes.services["app"] = types.Service("app", 9, engine_model.ENGINE, None)
+    server = gateway_rig.make_server("a", engine.port)
+    context.rig = gateway_rig.GatewayRig([server], routes)
+    context.closers.extend([context.rig.close, engine.close])
+    context.rig.shared.server_speeds.retain([server])
+
+
+@behave.when("a caller requests a stream with a prompt")
+def when_stream(context):
+    extra = (
+        "X-Bilberryturn-Tokens: 3000,32\r\n"
+        "X-Bilberryturn-Prefix-Hash: p:2000,q:1000\r\n"
+    )
+    answer = gateway_rig.send_request(
+        context.rig.port, gateway_rig.request_text("stream", "s1", extra=extra)
+    )
+    assert answer.status == 200 and answer.is_complete, answer.head
+
+
+@behave.then(
+    "the gateway has samples of the first event, low and high gaps and work"
+)
+def then_samples(context):
+    found = context.rig.shared.server_speeds.own_samples(time.monotonic())
+    (values,) = found.values()
+    kinds = {
+        value // (server_speeds.MAX_BUCKET + 1) % len(server_speeds.Kind)
+        for value in values[1:]
+    }
+    assert values[0] > 0 and kinds == set(server_speeds.Kind), found
