--- a/features/server_speeds.feature
+++ b/features/server_speeds.feature
@@ -64,6 +64,11 @@
       | are before two events together | 0 20 41 60 300:2 320 339           | 19 and 21   |
       | hold a delay of the node       | 0 20 41 60 300!late 320 340 361    | 20 and 21   |
 
+  # Guards against polls that fill the link of a relay.
+  Scenario: A poll about 123 servers grows by at most 4 KB
+    Given a node and its relay with all that they can measure of 123 servers
+    Then samples and estimates together have at most 4096 bytes
+
   # Guards against versions that do not understand each other.
   Scenario: Older versions without the fields are understood
     Then a request and a reply without the new fields are decoded and change nothing
--- a/features/steps/server_speed_steps.py
+++ b/features/steps/server_speed_steps.py
@@ -10,7 +10,9 @@
 from bilberryturn.edge import relays
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
+from bilberryturn.routing import answer_gaps
 from bilberryturn.routing import server_speeds
+from bilberryturn.routing import speed_samples
 from bilberryturn.routing import types
 from support import engine_model
 from support import gateway_rig
@@ -169,7 +171,7 @@
 )
 def then_dropped(context, estimates, samples):
     before = _estimates(context, 101.0)
-    key = server_speeds.key(context.servers[0].lifetime)
+    key = speed_samples.key(context.servers[0].lifetime)
     context.estimates = estimates.replace("K", key).encode()
     samples = samples.replace("K", key).encode()
     assert context.speeds.merge(context.estimates, 101.5) is not None
@@ -203,7 +205,7 @@
 def then_typical(context):
     _measure(context.speeds, context.former, 9.0, range(4), 101.0)
     samples = msgspec.json.encode(
-        {server_speeds.key(context.former.lifetime): [9, 40, 41, 42]}
+        {speed_samples.key(context.former.lifetime): [9, 40, 41, 42]}
     )
     assert context.speeds.merge_samples("n", samples, 101.0) is None
     context.speeds.service("llm", 101.5)
@@ -220,7 +222,7 @@
         def observe_gap(self, lifetime, answer, low_s, high_s, now_s):
             taken.append((round(low_s * 1000), round(high_s * 1000)))
 
-    gaps, late_s = server_speeds.AnswerGaps(Speeds(), ("a", 1), 0), -1.0
+    gaps, late_s = answer_gaps.AnswerGaps(Speeds(), ("a", 1), 0), -1.0
     for number, read in enumerate(reads.split()):
         at_ms, _, count = read.partition(":")
         at_ms, _, is_late = at_ms.partition("!")
@@ -230,6 +232,30 @@
     assert taken == [(low, high)], taken
 
 
+@behave.given(
+    "a node and its relay with all that they can measure of 123 servers"
+)
+def given_full(context):
+    servers = [
+        gateway_rig.make_server(f"s{n}", 80, service="llm") for n in range(123)
+    ]
+    node, relay = server_speeds.ServerSpeeds(), server_speeds.ServerSpeeds()
+    for speeds in (node, relay):
+        speeds.retain(servers)
+        for number, server in enumerate(servers):
+            _measure(speeds, server, 0.05 if number % 2 else 50, range(8))
+            speeds.observe_work(server.lifetime, 1e7, 100.0)
+    context.request = msgspec.json.encode(node.own_samples(100.1))
+    context.reply = relay.combined(100.1)
+    assert len(msgspec.json.decode(context.reply)["servers"]) == 123
+
+
+@behave.then("samples and estimates together have at most 4096 bytes")
+def then_small(context):
+    size = len(context.request) + len(context.reply)
+    assert 2000 < size <= 4096, size
+
+
 @behave.then(
     "a request and a reply without the new fields are decoded and change"
     " nothing"
@@ -285,7 +311,7 @@
     found = context.rig.shared.server_speeds.own_samples(time.monotonic())
     (values,) = found.values()
     kinds = {
-        value // (server_speeds.MAX_BUCKET + 1) % len(server_speeds.Kind)
+        value // (speed_samples.MAX_BUCKET + 1) % len(speed_samples.Kind)
         for value in values[1:]
     }
-    assert values[0] > 0 and kinds == set(server_speeds.Kind), found
+    assert values[0] > 0 and kinds == set(speed_samples.Kind), found
--- a/features/support/engine_model.py
+++ b/features/support/engine_model.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from bilberryturn.routing import answer_gaps
 from bilberryturn.routing import choice
 from bilberryturn.routing import server_speeds
 from bilberryturn.routing import types
@@ -99,7 +100,7 @@
         self.choice = node.balancer.choose(self.needs, node.servers, now_s)
         self.lifetime = self.choice.server.lifetime
         self.load = node.balancer.begin(self.choice, self.needs, now_s)
-        self.gaps = server_speeds.AnswerGaps(node.speeds, self.lifetime, number)
+        self.gaps = answer_gaps.AnswerGaps(node.speeds, self.lifetime, number)
         self.number = number
 
     def start(self, engine):
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -17,8 +17,8 @@
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
 from bilberryturn.platform import wire
+from bilberryturn.routing import answer_gaps
 from bilberryturn.routing import choice
-from bilberryturn.routing import server_speeds
 from bilberryturn.routing import types
 
 # Connecting takes milliseconds unless the server is unreachable.
@@ -73,7 +73,7 @@
         # What is buffered of the answer.
         self._holding = shared.memory.open(self._give_way)
         # Measures the server's pauses, for model engines.
-        self._gaps: server_speeds.AnswerGaps | None = None
+        self._gaps: answer_gaps.AnswerGaps | None = None
         # Whether the failure counted as a crash of the server.
         self._is_crash = False
         # Whether an earlier attempt had sent a part of the stream.
@@ -355,7 +355,7 @@
         read, speeds = connection.last_read, self._shared.server_speeds
         if self._gaps is None:
             number = speeds.next_answer()
-            self._gaps = server_speeds.AnswerGaps(speeds, self.lifetime, number)
+            self._gaps = answer_gaps.AnswerGaps(speeds, self.lifetime, number)
             is_whole = self._moved_from is None and not self._was_resumed
             if is_whole and self._shared.loop_delay.late_s < self._sent_s:
                 speeds.observe_first_event(
--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -17,6 +17,8 @@
 from bilberryturn import rendezvous
 from bilberryturn.routing import server_speeds
 from bilberryturn.routing import speed_costs
+from bilberryturn.routing import speed_estimates
+from bilberryturn.routing import speed_samples
 from bilberryturn.routing import types
 from bilberryturn.scheduling import breakers
 
@@ -214,7 +216,7 @@
         """Add a request to the load of its server."""
         load = self._load(choice.server)
         if requirements.prompt is not None:
-            work = server_speeds.work_tokens(
+            work = speed_samples.work_tokens(
                 requirements.prompt, choice.uncached_tokens
             )
             self._speeds.observe_work(choice.server.lifetime, work, now_s)
@@ -284,7 +286,7 @@
         requirements: Requirements,
         servers: list[types.BackendServer],
         allowed: list[types.BackendServer],
-        speeds: server_speeds.ServiceSpeeds,
+        speeds: speed_estimates.ServiceSpeeds,
         now_s: float,
     ) -> Choice:
         """Return the server with the least cost at its measured speed."""
@@ -348,7 +350,7 @@
         self,
         service: types.Service,
         servers: list[types.BackendServer],
-        speeds: server_speeds.ServiceSpeeds,
+        speeds: speed_estimates.ServiceSpeeds,
     ) -> speed_costs.ServiceView:
         """Return the view of a service, cached until it may change."""
         view = self._views.get(service.name)
--- a/src/bilberryturn/routing/speed_costs.py
+++ b/src/bilberryturn/routing/speed_costs.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from bilberryturn import rendezvous
-from bilberryturn.routing import server_speeds
+from bilberryturn.routing import speed_estimates
 from bilberryturn.routing import types
 
 # Longest step of a typical engine that prefills a long prompt alongside
@@ -45,7 +45,7 @@
 # Time constant of the work by prefix, and most prefixes counted.
 PREFIX_TIME_S = 20.0
 MAX_PREFIXES = 1000
-UNKNOWN = server_speeds.Estimate(0, 0, None, 0.0)
+UNKNOWN = speed_estimates.Estimate(0, 0, None, 0.0)
 _HASH_RANGE = 2.0**64
 
 
@@ -85,7 +85,7 @@
     """
 
     role: Role
-    estimate: server_speeds.Estimate
+    estimate: speed_estimates.Estimate
     speed: float
     load_cost_s: float
 
@@ -102,7 +102,7 @@
     """
 
     servers: list[types.BackendServer]
-    speeds: server_speeds.ServiceSpeeds
+    speeds: speed_estimates.ServiceSpeeds
     engines: dict[str, EngineView]
     tight_gap_s: float
     overloads_s: dict[Role, float]
@@ -131,7 +131,7 @@
 def roles(
     engine: types.Engine,
     servers: list[types.BackendServer],
-    speeds: server_speeds.ServiceSpeeds,
+    speeds: speed_estimates.ServiceSpeeds,
 ) -> Roles:
     """Return the roles of the engines; the same on nodes with the same groups.
 
@@ -168,7 +168,7 @@
 def loads(
     servers: list[types.BackendServer],
     server_roles: Roles,
-    speeds: server_speeds.ServiceSpeeds,
+    speeds: speed_estimates.ServiceSpeeds,
 ) -> Loads:
     """Return the mean loads of the engines."""
     totals: dict[object, list[float]] = {}
@@ -194,7 +194,7 @@
     gap_target_s: float,
     prompt_tokens: int,
     tight_gap_s: float,
-    speeds: server_speeds.ServiceSpeeds,
+    speeds: speed_estimates.ServiceSpeeds,
 ) -> dict[Role, float]:
     """Return the cost of each role for a request.
 
@@ -233,7 +233,7 @@
 def view(
     engine: types.Engine,
     servers: list[types.BackendServer],
-    speeds: server_speeds.ServiceSpeeds,
+    speeds: speed_estimates.ServiceSpeeds,
 ) -> ServiceView:
     """Return what the choice needs of a service, until something changes."""
     server_roles = roles(engine, servers, speeds)
@@ -296,7 +296,7 @@
 def affinity_servers(
     part: str,
     servers: list[types.BackendServer],
-    speeds: server_speeds.ServiceSpeeds,
+    speeds: speed_estimates.ServiceSpeeds,
     engines: float,
 ) -> frozenset[str]:
     """Return where a shared prefix is cached: fast engines hold more.
