Write the counts of an ended window in one call

Cause: counts that are final were written at the next look, once a second, while nodes send theirs within 0.96 s. Most windows took two calls, which came beside the regular ones.

Ruled out: longer intervals of the regular writes.

Change: final counts wait until 1.1 s after the end of their window unless a regular write comes first. They are in the store 2.15 s after it at the latest, and summed after 2.5 s.

--- a/features/steps/store_call_steps.py
+++ b/features/steps/store_call_steps.py
@@ -2,11 +2,16 @@
 
 import json
 import math
+import random
 
 import behave
 
 from bilberryturn import rendezvous
+from bilberryturn.edge import usage_windows
+from bilberryturn.gateway import shared_state
+from bilberryturn.platform import rows
 from support import simulated_fleet
+from support import store_standin
 
 REQUESTS_PER_S = 60.0
 CRASH_INTERVAL_S = 4.0
@@ -342,3 +347,85 @@
     missing = set(range(first, last + 1)) - reported_s.keys()
     assert not missing, missing
     assert max(reported_s.values()) <= due_s, reported_s
+
+
+# Usage
+
+
+@behave.given(
+    "{count:d} nodes that send their last counts of a window within"
+    " {spread_s:g} s of its end"
+)
+def given_sealing(context, count, spread_s):
+    rng = random.Random(SEED)
+    context.sent_after_s = {
+        f"n{number}": rng.uniform(0.05, spread_s) for number in range(count)
+    }
+
+
+class _WindowEnd:
+    """A relay that gets and writes the counts of a window that has ended.
+
+    Attributes:
+        calls: Times of its calls to the store, from the end of the window.
+        written_s: Time at which the store had all counts.
+    """
+
+    WINDOW = 200
+
+    def __init__(self, sent_after_s, phase_s):
+        end_s = (self.WINDOW + 1) * simulated_fleet.WINDOW_S
+        standin = store_standin.MemoryStore()
+        client = store_standin.DirectClient(standin)
+        writer = usage_windows.CountWriter(
+            rows.RowStore(client), simulated_fleet.WINDOW_S
+        )
+        for lifetime in sent_after_s:
+            writer.update_usage(lifetime, self._counts(is_sealed=False))
+        writer.write(end_s - 0.01)
+        self.calls = []
+        self.written_s = None
+        for tenth in range(31):
+            after_s = tenth / 10
+            for lifetime, sent_s in sent_after_s.items():
+                if after_s >= sent_s:
+                    writer.update_usage(lifetime, self._counts(is_sealed=True))
+            if tenth % 10 == round(10 * phase_s):
+                version = standin.version
+                writer.write(
+                    end_s + after_s, usage_windows.MAX_WRITE_INTERVAL_S
+                )
+                if standin.version > version:
+                    self.calls.append(after_s)
+            found = standin.raw_rows(["usage"])
+            if self.written_s is None and all(
+                json.loads(value)["is_sealed"] for _, _, value in found
+            ):
+                self.written_s = after_s
+
+    def _counts(self, is_sealed):
+        counts = shared_state.WindowCounts({"shop": 1}, is_sealed)
+        return {self.WINDOW: counts}
+
+
+@behave.when(
+    "their relay looks once a second for what to write, at {count:d} phases"
+)
+def when_looks(context, count):
+    context.window_ends = [
+        _WindowEnd(context.sent_after_s, phase / count)
+        for phase in range(count)
+    ]
+
+
+@behave.then("it writes the ended window in one call")
+def then_one_call(context):
+    calls = [window_end.calls for window_end in context.window_ends]
+    assert all(len(found) == 1 for found in calls), calls
+
+
+@behave.then("it has written all counts before the window is summed")
+def then_written_in_time(context):
+    written = [window_end.written_s for window_end in context.window_ends]
+    assert None not in written, written
+    assert max(written) < usage_windows.SUM_DELAY_S, written
--- a/features/store_calls.feature
+++ b/features/store_calls.feature
@@ -65,3 +65,11 @@
     And 20 s pass
     Then it has read the lease at most 16 times since
     And each usage window that has ended has been reported in time
+
+  # Answers the load of a window's end, when nodes send their last counts one
+  # after the other, and relays wrote them in two calls.
+  Scenario: The counts of an ended window are written together
+    Given 14 nodes that send their last counts of a window within 1 s of its end
+    When their relay looks once a second for what to write, at 10 phases
+    Then it writes the ended window in one call
+    And it has written all counts before the window is summed
--- a/src/bilberryturn/edge/usage_windows.py
+++ b/src/bilberryturn/edge/usage_windows.py
@@ -39,6 +39,10 @@
 # tolerance of a report.
 MAX_WRITE_INTERVAL_S = 2.0
 WRITE_INTERVAL_PER_NODE_S = 0.125
+# Counts of an ended window are written together from this time after its end,
+# when all nodes have sent theirs (0.96 s). The write that follows within
+# duties.WRITE_INTERVAL_S is before SUM_DELAY_S.
+SEAL_WAIT_S = 1.1
 # Past windows that a new holder checks.
 LOOKBACK_WINDOWS = 3
 # Time after a restore of the store in which relays write their counts again.
@@ -117,8 +121,8 @@
 
         Args:
             now_s: Present time of day.
-            usage_interval_s: Usage of the current window is not written again
-                within this time; ended windows and reports always are.
+            usage_interval_s: Usage of a window is not written again within this
+                time until all nodes have sent theirs; reports always are.
         """
         includes_all = abs(now_s - self._usage_written_s) >= usage_interval_s
         with self._lock:
@@ -130,7 +134,7 @@
             keys = [
                 key
                 for key in sorted(self._dirty)
-                if includes_all or _is_final(self._counts[key])
+                if includes_all or self._is_due(key, now_s)
             ][:MAX_ROWS_PER_WRITE]
             writes = {key: self._counts[key] for key in keys}
         if not writes:
@@ -150,6 +154,14 @@
                 if self._counts.get(key) == found:
                     self._dirty.discard(key)
 
+    def _is_due(self, key: str, now_s: float) -> bool:
+        """Return whether a row is written although no usage is due."""
+        counts = self._counts[key]
+        if not isinstance(counts, shared_state.WindowCounts):
+            return True
+        ended = int((now_s - SEAL_WAIT_S) // self._window_s) - 1
+        return counts.is_sealed and key <= f"{_counts_prefix(ended)}\x7f"
+
     def _evict_old_windows(self, now_s: float) -> None:
         oldest = reported_windows.window_key(
             int(now_s // self._window_s) - RETAINED_WINDOWS
@@ -161,13 +173,6 @@
                 self._dirty.discard(key)
 
 
-def _is_final(counts: shared_state.WindowCounts | dict[str, int]) -> bool:
-    """Return whether counts are written without delay."""
-    if isinstance(counts, shared_state.WindowCounts):
-        return counts.is_sealed
-    return True
-
-
 class Reporter:
     """Closes windows and reports them while the lease is held."""
 
