Read once whether the first number of servers is recorded

Cause: the holder read the row in each step until the number of servers had settled.

Change: the holder remembers that the row was missing. The transaction that writes it checks that it still is; if it fails, the row is read again.

The scenario fails before and passes.

--- a/features/steps/store_call_steps.py
+++ b/features/steps/store_call_steps.py
@@ -1,15 +1,26 @@
 """Steps of store_calls.feature: calls of simulated nodes to the store."""
 
+import collections
 import json
 import math
 import random
+from unittest import mock
 
 import behave
+import expression
 
+from bilberryturn import leases
 from bilberryturn import rendezvous
+from bilberryturn.edge import duties
+from bilberryturn.edge import orders
 from bilberryturn.edge import usage_windows
 from bilberryturn.gateway import shared_state
+from bilberryturn.gateway import upstream
 from bilberryturn.platform import rows
+from bilberryturn.routing import table as route_tables
+from bilberryturn.routing import types
+from support import fakes
+from support import gateway_rig
 from support import simulated_fleet
 from support import store_standin
 
@@ -429,3 +440,104 @@
     written = [window_end.written_s for window_end in context.window_ends]
     assert None not in written, written
     assert max(written) < usage_windows.SUM_DELAY_S, written
+
+
+# Orders
+
+
+class _CountingClient(store_standin.DirectClient):
+    """Calls a store and counts the calls by path and table."""
+
+    def __init__(self, standin):
+        super().__init__(standin)
+        self.calls = collections.Counter()
+
+    def call(self, method, path, body=None):
+        table = "fleet" if "fleet" in f"{path}{body}" else ""
+        self.calls[path.partition("?")[0], table] += 1
+        return super().call(method, path, body)
+
+
+class _Holder:
+    """A holder of the lease that orders servers, and what it knows."""
+
+    def __init__(self, standin, clock, services):
+        self.client = _CountingClient(standin)
+        self.services = services
+        self._clock = clock
+        store = rows.RowStore(self.client)
+        self._lease = leases.Lease(
+            "duties", "a", simulated_fleet.LEASE, store, clock
+        )
+        self._shared = shared_state.SharedState(
+            "east",
+            shared_state.RetryLimits(0.2, 1, 10),
+            simulated_fleet.WINDOW_S,
+            upstream.ConnectionPool(),
+        )
+        scaling = types.Scaling(1, 9, 2.0, None, {})
+        self._shared.table = route_tables.RouteTable(
+            1,
+            [],
+            [types.Service(name, 100, None, scaling) for name in services],
+            types.Limits(),
+            None,
+        )
+        self._calls = mock.Mock()
+        self._calls.order_servers.return_value = expression.Ok(None)
+        self._orders = orders.OrderSender(
+            store, self._lease, self._calls, self._shared
+        )
+
+    def start_server(self, service, number):
+        """Let a server of a service start."""
+        server = gateway_rig.make_server(f"{service}-{number}", 80)
+        self._shared.directory.report(server._replace(service=service), 0.0)
+
+    def run(self, duration_s):
+        """Run the duty, and return the services with orders."""
+        for _ in range(int(duration_s / duties.STEP_INTERVAL_S)):
+            self._clock.now_s += duties.STEP_INTERVAL_S
+            self._lease.renew_or_acquire()
+            if self._lease.is_held():
+                self._orders.step(self._clock())
+        return {c.args[0] for c in self._calls.order_servers.call_args_list}
+
+
+@behave.given(
+    "a holder of the lease and {count:d} services whose servers start within"
+    " {duration_s:d} s"
+)
+def given_holder(context, count, duration_s):
+    context.standin = store_standin.MemoryStore()
+    context.clock = fakes.FakeClock()
+    services = [f"service-{number}" for number in range(count)]
+    context.holder = _Holder(context.standin, context.clock, services)
+    for number in range(duration_s):
+        for service in services:
+            context.holder.start_server(service, number)
+        context.holder.run(1.0)
+
+
+@behave.when("{duration_s:d} s pass for the holder")
+def when_passes_for_holder(context, duration_s):
+    context.ordered = context.holder.run(duration_s)
+
+
+@behave.then(
+    "it has read the first numbers {count:d} times and recorded them once each"
+)
+def then_read_once(context, count):
+    calls = context.holder.client.calls
+    assert calls["/rows-get", "fleet"] == count, calls
+    assert calls["/rows-tx", "fleet"] == count, calls
+    assert context.ordered == set(context.holder.services), context.ordered
+
+
+@behave.then("a holder that follows it orders by the recorded numbers")
+def then_follows(context):
+    services = context.holder.services
+    follower = _Holder(context.standin, context.clock, services)
+    ordered = follower.run(12.0)
+    assert ordered == set(services), ordered
+    assert follower.client.calls["/rows-tx", "fleet"] == 0
--- a/features/store_calls.feature
+++ b/features/store_calls.feature
@@ -73,3 +73,11 @@
     When their relay looks once a second for what to write, at 10 phases
     Then it writes the ended window in one call
     And it has written all counts before the window is summed
+
+  # Answers the load of a start, in which the holder read twice a second for each
+  # service whether the first number of its servers was recorded.
+  Scenario: The first number of servers is read once until it is recorded
+    Given a holder of the lease and 5 services whose servers start within 6 s
+    When 12 s pass for the holder
+    Then it has read the first numbers 5 times and recorded them once each
+    And a holder that follows it orders by the recorded numbers
--- a/src/bilberryturn/edge/orders.py
+++ b/src/bilberryturn/edge/orders.py
@@ -41,12 +41,15 @@
         self._shared = shared
         self._sent_orders = provisioning.SentOrders()
         self._baselines: dict[str, dict[str, int]] = {}
+        # Services whose baseline the store lacked when this holder read it.
+        self._unrecorded: set[str] = set()
         self._peak_sizes: dict[str, tuple[int, float]] = {}
         self._era = store.era
 
     def on_lease_lost(self) -> None:
         """Clear the sent orders; called while the lease is not held."""
         self._sent_orders.clear()
+        self._unrecorded.clear()
 
     def step(self, now_s: float) -> None:
         """Send the orders that are due."""
@@ -107,11 +110,15 @@
         if known is not None:
             return known
         key = BASELINE_PREFIX + service
-        found = self._store.read(key)
-        if found.is_error():
-            return {}
-        value = found.ok.value
+        value = None
+        if service not in self._unrecorded:
+            found = self._store.read(key)
+            if found.is_error():
+                return {}
+            value = found.ok.value
         if value is None:
+            # Only a holder writes it, and the transaction fails if one has.
+            self._unrecorded.add(service)
             value = {d: c.on_demand + c.cheap for d, c in counts.items()}
             if not self._is_settled(service, sum(value.values()), now_s):
                 return {}
@@ -119,7 +126,9 @@
                 {key: 0, **self._lease.epoch_check()}, {key: value}
             )
             if result.is_error() or isinstance(result.ok, tables.Aborted):
+                self._unrecorded.discard(service)
                 return {}
+        self._unrecorded.discard(service)
         self._baselines[service] = value
         return value
 
