--- a/features/steps/store_call_steps.py
+++ b/features/steps/store_call_steps.py
@@ -1,12 +1,28 @@
 """Steps of store_calls.feature: calls of simulated nodes to the store."""
 
+import collections
 import json
 import math
+import random
+from unittest import mock
 
 import behave
+import expression
 
+from bilberryturn import leases
 from bilberryturn import rendezvous
+from bilberryturn.edge import duties
+from bilberryturn.edge import orders
+from bilberryturn.edge import usage_windows
+from bilberryturn.gateway import shared_state
+from bilberryturn.gateway import upstream
+from bilberryturn.platform import rows
+from bilberryturn.routing import table as route_tables
+from bilberryturn.routing import types
+from support import fakes
+from support import gateway_rig
 from support import simulated_fleet
+from support import store_standin
 
 REQUESTS_PER_S = 60.0
 CRASH_INTERVAL_S = 4.0
@@ -342,3 +358,186 @@
     missing = set(range(first, last + 1)) - reported_s.keys()
     assert not missing, missing
     assert max(reported_s.values()) <= due_s, reported_s
+
+
+# Usage
+
+
+@behave.given(
+    "{count:d} nodes that send their last counts of a window within"
+    " {spread_s:g} s of its end"
+)
+def given_sealing(context, count, spread_s):
+    rng = random.Random(SEED)
+    context.sent_after_s = {
+        f"n{number}": rng.uniform(0.05, spread_s) for number in range(count)
+    }
+
+
+class _WindowEnd:
+    """A relay that gets and writes the counts of a window that has ended.
+
+    Attributes:
+        calls: Times of its calls to the store, from the end of the window.
+        written_s: Time at which the store had all counts.
+    """
+
+    WINDOW = 200
+
+    def __init__(self, sent_after_s, phase_s):
+        end_s = (self.WINDOW + 1) * simulated_fleet.WINDOW_S
+        standin = store_standin.MemoryStore()
+        client = store_standin.DirectClient(standin)
+        writer = usage_windows.CountWriter(
+            rows.RowStore(client), simulated_fleet.WINDOW_S
+        )
+        for lifetime in sent_after_s:
+            writer.update_usage(lifetime, self._counts(is_sealed=False))
+        writer.write(end_s - 0.01)
+        self.calls = []
+        self.written_s = None
+        for tenth in range(31):
+            after_s = tenth / 10
+            for lifetime, sent_s in sent_after_s.items():
+                if after_s >= sent_s:
+                    writer.update_usage(lifetime, self._counts(is_sealed=True))
+            if tenth % 10 == round(10 * phase_s):
+                version = standin.version
+                writer.write(
+                    end_s + after_s, usage_windows.MAX_WRITE_INTERVAL_S
+                )
+                if standin.version > version:
+                    self.calls.append(after_s)
+            found = standin.raw_rows(["usage"])
+            if self.written_s is None and all(
+                json.loads(value)["is_sealed"] for _, _, value in found
+            ):
+                self.written_s = after_s
+
+    def _counts(self, is_sealed):
+        counts = shared_state.WindowCounts({"shop": 1}, is_sealed)
+        return {self.WINDOW: counts}
+
+
+@behave.when(
+    "their relay looks once a second for what to write, at {count:d} phases"
+)
+def when_looks(context, count):
+    context.window_ends = [
+        _WindowEnd(context.sent_after_s, phase / count)
+        for phase in range(count)
+    ]
+
+
+@behave.then("it writes the ended window in one call")
+def then_one_call(context):
+    calls = [window_end.calls for window_end in context.window_ends]
+    assert all(len(found) == 1 for found in calls), calls
+
+
+@behave.then("it has written all counts before the window is summed")
+def then_written_in_time(context):
+    written = [window_end.written_s for window_end in context.window_ends]
+    assert None not in written, written
+    assert max(written) < usage_windows.SUM_DELAY_S, written
+
+
+# Orders
+
+
+class _CountingClient(store_standin.DirectClient):
+    """Calls a store and counts the calls by path and table."""
+
+    def __init__(self, standin):
+        super().__init__(standin)
+        self.calls = collections.Counter()
+
+    def call(self, method, path, body=None):
+        table = "fleet" if "fleet" in f"{path}{body}" else ""
+        self.calls[path.partition("?")[0], table] += 1
+        return super().call(method, path, body)
+
+
+class _Holder:
+    """A holder of the lease that orders servers, and what it knows."""
+
+    def __init__(self, standin, clock, services):
+        self.client = _CountingClient(standin)
+        self.services = services
+        self._clock = clock
+        store = rows.RowStore(self.client)
+        self._lease = leases.Lease(
+            "duties", "a", simulated_fleet.LEASE, store, clock
+        )
+        self._shared = shared_state.SharedState(
+            "east",
+            shared_state.RetryLimits(0.2, 1, 10),
+            simulated_fleet.WINDOW_S,
+            upstream.ConnectionPool(),
+        )
+        scaling = types.Scaling(1, 9, 2.0, None, {})
+        self._shared.table = route_tables.RouteTable(
+            1,
+            [],
+            [types.Service(name, 100, None, scaling) for name in services],
+            types.Limits(),
+            None,
+        )
+        self._calls = mock.Mock()
+        self._calls.order_servers.return_value = expression.Ok(None)
+        self._orders = orders.OrderSender(
+            store, self._lease, self._calls, self._shared
+        )
+
+    def start_server(self, service, number):
+        """Let a server of a service start."""
+        server = gateway_rig.make_server(f"{service}-{number}", 80)
+        self._shared.directory.report(server._replace(service=service), 0.0)
+
+    def run(self, duration_s):
+        """Run the duty, and return the services with orders."""
+        for _ in range(int(duration_s / duties.STEP_INTERVAL_S)):
+            self._clock.now_s += duties.STEP_INTERVAL_S
+            self._lease.renew_or_acquire()
+            if self._lease.is_held():
+                self._orders.step(self._clock())
+        return {c.args[0] for c in self._calls.order_servers.call_args_list}
+
+
+@behave.given(
+    "a holder of the lease and {count:d} services whose servers start within"
+    " {duration_s:d} s"
+)
+def given_holder(context, count, duration_s):
+    context.standin = store_standin.MemoryStore()
+    context.clock = fakes.FakeClock()
+    services = [f"service-{number}" for number in range(count)]
+    context.holder = _Holder(context.standin, context.clock, services)
+    for number in range(duration_s):
+        for service in services:
+            context.holder.start_server(service, number)
+        context.holder.run(1.0)
+
+
+@behave.when("{duration_s:d} s pass for the holder")
+def when_passes_for_holder(context, duration_s):
+    context.ordered = context.holder.run(duration_s)
+
+
+@behave.then(
+    "it has read the first numbers {count:d} times and recorded them once each"
+)
+def then_read_once(context, count):
+    calls = context.holder.client.calls
+    assert calls["/rows-get", "fleet"] == count, calls
+    assert calls["/rows-tx", "fleet"] == count, calls
+    assert context.ordered == set(context.holder.services), context.ordered
+
+
+@behave.then("a holder that follows it orders by the recorded numbers")
+def then_follows(context):
+    services = context.holder.services
+    follower = _Holder(context.standin, context.clock, services)
+    ordered = follower.run(12.0)
+    assert ordered == set(services), ordered
+    assert follower.client.calls["/rows-tx", "fleet"] == 0
