Let requests wait for the state of a node that has just started

The callers come back after the Retry-After at another node that has just started too.

Change: a request waits until configuration and servers were read, for at most 1.5 s and 0.4 of its time limit, in the first 5 s after the node began to listen; then it is admitted as any other, or refused with no_configuration. It is woken by what the relay client and the followers deliver. Its bytes count as held in the account of memory and give way by size. Event 1219, `waited_s` in 1302, a histogram.

Ruled out: listening later, which refuses connections instead; a callback in feeds.py and config_feed.py, as the node can wrap what it gives the followers.

--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -1,6 +1,7 @@
 """Run one gateway node: caller server, store access, duties and signals."""
 
 import asyncio
+from collections.abc import Callable
 import concurrent.futures
 import secrets
 import signal
@@ -106,6 +107,7 @@
         # Blocked by the start script, and so in all threads started until now;
         # those that are pending are handled now.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+        self.shared.arrival.begin(time.monotonic())
         await self._listen()
         events.log(
             events.NODE_STARTED,
@@ -154,7 +156,7 @@
                 wait_s,
                 pause_s,
                 settings.ip,
-                store_followers.on_loop(loop, apply),
+                store_followers.on_loop(loop, self._applied(apply)),
                 self._era_tracker,
             )
             for table, wait_s, pause_s, apply in (
@@ -191,7 +193,9 @@
             self._clock,
             followers,
             self._applier.known,
-            store_followers.on_loop(loop, self._applier.apply_peer_state),
+            store_followers.on_loop(
+                loop, self._applied(self._applier.apply_peer_state)
+            ),
             node_presence.first_read,
             (
                 relays.FIRST_START_WAITS
@@ -386,6 +390,18 @@
         self.shared.retain_servers({s.lifetime for s in servers})
         self._callers.update_memory()
 
+    def _applied(self, apply: Callable[..., None]) -> Callable[..., None]:
+        """Return a function that makes applied state known at once.
+
+        Requests that wait for it don't wait for a tick.
+        """
+
+        def call(*arguments) -> None:
+            apply(*arguments)
+            self.shared.record_arrival()
+
+        return call
+
     def _update_readiness(self) -> None:
         is_ready = (
             self.shared.table is not None
--- a/src/bilberryturn/events.py
+++ b/src/bilberryturn/events.py
@@ -55,6 +55,7 @@
 CLOCK_OFFSET_SET = Event(1212, "clock_offset_set", logging.INFO)
 PERMIT_NOT_ANSWERED = Event(1213, "permit_not_answered", logging.WARNING)
 STORE_RESTORED = Event(1214, "store_restored", logging.WARNING)
+STATE_ARRIVED = Event(1219, "state_arrived", logging.INFO)
 
 REQUEST_REFUSED = Event(1301, "request_refused", logging.INFO)
 REQUEST_ENDED = Event(1302, "request_ended", logging.INFO)
--- a/src/bilberryturn/gateway/delivery.py
+++ b/src/bilberryturn/gateway/delivery.py
@@ -45,6 +45,15 @@
     body: bytes
     arrived_s: float
 
+    def size_bytes(self) -> int:
+        """Return the size of its target, its headers and its body."""
+        headers = self.headers.forwarded
+        return (
+            len(self.target)
+            + len(self.body)
+            + sum(len(name) + len(value) for name, value in headers)
+        )
+
 
 class Delivery:
     """Delivers the response of one request over all its attempts.
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -10,10 +10,12 @@
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import outcomes
 from bilberryturn.gateway import shared_state
+from bilberryturn.gateway import state_arrival
 from bilberryturn.routing import choice
 from bilberryturn.routing import crash_causes
 from bilberryturn.routing import request_names
 from bilberryturn.routing import table as route_tables
+from bilberryturn.routing import types
 
 # Shortest remaining time in which a request is sent to a server.
 MIN_ATTEMPT_S = 0.05
@@ -52,6 +54,8 @@
         # Kept for the log, which covers refused requests too.
         self._route_name: str | None = None
         self._account_name: str | None = None
+        # Time for which the request waited for the state of the node.
+        self._waited_s: float | None = None
 
     async def run(self) -> None:
         """Respond to the request; cancelling it releases its resources."""
@@ -87,11 +91,63 @@
         return True
 
     async def _run(self) -> tuple[int, str]:
-        refusal = self._admit()
+        refusal = await self._wait_for_state() or self._admit()
         if refusal is not None:
             return self._refuse(refusal)
         return await self._serve()
 
+    async def _wait_for_state(self) -> outcomes.Refusal | None:
+        """Wait for the state of a node that starts; returns a refusal, if any.
+
+        The request isn't admitted before both parts are known, so that what
+        arrives with them counts too, such as reports on crashes.
+        """
+        shared = self._shared
+        if not shared.arrival.is_open(time.monotonic()):
+            return None
+        try:
+            outcome = await self._wait_for(state_arrival.Part.CONFIG, None)
+            if outcome is state_arrival.Outcome.KNOWN:
+                route = self._find_route(shared.table)
+                outcome = await self._wait_for(
+                    state_arrival.Part.SERVERS, route
+                )
+        finally:
+            self._waited_s = round(
+                time.monotonic() - self._incoming.arrived_s, 3
+            )
+        if outcome is state_arrival.Outcome.KNOWN:
+            return None
+        if outcome is state_arrival.Outcome.NO_ROOM:
+            return outcomes.NODE_FULL
+        return outcomes.NO_CONFIG
+
+    async def _wait_for(
+        self, part: state_arrival.Part, route: types.Route | None
+    ) -> state_arrival.Outcome:
+        incoming = self._incoming
+        return await self._shared.arrival.wait(
+            part,
+            state_arrival.wait_until_s(
+                incoming.arrived_s, self._timeout_s(route)
+            ),
+            state_arrival.REQUEST_BYTES + incoming.size_bytes(),
+        )
+
+    def _find_route(self, table: route_tables.RouteTable) -> types.Route | None:
+        target = self._incoming.target.decode("latin-1")
+        return table.find_route(
+            self._incoming.headers.host, target.partition("?")[0]
+        )
+
+    def _timeout_s(self, route: types.Route | None) -> float | None:
+        """Return the time limit of the request, None if none is known."""
+        limits_s = (
+            route.timeout_s if route else None,
+            self._incoming.headers.caller_timeout_s,
+        )
+        return min((x for x in limits_s if x is not None), default=None)
+
     def _admit(self) -> outcomes.Refusal | None:
         """Route and authenticate the request; returns a refusal, if any."""
         shared, incoming = self._shared, self._incoming
@@ -100,7 +156,7 @@
             return outcomes.NO_CONFIG
         headers = incoming.headers
         target = incoming.target.decode("latin-1")
-        route = table.find_route(headers.host, target.partition("?")[0])
+        route = self._find_route(table)
         if route is None:
             return outcomes.NO_ROUTE
         account = table.find_account(headers.key)
@@ -108,10 +164,7 @@
             return outcomes.BAD_KEY
         self._route_name = route.name
         self._account_name = account.name if account else None
-        timeout_s = route.timeout_s
-        if headers.caller_timeout_s is not None:
-            timeout_s = min(timeout_s, headers.caller_timeout_s)
-        deadline_s = incoming.arrived_s + timeout_s
+        deadline_s = incoming.arrived_s + self._timeout_s(route)
         now_s = time.monotonic()
         if shared.drain and not shared.drain.accepts(now_s, deadline_s):
             return outcomes.NODE_STOPPING
@@ -352,6 +405,7 @@
             is_framed=attempt.is_framed if attempt else None,
             move=attempt.move_state() if attempt else None,
             duration_s=round(duration_s, 4),
+            waited_s=self._waited_s,
             config=shared.table.version if shared.table else None,
             config_age_s=shared.config_age_s(),
             servers_age_s=shared.servers_age_s(),
--- a/src/bilberryturn/gateway/outcomes.py
+++ b/src/bilberryturn/gateway/outcomes.py
@@ -38,7 +38,8 @@
 NO_CONFIG = Refusal(
     503,
     "no_configuration",
-    "This node has not read its configuration yet; send the request again",
+    "This node has not read its configuration or the servers yet; the request"
+    " has not run, send it again",
     0.5,
 )
 NO_ROUTE = Refusal(
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -14,6 +14,7 @@
 from bilberryturn.gateway import memory
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import permits
+from bilberryturn.gateway import state_arrival
 from bilberryturn.gateway import upstream
 from bilberryturn.routing import budget
 from bilberryturn.routing import choice
@@ -138,6 +139,7 @@
             seconds.
         drain_s: Time for which leaving servers go on at least, in seconds.
         memory: Account of the bytes that requests hold.
+        arrival: Lets requests wait for the state of a node that starts.
     """
 
     def __init__(
@@ -167,6 +169,7 @@
         self.usage = UsageCounts(usage_window_s, time_of_day)
         self.pool = pool
         self.memory = memory.MemoryAccount(memory.limit_bytes(memory_mb))
+        self.arrival = state_arrival.StateArrival(self.memory)
         self.drain: drain.Drain | None = None
         self.is_cut = False
         self.config_confirmed_s: float | None = None
@@ -180,6 +183,19 @@
         """Return whether the node is shutting down."""
         return self.drain is not None
 
+    def record_arrival(self) -> None:
+        """Wake the requests that wait for what the node now knows.
+
+        A server list that was read counts as known even if it is empty.
+        """
+        parts = (
+            (state_arrival.Part.CONFIG, self.table),
+            (state_arrival.Part.SERVERS, self.servers_confirmed_s),
+        )
+        self.arrival.update(
+            {part for part, value in parts if value is not None}
+        )
+
     def age_at_stop_s(self, arrived_s: float) -> float | None:
         """Return how long before the shutdown's start a request arrived.
 
--- a/src/bilberryturn/metrics.py
+++ b/src/bilberryturn/metrics.py
@@ -80,6 +80,14 @@
         "bilberryturn_retries_total", "Attempts after the first, by reason."
     )
 )
+START_WAIT_S = _register(
+    aioprometheus.Histogram(
+        "bilberryturn_start_wait_seconds",
+        "Time for which requests waited for the state of a starting node, by"
+        " part of it and outcome.",
+        buckets=LATENCY_BUCKETS_S,
+    )
+)
 RECLAIMED_BYTES = _register(
     aioprometheus.Counter(
         "bilberryturn_reclaimed_bytes_total",
