Let the readiness follow the arrival of the state at once

Cause: it was updated by the tick of 0.25 s only, so that a balancer learned up to 0.25 s late that a node has its state, or that it has no server left.

Change: the node updates it whenever the state of a peer or of the store was applied, on the event loop. The tick still does, for what expires.

Result: "The readiness follows what a node reads without a tick" fails without the change and passes with it; in the scenario with a process the node was ready in the turn of the event loop in which its state arrived.

--- a/features/starting_node.feature
+++ b/features/starting_node.feature
@@ -86,9 +86,18 @@
     Then the requests that did not give way go on
     And the account is empty
 
+  # Guards against a readiness that is late by a tick, and a balancer with it.
+  Scenario: The readiness follows what a node reads without a tick
+    Given a node of the gateway that has started
+    When the node reads its configuration and one server
+    Then the node says that it is ready
+    When the node reads that there is no server any more
+    Then the node says that it is not ready
+
   # Guards against a wake-up that isn't wired to what a node reads.
   Scenario: A process that starts again serves the requests that it gets meanwhile
     Given a node process whose store takes 0.1 s for each answer
     When it is killed and starts again, and 20 callers send requests as soon as it listens
     Then all of them get the whole answer
     And some of them waited for the state
+    And the node was ready as soon as the state had arrived
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -393,12 +393,13 @@
     def _applied(self, apply: Callable[..., None]) -> Callable[..., None]:
         """Return a function that makes applied state known at once.
 
-        Requests that wait for it don't wait for a tick.
+        Requests that wait for it and the readiness don't wait for a tick.
         """
 
         def call(*arguments) -> None:
             apply(*arguments)
             self.shared.record_arrival()
+            self._update_readiness()
 
         return call
 
