--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -103,7 +103,8 @@
         arrives with them counts too, such as reports on crashes.
         """
         shared = self._shared
-        if not shared.arrival.is_open(time.monotonic()):
+        began_s = time.monotonic()
+        if not shared.arrival.is_open(began_s):
             return None
         try:
             outcome = await self._wait_for(state_arrival.Part.CONFIG, None)
@@ -113,9 +114,7 @@
                     state_arrival.Part.SERVERS, route
                 )
         finally:
-            self._waited_s = round(
-                time.monotonic() - self._incoming.arrived_s, 3
-            )
+            self._waited_s = round(time.monotonic() - began_s, 3)
         if outcome is state_arrival.Outcome.KNOWN:
             return None
         if outcome is state_arrival.Outcome.NO_ROOM:
