Let a starting node read all tables at once if the store has just answered it

Change: if the store has answered the node's first call, the read of the nodes, the first step of the relay client activates all followers. The calls are the same; a store that doesn't answer the first call is tried by one follower, as before.

Result: the scenario "What a node without a relay reads first if the store answers" fails without the change and passes with it; the one for a store that doesn't answer passes with and without it.

--- a/features/starting_node.feature
+++ b/features/starting_node.feature
@@ -101,3 +101,14 @@
     Then all of them get the whole answer
     And some of them waited for the state
     And the node was ready as soon as the state had arrived
+
+  # Guards against a configuration that is read one call late, and against calls of
+  # three followers to a store that is away.
+  Scenario Outline: What a node without a relay reads first if the store <answers>
+    When a node starts again and the store <answers> its first call
+    Then it reads <tables> at once
+
+    Examples:
+      | answers        | tables                |
+      | answers        | servers, op, suspects |
+      | doesn't answer | servers               |
--- a/features/steps/starting_node_steps.py
+++ b/features/steps/starting_node_steps.py
@@ -4,24 +4,33 @@
 import json
 import random
 import signal
+import threading
 import time
 from unittest import mock
 
 import behave
 
+from bilberryturn import leases
+from bilberryturn.edge import duties
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers
+from bilberryturn.edge import intervals
 from bilberryturn.edge import peer_state
+from bilberryturn.edge import presence
+from bilberryturn.edge import relays
+from bilberryturn.edge import shared_clock
 from bilberryturn.gateway import drain
 from bilberryturn.gateway import memory
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import state_arrival
 from bilberryturn.platform import rows
+from bilberryturn.platform import store_era
 from bilberryturn_standins import proxy
 from soak import testbed as testbed_module
 from support import gateway_rig
 from support import platform_data
 from support import scripted
+from support import store_standin
 
 WHOLE = b"answer"
 KB = 1024
@@ -29,6 +38,7 @@
 # Longer than a refused request may have waited.
 LATE_S = 6.0
 LONG_S = 20
+LEASE = leases.LeaseOptions(3.0, 0.5)
 
 
 def _start_rig(context, began_s=None):
@@ -391,3 +401,99 @@
     # The requests that waited end in later turns of the event loop.
     between = found[arrived_index:ready_index]
     assert between and "request_ended" not in between, found
+
+
+# What a starting node calls
+
+
+class _RecordingClient(store_standin.DirectClient):
+    """Records the paths of its calls."""
+
+    def __init__(self, standin):
+        super().__init__(standin)
+        self.calls = []
+
+    def call(self, method, path, body=None):
+        self.calls.append(path.partition("?")[0].strip("/"))
+        return super().call(method, path, body)
+
+
+OWN_ADDRESS = "10.0.0.1:1"
+OWN_ROWS = {
+    "stands": OWN_ADDRESS,
+    "is missing": None,
+    "has another address": "10.0.0.2:1",
+}
+
+
+@behave.given("a store in which the row of a node {row}")
+def given_own_row(context, row):
+    context.standin = store_standin.MemoryStore()
+    context.copy = context.standin.copy()
+    if OWN_ROWS[row] is not None:
+        context.standin.put("nodes", "east.n1", OWN_ROWS[row])
+
+
+@behave.when("the node starts again and its duties take their first step")
+def when_first_step(context):
+    context.client = _RecordingClient(context.standin)
+    store = rows.RowStore(context.client, era_tracker=store_era.EraTracker())
+    context.presence = presence.Presence(store, "n1", "east", OWN_ADDRESS, ())
+    lease = leases.Lease("duties", "n1", LEASE, store)
+    duties.DutyRunner(
+        lease, LEASE.ttl_s, context.presence, lambda _: None, None, None, False,
+        lambda: False, shared_clock.SharedClock(), None,
+    )._step()  # fmt: skip
+
+
+@behave.then("it calls {calls}")
+def then_calls(context, calls):
+    assert context.client.calls == calls.split(", then "), context.client.calls
+    assert context.presence.count() == 1
+
+
+@behave.then("its row stands in the store")
+def then_row(context):
+    found = context.standin.value("nodes", "east.n1")
+    assert found == OWN_ADDRESS, found
+
+
+@behave.then("its row stands in the store again after a restore that lost it")
+def then_row_again(context):
+    context.standin.restore(context.copy)
+    # Any answer shows the new era.
+    context.presence.read()
+    context.presence.register()
+    then_row(context)
+
+
+@behave.when("a node starts again and the store {answers} its first call")
+def when_reads_first(context, answers):
+    tables = (rows.SERVER_TABLE, rows.OPERATOR_TABLE, rows.SUSPECT_TABLE)
+    context.followers = {
+        table: followers.Follower(table, "127.0.0.1:9", 0.0, 0.2, "", None)
+        for table in tables
+    }
+    # The node does not rank first, and its relay is not there.
+    relay = "127.0.0.1:9"
+    own = next(
+        own
+        for number in range(1, 100)
+        if relays.candidates(own := f"10.0.0.{number}:1", {relay}, "east")
+    )
+    peers_known, stopping = threading.Event(), threading.Event()
+    peers_known.set()
+    client = relays.RelayClient(
+        "n1", own, "east", "", intervals.from_bounds(5.0, 5.0, 5.0),
+        lambda: [relay], list, dict, dict, shared_clock.SharedClock(),
+        list(context.followers.values()), lambda: peer_state.Known(""), None,
+        peers_known, relays.RESTART_WAITS, None, lambda: answers == "answers",
+    )  # fmt: skip
+    with mock.patch.object(client, "_pause_s", lambda: stopping.set() or 0.0):
+        client.run(stopping)
+
+
+@behave.then("it reads {tables} at once")
+def then_reads_tables(context, tables):
+    found = [t for t, f in context.followers.items() if f.active.is_set()]
+    assert found == tables.split(", "), found
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -203,6 +203,7 @@
                 else relays.RESTART_WAITS
             ),
             self._era_tracker,
+            lambda: node_presence.has_reached_store,
         )
         self._duty_runner = self._create_duty_runner(
             store, node_presence, relay
--- a/src/bilberryturn/edge/presence.py
+++ b/src/bilberryturn/edge/presence.py
@@ -46,6 +46,8 @@
         self._deliver = deliver
         # Set after the first attempt to read the nodes.
         self.first_read = threading.Event()
+        # Whether the last attempt succeeded.
+        self.has_reached_store = False
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the peers from the settings."""
@@ -65,6 +67,7 @@
     def read(self) -> None:
         """Read the rows of all nodes."""
         result = self._store.scan(NODE_PREFIX)
+        self.has_reached_store = result.is_ok()
         if result.is_ok():
             nodes = {
                 row.key: row.value
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -136,6 +136,7 @@
         peers_known: threading.Event,
         start_waits: StartWaits,
         era_tracker: store_era.EraTracker | None = None,
+        is_store_reached: Callable[[], bool] = lambda: False,
     ):
         """Initialize the client.
 
@@ -159,6 +160,8 @@
                 or cannot be read.
             start_waits: How long to wait for peers and a relay at the start.
             era_tracker: Era of the store, shared by all clients of this node.
+            is_store_reached: Returns whether the store has answered the first
+                call for the other nodes.
         """
         self._era_tracker = era_tracker or store_era.EraTracker()
         self._lifetime = lifetime
@@ -187,6 +190,10 @@
         self._is_last = False
         self._has_had_relay = False
         self._start_wait_until_s = 0.0
+        self._is_store_reached = is_store_reached
+        # Whether the store has just answered this starting node, so that no
+        # follower has to try for the others.
+        self._has_store_answered = False
         for follower in followers:
             follower.pause()
 
@@ -204,9 +211,11 @@
         """Poll until the node stops."""
         self._peers_known.wait(self._start_waits.peers_s)
         self._start_wait_until_s = time.monotonic() + self._start_waits.relay_s
+        self._has_store_answered = self._is_store_reached()
         while not stopping.is_set():
             try:
                 self._step()
+                self._has_store_answered = False
             except Exception as error:
                 # The followers read the store until the next poll succeeds.
                 self._set_reads_store(True, is_relay=False)
@@ -279,6 +288,9 @@
             and first.outage.is_within(RETURN_WAIT_S)
         )
         first.set_dependents(() if waits else tuple(others))
+        if self._has_store_answered:
+            for follower in others:
+                follower.activate()
 
     def _is_store_unreachable(self) -> bool:
         return any(
