Read the nodes before registering, and spare a registration that stands

Cause: a node that starts again writes its row, waits for the answer and only then reads the rows of the others, for which its relay client waits. The row of its last start stands nearly always.

Change: the read comes first. If it shows the own row with the own address, the row counts as written in the era of that answer, so that a restore still leads to another write. The node counts itself among the nodes it has read.

--- a/features/starting_node.feature
+++ b/features/starting_node.feature
@@ -102,6 +102,21 @@
     And some of them waited for the state
     And the node was ready as soon as the state had arrived
 
+  # Guards against calls that a starting node makes, and waits for, in vain; and
+  # against a row that is missing after it was taken for written.
+  Scenario Outline: The first calls of a node that starts again and whose row <row>
+    Given a store in which the row of a node <row>
+    When the node starts again and its duties take their first step
+    Then it calls <calls>
+    And its row stands in the store
+    And its row stands in the store again after a restore that lost it
+
+    Examples:
+      | row                 | calls                  |
+      | stands              | rows-get               |
+      | is missing          | rows-get, then rows-tx |
+      | has another address | rows-get, then rows-tx |
+
   # Guards against a configuration that is read one call late, and against calls of
   # three followers to a store that is away.
   Scenario Outline: What a node without a relay reads first if the store <answers>
--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -147,12 +147,18 @@
             self._orders.step(now_s)
 
     def _update_presence(self, now_s: float) -> None:
-        """Register this node; read the others unless a relay delivers them."""
+        """Read the others unless a relay delivers them; register this node.
+
+        The relay client of a node that starts again waits for the first read,
+        which also shows whether the node is registered already.
+        """
+        if now_s >= self._next_presence_read_s:
+            self._read_presence(now_s)
         if now_s >= self._next_registration_s:
             self._next_registration_s = now_s + SECOND_REFRESH_DELAY_S
             self._node_presence.register()
-        if now_s < self._next_presence_read_s:
-            return
+
+    def _read_presence(self, now_s: float) -> None:
         is_first = not self._node_presence.first_read.is_set()
         if not is_first and not self._reads_store():
             return
--- a/src/bilberryturn/edge/presence.py
+++ b/src/bilberryturn/edge/presence.py
@@ -6,6 +6,8 @@
 from bilberryturn import leases
 from bilberryturn import rendezvous
 from bilberryturn.platform import rows
+from bilberryturn.platform import store_era
+from bilberryturn.platform import tables
 
 # Key prefix of the nodes' rows in the system's own tables.
 NODE_PREFIX = "nodes/"
@@ -65,7 +67,7 @@
         self._written_era = self._store.era
 
     def read(self) -> None:
-        """Read the rows of all nodes."""
+        """Read the rows of all nodes; this one need not be registered yet."""
         result = self._store.scan(NODE_PREFIX)
         self.has_reached_store = result.is_ok()
         if result.is_ok():
@@ -74,6 +76,8 @@
                 for row in result.ok
                 if isinstance(row.value, str)
             }
+            self._recognize_own_row(result.ok)
+            nodes[self._key] = self.own_address
             with self._lock:
                 if self._is_recently_restored():
                     nodes = {**nodes, **self._nodes}
@@ -82,6 +86,18 @@
                 self._deliver(nodes)
         self.first_read.set()
 
+    def _recognize_own_row(self, found: list[tables.Row]) -> None:
+        """Save the call that would write the row of an earlier start again."""
+        for row in found:
+            if row.key != self._key or row.value != self.own_address:
+                continue
+            self._is_written = True
+            self._written_era = (
+                row.version.era
+                if isinstance(row.version, store_era.RowVersion)
+                else None
+            )
+
     def _is_recently_restored(self) -> bool:
         """Return whether the store may lack rows that are written again."""
         if not self._store.has_seen_restore:
