--- a/src/bilberryturn/edge/duties.py
+++ b/src/bilberryturn/edge/duties.py
@@ -147,9 +147,10 @@
             self._orders.step(now_s)
 
     def _update_presence(self, now_s: float) -> None:
-        """Read the nodes unless a relay delivers them; register this one.
+        """Read the others unless a relay delivers them; register this node.
 
-        A node that starts again reads first, as its row mostly still stands.
+        The relay client of a node that starts again waits for the first read,
+        which also shows whether the node is registered already.
         """
         if now_s >= self._next_presence_read_s:
             self._read_presence(now_s)
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -1,6 +1,7 @@
 """Run one gateway node: caller server, store access, duties and signals."""
 
 import asyncio
+from collections.abc import Callable
 import concurrent.futures
 import secrets
 import signal
@@ -108,6 +109,7 @@
         # Blocked by the start script, and so in all threads started until now;
         # those that are pending are handled now.
         signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+        self.shared.arrival.begin(time.monotonic())
         await self._listen()
         events.log(
             events.NODE_STARTED,
@@ -160,7 +162,7 @@
                 wait_s,
                 pause_s,
                 settings.ip,
-                store_followers.on_loop(loop, apply),
+                store_followers.on_loop(loop, self._applied(apply)),
                 self._era_tracker,
             )
             for table, wait_s, pause_s, apply in (
@@ -197,7 +199,9 @@
             self._clock,
             followers,
             self._applier.known,
-            store_followers.on_loop(loop, self._applier.apply_peer_state),
+            store_followers.on_loop(
+                loop, self._applied(self._applier.apply_peer_state)
+            ),
             node_presence.first_read,
             (
                 relays.FIRST_START_WAITS
@@ -206,6 +210,7 @@
             ),
             self._era_tracker,
             lambda: self.shared.server_speeds.own_samples(time.monotonic()),
+            lambda: node_presence.has_reached_store,
         )
         self._duty_runner = self._create_duty_runner(
             store, node_presence, relay
@@ -426,6 +431,19 @@
                 count,
             )
 
+    def _applied(self, apply: Callable[..., None]) -> Callable[..., None]:
+        """Return a function that makes applied state known at once.
+
+        Requests that wait for it and the readiness don't wait for a tick.
+        """
+
+        def call(*arguments) -> None:
+            apply(*arguments)
+            self.shared.record_arrival()
+            self._update_readiness()
+
+        return call
+
     def _update_readiness(self) -> None:
         is_ready = (
             self.shared.table is not None
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -150,6 +150,7 @@
         start_waits: StartWaits,
         era_tracker: store_era.EraTracker | None = None,
         speed_samples: Callable[[], dict[str, list[int]]] = dict,
+        is_store_reached: Callable[[], bool] = lambda: False,
     ):
         """Initialize the client.
 
@@ -174,6 +175,8 @@
             start_waits: How long to wait for peers and a relay at the start.
             era_tracker: Era of the store, shared by all clients of this node.
             speed_samples: Takes what this node measured of the servers.
+            is_store_reached: Returns whether the store has answered the first
+                call for the other nodes.
         """
         self._era_tracker = era_tracker or store_era.EraTracker()
         self._lifetime = lifetime
@@ -204,6 +207,10 @@
         self._has_had_relay = False
         self._start_wait_until_s = 0.0
         self._start_phase_until_s = 0.0
+        self._is_store_reached = is_store_reached
+        # Whether the store has just answered this starting node, so that no
+        # follower has to try for the others.
+        self._has_store_answered = False
         for follower in followers:
             follower.pause()
 
@@ -221,9 +228,11 @@
         """Poll until the node stops."""
         self._peers_known.wait(self._start_waits.peers_s)
         self.begin()
+        self._has_store_answered = self._is_store_reached()
         while not stopping.is_set():
             try:
                 self._step()
+                self._has_store_answered = False
             except Exception as error:
                 # The followers read the store until the next poll succeeds.
                 self._set_reads_store(True, is_relay=False)
@@ -310,6 +319,9 @@
             and first.outage.is_within(RETURN_WAIT_S)
         )
         first.set_dependents(() if waits else tuple(others))
+        if self._has_store_answered:
+            for follower in others:
+                follower.activate()
 
     def _is_store_unreachable(self) -> bool:
         return any(
