--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -99,45 +99,30 @@
     async def _wait_for_state(self) -> outcomes.Refusal | None:
         """Wait for the state of a node that starts; returns a refusal, if any.
 
-        The request isn't admitted before both parts are known, so that what
-        arrives with them counts too, such as reports on crashes.
+        It comes before the admission, for which all that arrives counts.
         """
         shared = self._shared
         began_s = time.monotonic()
         if not shared.arrival.is_open(began_s):
             return None
+        incoming = self._incoming
         try:
-            outcome = await self._wait_for(state_arrival.Part.CONFIG, None)
-            if outcome is state_arrival.Outcome.KNOWN:
-                route = self._find_route(shared.table)
-                outcome = await self._wait_for(
-                    state_arrival.Part.SERVERS, route
-                )
+            outcome = await shared.arrival.wait_for_all(
+                incoming.arrived_s,
+                lambda: self._timeout_s(self._find_route()),
+                incoming.size_bytes(),
+            )
         finally:
             self._waited_s = round(time.monotonic() - began_s, 3)
-        if outcome is state_arrival.Outcome.KNOWN:
-            return None
-        if outcome is state_arrival.Outcome.NO_ROOM:
-            return outcomes.NODE_FULL
-        return outcomes.NO_CONFIG
-
-    async def _wait_for(
-        self, part: state_arrival.Part, route: types.Route | None
-    ) -> state_arrival.Outcome:
-        incoming = self._incoming
-        return await self._shared.arrival.wait(
-            part,
-            state_arrival.wait_until_s(
-                incoming.arrived_s, self._timeout_s(route)
-            ),
-            state_arrival.REQUEST_BYTES + incoming.size_bytes(),
-        )
+        return state_arrival.REFUSALS.get(outcome)
 
-    def _find_route(self, table: route_tables.RouteTable) -> types.Route | None:
-        target = self._incoming.target.decode("latin-1")
-        return table.find_route(
-            self._incoming.headers.host, target.partition("?")[0]
-        )
+    def _find_route(self) -> types.Route | None:
+        """Return the route of the request; None without a configuration."""
+        table, incoming = self._shared.table, self._incoming
+        if table is None:
+            return None
+        target = incoming.target.decode("latin-1")
+        return table.find_route(incoming.headers.host, target.partition("?")[0])
 
     def _timeout_s(self, route: types.Route | None) -> float | None:
         """Return the time limit of the request, None if none is known."""
@@ -155,7 +140,7 @@
             return outcomes.NO_CONFIG
         headers = incoming.headers
         target = incoming.target.decode("latin-1")
-        route = self._find_route(table)
+        route = self._find_route()
         if route is None:
             return outcomes.NO_ROUTE
         account = table.find_account(headers.key)
--- a/src/bilberryturn/gateway/state_arrival.py
+++ b/src/bilberryturn/gateway/state_arrival.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import enum
 import time
 
 from bilberryturn import events
 from bilberryturn import metrics
 from bilberryturn.gateway import memory
+from bilberryturn.gateway import outcomes
 
 # Longest wait of a request. Measured: after a power cut of all 86 nodes each of
 # them had its state within 0.76 s of listening.
@@ -42,6 +44,13 @@
     NO_ROOM = "no_room"
 
 
+# How a request is refused whose wait was in vain.
+REFUSALS = {
+    Outcome.MISSING: outcomes.NO_CONFIG,
+    Outcome.NO_ROOM: outcomes.NODE_FULL,
+}
+
+
 class StateArrival:
     """What has arrived of a starting node's state; runs on the event loop.
 
@@ -91,6 +100,30 @@
         for changed in self._waiting:
             changed.set()
 
+    async def wait_for_all(
+        self,
+        arrived_s: float,
+        timeout_s: Callable[[], float | None],
+        size_bytes: int,
+    ) -> Outcome:
+        """Wait for all parts, one after the other.
+
+        Args:
+            arrived_s: Monotonic time at which the request arrived.
+            timeout_s: Returns its time limit as far as it is known; the
+                configuration may shorten it.
+            size_bytes: Size of its headers and its body.
+        """
+        for part in Part:
+            outcome = await self.wait(
+                part,
+                wait_until_s(arrived_s, timeout_s()),
+                REQUEST_BYTES + size_bytes,
+            )
+            if outcome is not Outcome.KNOWN:
+                break
+        return outcome
+
     async def wait(
         self, part: Part, until_s: float, size_bytes: int
     ) -> Outcome:
