--- a/features/slow_start.feature
+++ b/features/slow_start.feature
@@ -80,13 +80,13 @@
     When the server's next entry says that it is cold for 2500 ms
     Then the node and the relay take the server for cold
     And a heartbeat with the same end is not passed on
-    When 1 s pass
+    When 1 s pass at the relay
     And the server's next entry says that it is cold for 0 ms
     Then the node and the relay take the server for warm
     When the server's next entry says that it is cold for 2500 ms
-    And 2 s pass
+    And 2 s pass at the relay
     And the relay reads the same entry again
-    And 1 s pass
+    And 1 s pass at the relay
     Then the node and the relay take the server for warm
 
   Scenario: A warm server takes what a cold one doesn't
--- a/features/steps/slow_start_steps.py
+++ b/features/steps/slow_start_steps.py
@@ -501,7 +501,7 @@
     context.node.poll(context.relay)
 
 
-@behave.when("{time_s:g} s pass")
+@behave.when("{time_s:g} s pass at the relay")
 def when_pass(context, time_s):
     context.relay.now_s += time_s
     context.node.now_s += time_s
--- a/features/steps/starting_node_steps.py
+++ b/features/steps/starting_node_steps.py
@@ -487,7 +487,8 @@
         "n1", own, "east", "", intervals.from_bounds(5.0, 5.0, 5.0),
         lambda: [relay], list, dict, dict, shared_clock.SharedClock(),
         list(context.followers.values()), lambda: peer_state.Known(""), None,
-        peers_known, relays.RESTART_WAITS, None, lambda: answers == "answers",
+        peers_known, relays.RESTART_WAITS,
+        is_store_reached=lambda: answers == "answers",
     )  # fmt: skip
     with mock.patch.object(client, "_pause_s", lambda: stopping.set() or 0.0):
         client.run(stopping)
