Withdraw measured server speed

Cause: the cost of load and affinity engines that follow each failure domain's own measurements send long prompts away from their cached prefix. Ruled out by a trial: load costs alone.

--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -333,7 +333,6 @@
         )
         if has_changed:
             self._set_drained(config_feed.Source.PEER)
-        self._merge_speeds(state, received_s)
         has_config = self._apply_peer_config(state, received_s)
         has_servers = self._apply_peer_servers(state, received_s)
         # Content that was not applied has to be requested again.
@@ -341,16 +340,6 @@
             state.revision if has_config and has_servers else ""
         )
 
-    def _merge_speeds(
-        self, state: peer_state.PeerState, received_s: float
-    ) -> None:
-        data = bytes(state.server_speeds)
-        if data == peer_state.NO_SPEEDS:
-            return
-        problem = self._shared.server_speeds.merge(data, received_s)
-        if problem is not None:
-            events.log(events.SPEEDS_REFUSED, member="relay", problem=problem)
-
     def _apply_peer_config(
         self, state: peer_state.PeerState, received_s: float
     ) -> bool:
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -118,13 +118,11 @@
         )
         self._watchdog.start()
         tick_task = loop.create_task(self._tick())
-        delay_task = loop.create_task(self.shared.loop_delay.run())
         await self._stop_requested.wait()
         # The handlers end with the event loop, before the process does.
         signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
         cut_count = await self._stop(jobs, executor)
         tick_task.cancel()
-        delay_task.cancel()
         events.log(events.NODE_STOPPED, cut=cut_count)
 
     # Start.
@@ -209,8 +207,7 @@
                 else relays.RESTART_WAITS
             ),
             self._era_tracker,
-            lambda: self.shared.server_speeds.own_samples(time.monotonic()),
-            lambda: node_presence.has_reached_store,
+            is_store_reached=lambda: node_presence.has_reached_store,
         )
         self._duty_runner = self._create_duty_runner(
             store, node_presence, relay
@@ -348,26 +345,11 @@
             self._raw.state(request.known()),
             store_s=self._clock.store_s(),
             utc_offset_s=self._clock.utc_offset_s,
-            server_speeds=self._combine_speeds(request),
         )
         return internal_server.Reply(
             200, msgspec.json.encode(state), "application/json"
         )
 
-    def _combine_speeds(self, request: relays.StateRequest) -> msgspec.Raw:
-        """Take a node's samples; returns the estimates for it."""
-        data = bytes(request.speed_samples)
-        if data == peer_state.NO_SPEEDS:
-            # An older version, which would not use them.
-            return msgspec.Raw(peer_state.NO_SPEEDS)
-        speeds, now_s = self.shared.server_speeds, time.monotonic()
-        problem = speeds.merge_samples(request.lifetime, data, now_s)
-        if problem is not None:
-            events.log(
-                events.SPEEDS_REFUSED, member=request.lifetime, problem=problem
-            )
-        return msgspec.Raw(speeds.combined(now_s))
-
     # Periodic work.
 
     async def _tick(self) -> None:
@@ -412,24 +394,7 @@
             {s.lifetime for s in servers if not s.is_leaving}
         )
         self.shared.retain_servers({s.lifetime for s in servers})
-        self.shared.server_speeds.retain(servers)
         self._callers.update_memory()
-        self._report_speeds()
-
-    def _report_speeds(self) -> None:
-        """Log and count the speeds of the servers, as they change."""
-        changes = self.shared.server_speeds.new_changes(time.monotonic())
-        for change in changes:
-            events.log(events.SERVER_SPEEDS_CHANGED, **change._asdict())
-        for (
-            service,
-            speed,
-        ), count in self.shared.server_speeds.class_counts().items():
-            metrics.set_gauge(
-                metrics.SERVERS_BY_SPEED,
-                {"service": service, "relative_speed": speed},
-                count,
-            )
 
     def _applied(self, apply: Callable[..., None]) -> Callable[..., None]:
         """Return a function that makes applied state known at once.
--- a/src/bilberryturn/edge/peer_state.py
+++ b/src/bilberryturn/edge/peer_state.py
@@ -15,8 +15,6 @@
 from bilberryturn.edge import drained_domains
 
 CONFIG_DIGEST_BYTES = 12
-# Of a node that does not measure the speed of servers.
-NO_SPEEDS = b"null"
 # Changes retained for peers that know an earlier revision. More than the
 # restart of all servers of the largest deployment causes between two polls.
 MAX_CHANGES = 2000
@@ -60,9 +58,6 @@
         drained_domains: All drained failure domains, as the store confirmed
             them together with the configuration; None if they are unknown.
         drained_era: Era of the store in which they were confirmed.
-        server_speeds: Estimates of the servers' speeds from the samples of the
-            nodes that poll this one, as ServerSpeeds.combined returns it; null
-            without. Decoded apart, so that a malformed one costs nothing else.
     """
 
     revision: str
@@ -84,7 +79,6 @@
     config_written_era: int = config_order.NO_ERA
     drained_domains: list[str] | None = None
     drained_era: int = config_order.NO_ERA
-    server_speeds: msgspec.Raw = msgspec.Raw(NO_SPEEDS)
 
 
 class Known(NamedTuple):
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -95,10 +95,6 @@
             none.
         accepts_compressed: Whether the node accepts a compressed
             configuration.
-        speed_samples: What the node measured of the servers since its last
-            request, as ServerSpeeds.own_samples returns it; null if it does
-            not measure. Decoded apart, so that a malformed one costs nothing
-            else.
     """
 
     lifetime: _Lifetime
@@ -109,7 +105,6 @@
     accepts_changes: bool = False
     config_digest: str = ""
     accepts_compressed: bool = False
-    speed_samples: msgspec.Raw = msgspec.Raw(peer_state.NO_SPEEDS)
 
     def known(self) -> peer_state.Known:
         """Return what the node has already and accepts."""
@@ -149,7 +144,6 @@
         peers_known: threading.Event,
         start_waits: StartWaits,
         era_tracker: store_era.EraTracker | None = None,
-        speed_samples: Callable[[], dict[str, list[int]]] = dict,
         is_store_reached: Callable[[], bool] = lambda: False,
     ):
         """Initialize the client.
@@ -174,7 +168,6 @@
                 or cannot be read.
             start_waits: How long to wait for peers and a relay at the start.
             era_tracker: Era of the store, shared by all clients of this node.
-            speed_samples: Takes what this node measured of the servers.
             is_store_reached: Returns whether the store has answered the first
                 call for the other nodes.
         """
@@ -188,7 +181,6 @@
         self._all_peers = all_peers
         self._usage = usage
         self._suspects = suspects
-        self._speed_samples = speed_samples
         self._clock = clock
         self._followers = followers
         self._known = known
@@ -361,7 +353,6 @@
             known.accepts_changes,
             known.config_digest,
             known.accepts_compressed,
-            msgspec.Raw(msgspec.json.encode(self._speed_samples())),
         )
         sent_s = time.monotonic()
         sent_boottime_s = leases.boottime_s()
--- a/src/bilberryturn/events.py
+++ b/src/bilberryturn/events.py
@@ -83,8 +83,6 @@
 SERVER_ENTRY_REFUSED = Event(1406, "server_entry_refused", logging.WARNING)
 SERVER_LIMIT_CHANGED = Event(1407, "server_limit_changed", logging.INFO)
 SERVER_COLD_CHANGED = Event(1408, "server_cold_changed", logging.INFO)
-SERVER_SPEEDS_CHANGED = Event(1409, "server_speeds_changed", logging.INFO)
-SPEEDS_REFUSED = Event(1410, "speeds_refused", logging.WARNING)
 
 LEASE_ACQUIRED = Event(1501, "lease_acquired", logging.INFO)
 LEASE_LOST = Event(1502, "lease_lost", logging.WARNING)
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -17,7 +17,6 @@
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
 from bilberryturn.platform import wire
-from bilberryturn.routing import answer_gaps
 from bilberryturn.routing import choice
 from bilberryturn.routing import types
 
@@ -72,12 +71,8 @@
         self._first_event_s: float | None = None
         # What is buffered of the answer.
         self._holding = shared.memory.open(self._give_way)
-        # Measures the server's pauses, for model engines.
-        self._gaps: answer_gaps.AnswerGaps | None = None
         # Whether the failure counted as a crash of the server.
         self._is_crash = False
-        # Whether an earlier attempt had sent a part of the stream.
-        self._was_resumed = False
         self.was_sent = False
         self.is_framed: bool | None = None
 
@@ -88,7 +83,6 @@
             may_try_another: Whether the request may be sent to another server,
                 so that an attempt on a slow one can time out early.
         """
-        self._was_resumed = self._delivery.has_started
         self._delivery.begin_attempt()
         self._in_flight = self._shared.load_balancer.begin(
             self._chosen, self._request.requirements, time.monotonic()
@@ -98,8 +92,6 @@
             result = await self._run(may_try_another)
         finally:
             self._shared.evacuation.discard(self)
-            if self._gaps is not None:
-                self._gaps.end(time.monotonic(), self._shared.loop_delay.late_s)
             if self._move is not None:
                 self._shared.load_balancer.end(
                     self._move_reservation, None, time.monotonic()
@@ -346,35 +338,8 @@
             raise upstream.UpstreamError(str(error), True) from error
         finally:
             if self._delivery.event_count > events_before:
-                self._measure(self._delivery.event_count - events_before)
                 self._record_events()
 
-    def _measure(self, event_count: int) -> None:
-        """Measure the server by the time at which events came."""
-        engine, connection = self._request.service.engine, self._connection
-        if engine is None or self._prompt is None or connection is None:
-            return
-        read, speeds = connection.last_read, self._shared.server_speeds
-        if self._gaps is None:
-            number = speeds.next_answer()
-            self._gaps = answer_gaps.AnswerGaps(speeds, self.lifetime, number)
-            is_whole = self._moved_from is None and not self._was_resumed
-            if is_whole and self._shared.loop_delay.late_s < self._sent_s:
-                speeds.observe_first_event(
-                    self.lifetime,
-                    number,
-                    self._chosen.uncached_tokens,
-                    engine.tokens_per_event,
-                    read.received_s - self._sent_s,
-                    read.received_s,
-                )
-        self._gaps.record_events(
-            event_count,
-            read.number,
-            read.received_s,
-            self._shared.loop_delay.late_s,
-        )
-
     def _record_events(self) -> None:
         """Record that the caller was sent events of this attempt."""
         if self._first_event_s is None:
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -12,7 +12,6 @@
 from bilberryturn.gateway import availability
 from bilberryturn.gateway import crash_checks
 from bilberryturn.gateway import drain
-from bilberryturn.gateway import loop_delay
 from bilberryturn.gateway import memory
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import permits
@@ -24,7 +23,6 @@
 from bilberryturn.routing import directory
 from bilberryturn.routing import part_crashes
 from bilberryturn.routing import placement
-from bilberryturn.routing import server_speeds
 from bilberryturn.routing import table as route_tables
 from bilberryturn.routing import types
 
@@ -144,9 +142,6 @@
         drain_s: Time for which leaving servers go on at least, in seconds.
         memory: Account of the bytes that requests hold.
         placement: In which failure domains requests may be served.
-        server_speeds: Measured speeds of the servers.
-        loop_delay: When the event loop was late, so that it does not count as
-            slowness of a server.
         arrival: Lets requests wait for the state of a node that starts.
     """
 
@@ -169,9 +164,7 @@
         self.drain_s = drain_s
         self.evacuation = moves.Evacuation(self.directory, drain_s)
         self.unused_copies = moves.UnusedCopies(pool)
-        self.server_speeds = server_speeds.ServerSpeeds()
-        self.loop_delay = loop_delay.LoopDelay()
-        self.load_balancer = choice.LoadBalancer(self.server_speeds)
+        self.load_balancer = choice.LoadBalancer()
         self.part_crashes = part_crashes.PartCrashes()
         self.crash_checks = crash_checks.CrashChecks(pool)
         self.availability = availability.Availability(
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -71,34 +71,17 @@
     body: bytes
 
 
-class Read(NamedTuple):
-    """A read of all bytes that had come on a connection.
-
-    Attributes:
-        number: Number of the read on its connection.
-        received_s: Monotonic time at which the last of the bytes came. The
-            node may have read them later, as it was busy or its caller slow.
-    """
-
-    number: int
-    received_s: float
-
-
 class _Receiver(asyncio.BufferedProtocol):
     """Receives into the buffer of the pool, so that little waits to be parsed.
 
     Attributes:
         transport: Set as the connection is established.
         is_at_eof: Whether the server has closed the connection.
-        received_s: Monotonic time at which bytes last came.
-        read_count: Number of reads, each of all bytes that had come.
     """
 
     def __init__(self, buffer: bytearray):
         self.transport: asyncio.Transport | None = None
         self.is_at_eof = False
-        self.received_s = 0.0
-        self.read_count = 0
         self._buffer = buffer
         self._received: list[bytes] = []
         self._received_bytes = 0
@@ -136,7 +119,6 @@
         if self._received_bytes >= READ_BYTES:
             self.transport.resume_reading()
         self._received_bytes = 0
-        self.read_count += 1
         return data
 
     # Callbacks of asyncio.BufferedProtocol.
@@ -153,7 +135,6 @@
         """Keep received bytes until they are read."""
         self._received.append(bytes(memoryview(self._buffer)[:nbytes]))
         self._received_bytes += nbytes
-        self.received_s = time.monotonic()
         if self._received_bytes >= READ_BYTES:
             self.transport.pause_reading()
         self._wake()
@@ -197,7 +178,6 @@
         self._has_given_way = False
         self._parser = self._new_parser()
         self._request: list = []
-        self._last_read = Read(0, 0.0)
         self.reuse_until_s = 0.0
 
     @staticmethod
@@ -230,11 +210,6 @@
             raise UpstreamError(f"invalid request: {error}", False) from error
         self._receiver.transport.write(b"".join(encoded))
 
-    @property
-    def last_read(self) -> Read:
-        """Return the last read of this connection."""
-        return self._last_read
-
     async def next_event(self):
         """Return the next event of the response.
 
@@ -261,10 +236,6 @@
                     await self._turns.take(1)
                     return event
                 data = await self._receiver.read()
-                # Taken now, as more bytes may come during the turns of others.
-                self._last_read = Read(
-                    self._receiver.read_count, self._receiver.received_s
-                )
                 await self._turns.begin()
                 if self._has_given_way:
                     raise UpstreamError(
--- a/src/bilberryturn/metrics.py
+++ b/src/bilberryturn/metrics.py
@@ -119,12 +119,6 @@
         "bilberryturn_cold_servers", "Servers that this node takes for cold."
     )
 )
-SERVERS_BY_SPEED = _register(
-    aioprometheus.Gauge(
-        "bilberryturn_servers_by_speed",
-        "Servers by service and relative speed, where measured speeds differ.",
-    )
-)
 LEASE_HELD = _register(
     aioprometheus.Gauge("bilberryturn_lease_held", "1 while a lease is held.")
 )
--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -5,20 +5,13 @@
 their health check passes. The expected time to the first token is estimated
 from the prompts not yet prefilled, the running requests and the prefix that is
 likely to be cached. Rendezvous hashing on the shared prefix of a prompt gives
-it the same affinity server on all nodes without coordination. Where the
-measured speeds of a service's engines differ, speed_costs replaces the fixed
-costs.
+it the same affinity server on all nodes without coordination.
 """
 
 import collections
-import random
 from typing import NamedTuple
 
 from bilberryturn import rendezvous
-from bilberryturn.routing import server_speeds
-from bilberryturn.routing import speed_costs
-from bilberryturn.routing import speed_estimates
-from bilberryturn.routing import speed_samples
 from bilberryturn.routing import types
 from bilberryturn.scheduling import breakers
 
@@ -146,26 +139,11 @@
 class LoadBalancer:
     """Chooses servers by the load that this node has placed on them."""
 
-    def __init__(
-        self,
-        speeds: server_speeds.ServerSpeeds | None = None,
-        rng: random.Random | None = None,
-    ):
-        """Initialize a load balancer.
-
-        Args:
-            speeds: Measured speeds of the servers.
-            rng: Spreads the requests of many nodes over equal engines.
-        """
-        self._speeds = speeds or server_speeds.ServerSpeeds()
-        self._rng = rng or random.Random()
+    def __init__(self):
         self._loads: dict[tuple[str, int], _ServerLoad] = {}
         # The servers of the last choice and which of them are low-latency.
         self._ranked_servers: list[types.BackendServer] = []
         self._low_latency_ids: set[str] = set()
-        # Services whose engines differ in speed.
-        self._views: dict[str, speed_costs.ServiceView] = {}
-        self._prefix_work = speed_costs.PrefixWork()
 
     def choose(
         self,
@@ -178,13 +156,6 @@
         candidates = [s for s in servers if s.server_id not in excluded]
         allowed = [s for s in candidates if self._load(s).breaker.allows(now_s)]
         allowed = allowed or candidates
-        if requirements.prompt is not None and allowed:
-            service = requirements.service
-            speeds = self._speeds.service(service.name, now_s)
-            if speeds is not None and service.engine is not None:
-                return self._choose_by_speed(
-                    requirements, servers, allowed, speeds, now_s
-                )
         low_latency = (
             self._low_latency_servers(servers)
             if requirements.prompt is not None
@@ -218,14 +189,6 @@
     ) -> InFlightRequest:
         """Add a request to the load of its server."""
         load = self._load(choice.server)
-        if requirements.prompt is not None:
-            work = speed_samples.work_tokens(
-                requirements.prompt, choice.uncached_tokens
-            )
-            self._speeds.observe_work(choice.server.lifetime, work, now_s)
-            self._prefix_work.record(
-                shared_prefix_part(requirements.prompt), work, now_s
-            )
         load.running += 1
         load.prefill_tokens += choice.uncached_tokens
         load.breaker.record_start(now_s)
@@ -284,84 +247,6 @@
             self._low_latency_ids = low_latency_servers(servers)
         return self._low_latency_ids
 
-    def _choose_by_speed(
-        self,
-        requirements: Requirements,
-        servers: list[types.BackendServer],
-        allowed: list[types.BackendServer],
-        speeds: speed_estimates.ServiceSpeeds,
-        now_s: float,
-    ) -> Choice:
-        """Return the server with the least cost at its measured speed."""
-        view = self._view(requirements.service, servers, speeds)
-        engines, overloads_s = view.engines, view.overloads_s
-        gap_target_s = requirements.gap_target_s
-        parts = requirements.prompt.parts
-        own_tokens = parts[-1].tokens if parts else 0
-        role_costs_s = speed_costs.role_costs_s(
-            requirements.service.engine,
-            gap_target_s,
-            own_tokens,
-            view.tight_gap_s,
-            speeds,
-        )
-        part = shared_prefix_part(requirements.prompt)
-        affinity: frozenset[str] = frozenset()
-        if part is not None:
-            most_s = speed_costs.AFFINITY_COST_S + min(
-                role_costs_s[engines[s.server_id].role] for s in allowed
-            )
-            affinity = speed_costs.affinity_servers(
-                part,
-                [
-                    s
-                    for s in allowed
-                    if role_costs_s[engines[s.server_id].role] <= most_s
-                ],
-                speeds,
-                self._prefix_work.share(part) * len(servers),
-            )
-        load_share = speed_costs.prompt_share(own_tokens)
-        best, best_cost_s = None, 0.0
-        for server in allowed:
-            engine = engines[server.server_id]
-            choice = self._estimate(
-                requirements,
-                server,
-                now_s,
-                server.server_id in affinity,
-                speeds.tokens_per_s * engine.speed,
-                SLOT_COST_S / engine.speed,
-            )
-            cost_s = (
-                choice.expected_s
-                + role_costs_s[engine.role]
-                + overloads_s[engine.role]
-                + engine.load_cost_s * load_share
-                + speed_costs.gap_cost_s(
-                    gap_target_s, engine.estimate.high_gap_s
-                )
-                + self._rng.expovariate(
-                    engine.speed / speed_costs.SPREAD_COST_S
-                )
-            )
-            if best is None or cost_s < best_cost_s:
-                best, best_cost_s = choice, cost_s
-        return best
-
-    def _view(
-        self,
-        service: types.Service,
-        servers: list[types.BackendServer],
-        speeds: speed_estimates.ServiceSpeeds,
-    ) -> speed_costs.ServiceView:
-        """Return the view of a service, cached until it may change."""
-        view = self._views.get(service.name)
-        if view is None or speeds is not view.speeds or servers != view.servers:
-            view = speed_costs.view(service.engine, servers, speeds)
-            self._views[service.name] = view
-        return view
-
     def _load(self, server: types.BackendServer) -> _ServerLoad:
         key = server.lifetime
         load = self._loads.get(key)
@@ -385,13 +270,11 @@
         server: types.BackendServer,
         now_s: float,
         has_affinity: bool,
-        tokens_per_s: float = PREFILL_TOKENS_PER_S,
-        slot_cost_s: float = SLOT_COST_S,
     ) -> Choice:
         load = self._load(server)
         uncached = self._uncached_tokens(requirements, load, has_affinity)
-        expected_s = (load.prefill_tokens + uncached) / tokens_per_s
-        expected_s += load.running * slot_cost_s
+        expected_s = (load.prefill_tokens + uncached) / PREFILL_TOKENS_PER_S
+        expected_s += load.running * SLOT_COST_S
         slots = max(1, server.slots)
         if load.running >= slots:
             expected_s += (load.running - slots + 1) / slots
@@ -401,8 +284,6 @@
         return Choice(server, expected_s, uncached, load.running)
 
     def _failure_rate(self, load: _ServerLoad, now_s: float) -> float:
-        if not load.failure_rate:
-            return 0.0
         age_s = max(0.0, now_s - load.failure_updated_s)
         return load.failure_rate * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
 
