--- a/src/bilberryturn/edge/presence.py
+++ b/src/bilberryturn/edge/presence.py
@@ -87,7 +87,7 @@
         self.first_read.set()
 
     def _recognize_own_row(self, found: list[tables.Row]) -> None:
-        """Save the call that would write the row of an earlier start again."""
+        """Skip the write of a row that an earlier start of this node left."""
         for row in found:
             if row.key != self._key or row.value != self.own_address:
                 continue
--- a/src/bilberryturn/gateway/availability.py
+++ b/src/bilberryturn/gateway/availability.py
@@ -65,9 +65,10 @@
         self.permits = permits.Permits(
             servers, self.limit, pool, peers, time_of_day
         )
-        # Time of day until which a server is cold by what this node met.
+        # Time of day until which a server is cold, as its answers said or as
+        # follows from a connection that ended.
         self._cold_until_s: dict[types.Lifetime, float] = {}
-        # The cold servers and their limits, and the time of day as of which.
+        # Cached cold servers and their limits, and when they were listed.
         self._found_cold: dict[types.Lifetime, float] = {}
         self._cold_found_s = -math.inf
         # The cold servers and their limits as last logged.
