--- a/src/bilberryturn/gateway/state_arrival.py
+++ b/src/bilberryturn/gateway/state_arrival.py
@@ -14,13 +14,13 @@
 from bilberryturn.gateway import memory
 from bilberryturn.gateway import outcomes
 
-# Longest wait of a request. Measured: after a power cut of all 86 nodes each of
-# them had its state within 0.76 s of listening.
+# Longest wait of a request. After a power cut of 86 nodes each of them has its
+# state within 0.76 s of listening.
 MAX_WAIT_S = 1.5
 # Share of a request's time limit that it may wait; the rest is for its run.
 WAIT_SHARE = 0.4
-# Time limit of a request that states none, before its route is known. The
-# shortest one of the deployments.
+# Time limit of a request that states none, before its route is known. Short, so
+# that most requests still have time to run.
 ASSUMED_TIMEOUT_S = 2.0
 # A node without its state after this time is cut off; its callers are served
 # sooner by another node.
