Log why a poll of a peer failed and count the bytes of calls

The event member_lost said neither how much of a reply had arrived nor how long the poll took, so that a silent peer, a slow one and a full link of the node itself looked alike. It now carries the error of the call and its duration, config_applied the size of the configuration, and the metric bilberryturn_call_bytes_total counts the bytes of answers that arrived whole and of those that were thrown away, by interface. No decision changes.

--- a/src/bilberryturn/edge/config_feed.py
+++ b/src/bilberryturn/edge/config_feed.py
@@ -95,6 +95,7 @@
             version=route_table.version,
             previous=previous,
             source=source.value,
+            size_bytes=len(value),
         )
 
     def release(self) -> None:
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -364,7 +364,16 @@
                 0.0 if self._is_in_start_phase() else UNREACHABLE_BACKOFF_S
             )
             self._unreachable_until_s[address] = time.monotonic() + backoff_s
-            events.log(events.MEMBER_LOST, member=address)
+            events.log(
+                events.MEMBER_LOST,
+                member=address,
+                error=(
+                    str(result.error)
+                    if result.is_error()
+                    else f"status {result.ok.status}"
+                ),
+                duration_s=round(time.monotonic() - sent_s, 3),
+            )
             return False
         self._unreachable_until_s.pop(address, None)
         try:
--- a/src/bilberryturn/metrics.py
+++ b/src/bilberryturn/metrics.py
@@ -144,6 +144,12 @@
         "bilberryturn_control_bytes_total", "Control bytes, by direction."
     )
 )
+CALL_BYTES = _register(
+    aioprometheus.Counter(
+        "bilberryturn_call_bytes_total",
+        "Bytes of bodies that calls received, by interface and outcome.",
+    )
+)
 CONTROL_MESSAGES = _register(
     aioprometheus.Counter(
         "bilberryturn_control_messages_total", "Control messages, by kind."
--- a/src/bilberryturn/platform/http.py
+++ b/src/bilberryturn/platform/http.py
@@ -13,6 +13,7 @@
 import msgspec
 import pycurl
 
+from bilberryturn import metrics
 from bilberryturn.platform import decoding
 from bilberryturn.platform import exceptions
 
@@ -176,6 +177,7 @@
         except pycurl.error as error:
             self._local.handle = None
             handle.close()
+            self._count_bytes(buffer, "incomplete")
             return expression.Error(
                 exceptions.PlatformUnreachableError(
                     self.interface, str(error.args[-1])
@@ -187,10 +189,15 @@
                     self.interface, "its head was cut"
                 )
             )
+        self._count_bytes(buffer, "complete")
         self.last_response_s = time.monotonic()
         status = handle.getinfo(pycurl.RESPONSE_CODE)
         return expression.Ok(Response(status, buffer.getvalue(), head.headers))
 
+    def _count_bytes(self, body: io.BytesIO, outcome: str) -> None:
+        labels = {"interface": self.interface, "outcome": outcome}
+        metrics.add(metrics.CALL_BYTES, labels, body.tell())
+
     def call_json(
         self, method: str, path: str, body: Any = None
     ) -> expression.Result[Any, exceptions.PlatformError]:
