--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -5,7 +5,6 @@
 import json
 import random
 import socket
-import string
 import threading
 import time
 
@@ -15,7 +14,6 @@
 from bilberryturn import leases
 from bilberryturn import rendezvous
 from bilberryturn.edge import duties
-from bilberryturn.edge import feeds
 from bilberryturn.edge import followers
 from bilberryturn.edge import intervals
 from bilberryturn.edge import peer_state
@@ -23,11 +21,10 @@
 from bilberryturn.edge import relays
 from bilberryturn.edge import shared_clock
 from bilberryturn.gateway import internal_server
-from bilberryturn.gateway import shared_state
-from bilberryturn.gateway import upstream
 from bilberryturn.platform import http
 from bilberryturn.platform import rows
 from bilberryturn.routing import directory
+from support import peer_nodes
 from support import platform_data
 from support import scripted
 
@@ -36,58 +33,6 @@
 LEASE = leases.LeaseOptions(3.0, 0.5)
 
 
-class _Peer:
-    """The content of one node, without its threads."""
-
-    def __init__(self, name):
-        self.shared = shared_state.SharedState(
-            "east",
-            shared_state.RetryLimits(0.2, 1, 10),
-            5.0,
-            upstream.ConnectionPool(),
-        )
-        self.raw = peer_state.RawState()
-        self.applier = feeds.Applier(self.shared, self.raw, name)
-
-    def read_servers(self, changed, is_snapshot, after_outage=False, age_s=0.0):
-        """Apply a reading of the store, values as objects."""
-        changes = [
-            rows.Change(key, 1, value and json.dumps(value).encode())
-            for key, value in changed.items()
-        ]
-        self.applier.on_servers_read(
-            followers.Reading(
-                changes, is_snapshot, after_outage, time.monotonic() - age_s
-            )
-        )
-
-    def read_config(self, version):
-        value = json.dumps(platform_data.make_config(version)).encode()
-        change = rows.Change(rows.CONFIG_KEY, version, value)
-        self.applier.on_config_read(
-            followers.Reading([change], True, False, time.monotonic())
-        )
-
-    def state_for(self, peer):
-        """Return what a poll of a peer returns."""
-        return self.raw.state(peer.applier.known())
-
-    def reply_to(self, peer):
-        """Return the reply to a poll of a peer, as it is on the wire."""
-        return msgspec.json.decode(
-            msgspec.json.encode(self.state_for(peer)), type=peer_state.PeerState
-        )
-
-    def content(self):
-        """Return what requests see: configuration, servers, crash counts."""
-        servers = {
-            s.server_id: s._replace(sequence=0)
-            for s in self.shared.directory.usable("app")
-        }
-        table = self.shared.table
-        return table and table.version, servers, self.raw.suspects
-
-
 @behave.then(
     "over {count:d} seeded series of changes, lost replies, restarts of the"
     " relay and own readings the node has the relay's content"
@@ -100,7 +45,7 @@
 def _run_series(rng, seed):
     store = {f"s{n}": platform_data.make_entry() for n in range(5)}
     version = 1
-    relay, node = _Peer("relay"), _Peer("node")
+    relay, node = peer_nodes.Peer("relay"), peer_nodes.Peer("node")
     relay.read_config(version)
     relay.read_servers(store, True)
     for step in range(40):
@@ -124,7 +69,7 @@
             relay.reply_to(node)
         elif kind == "restart":
             suspects = relay.raw.suspects
-            relay = _Peer("relay")
+            relay = peer_nodes.Peer("relay")
             relay.read_config(version)
             relay.read_servers(store, True)
             for lifetime, counts in suspects.items():
@@ -153,7 +98,7 @@
 
 @behave.given("a relay that has read 600 servers")
 def given_relay(context):
-    context.relay = _Peer("relay")
+    context.relay = peer_nodes.Peer("relay")
     context.relay.read_config(3)
     context.entries = {
         f"server-{n}": platform_data.make_entry() for n in range(SERVERS)
@@ -164,7 +109,7 @@
 
 @behave.given("a node that has the relay's content")
 def given_node(context):
-    context.peer = _Peer("node")
+    context.peer = peer_nodes.Peer("node")
     context.peer.applier.apply_peer_state(
         context.relay.reply_to(context.peer), time.monotonic() - 10.0
     )
@@ -248,7 +193,7 @@
 )
 def when_rejects(context, outage_s):
     context.outage_end_s = time.monotonic() + outage_s
-    reader = _Peer("reader")
+    reader = peer_nodes.Peer("reader")
     for ago_s in range(outage_s, 0, -1):
         reader.read_servers(context.entries, True)
         for peer in (context.relay, context.peer):
@@ -315,7 +260,7 @@
     def __init__(self, store_address, number):
         self.loop = asyncio.new_event_loop()
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
-        self.peer = _Peer(f"n{number}")
+        self.peer = peer_nodes.Peer(f"n{number}")
         self.server = internal_server.InternalServer(self._answer)
         with socket.create_server(("127.0.0.1", 0)) as probe:
             address = f"127.0.0.1:{probe.getsockname()[1]}"
@@ -401,7 +346,7 @@
 
 @behave.given("a relay that has not read the store")
 def given_unread(context):
-    unread = _Peer("relay")
+    unread = peer_nodes.Peer("relay")
 
     def answer(peer, head, body, number):
         reply = msgspec.json.encode(unread.raw.state(peer_state.Known("")))
@@ -456,7 +401,7 @@
     context.standin.put("servers", "good", platform_data.make_entry())
     context.standin.fault = "503"
     given_unread(context)
-    context.node_peer = _Peer("n1")
+    context.node_peer = peer_nodes.Peer("n1")
     applier = context.node_peer.applier
     loop = asyncio.new_event_loop()
     threading.Thread(target=loop.run_forever, daemon=True).start()
@@ -539,10 +484,10 @@
 @behave.when("a relay answers with {first:d} nodes, then with {second:d}")
 def when_answers(context, first, second):
     context.counts = []
-    peer = _Peer("n0")
+    peer = peer_nodes.Peer("n0")
     peer.applier._deliver_nodes = context.presence.take_nodes
     for count in (first, second):
-        unread = _Peer("relay")
+        unread = peer_nodes.Peer("relay")
         unread.applier.set_nodes(_node_rows(count))
         peer.applier.apply_peer_state(unread.reply_to(peer), time.monotonic())
         context.counts.append(len(context.presence.domain_peers()))
@@ -580,44 +525,17 @@
     assert shared.crash_cause(None, "request") is not None
 
 
-def _many_routes(rng, count):
-    """Return routes with the fields and names of the users' operator."""
-
-    def name(length):
-        letters = string.ascii_lowercase + string.digits
-        return "".join(rng.choices(letters, k=length))
-
-    return [
-        {
-            "name": f"r-{name(7)}",
-            "host": f"{name(6)}.example",
-            "prefix": f"/{name(7)}/",
-            "type": rng.choice(("stream", "safe", "unsafe")),
-            "timeoutMs": rng.choice((2000, 6000, 12000)),
-            "targetLatencyMs": rng.choice((524, 845, 2063)),
-            "priority": rng.randrange(3),
-            "service": rng.choice(("huvo11a", "wuno96b")),
-            "attempts": rng.randrange(1, 4),
-            "public": False,
-            "sticky": True,
-            "resumable": False,
-            "itlTargetMs": rng.choice((0, 300, 800)),
-        }
-        for _ in range(count)
-    ]
-
-
 @behave.given("a relay that has read a configuration of {count:d} routes")
-def given_many_routes(context, count):
+def givenmany_routes(context, count):
     config = platform_data.make_config(8)
-    config["routes"] += _many_routes(random.Random(29), count)
+    config["routes"] += peer_nodes.many_routes(random.Random(29), count)
     change = rows.Change(rows.CONFIG_KEY, 8, json.dumps(config).encode())
-    context.relay = _Peer("relay")
+    context.relay = peer_nodes.Peer("relay")
     context.relay.read_servers({}, True)
     context.relay.applier.on_config_read(
         followers.Reading([change], True, False, time.monotonic())
     )
-    context.peer = _Peer("node")
+    context.peer = peer_nodes.Peer("node")
 
 
 @behave.then(
@@ -651,7 +569,7 @@
 def given_ranked(context, count, peers):
     context.are_silent = threading.Event()
     context.closers.append(context.are_silent.set)
-    reader = _Peer("relay")
+    reader = peer_nodes.Peer("relay")
     lock = threading.Lock()
     stopping = threading.Event()
     context.closers.append(stopping.set)
@@ -691,7 +609,7 @@
 
 def _start_ranked(context, own, addresses, stopping):
     """Start the parts of a node that read the store; returns its content."""
-    peer = _Peer(own)
+    peer = peer_nodes.Peer(own)
     applier = peer.applier
     loop = asyncio.new_event_loop()
     threading.Thread(target=loop.run_forever, daemon=True).start()
