Read a table whole after peers have delivered newer content of it

Cause: a node behind a relay that begins to read the store itself asked for the changes since its own last reading. Each change of the configuration is the whole configuration, and each heartbeat of a server a whole entry, so the answer grew with the time behind the relay.

Change: a reading by a peer that replaced the table's content is counted, and the next reading after it is of all rows. A node whose content nobody replaced goes on reading changes only.

--- a/features/support/store_standin.py
+++ b/features/support/store_standin.py
@@ -198,10 +198,12 @@
         fault: Fault injected into all other calls, or "" for none.
         calls: Method, path and headers of each call.
         duty_calls: Path, body and headers of each order and usage report.
+        sent_bytes: Size of all bodies sent.
     """
 
     def __init__(self):
         super().__init__()
+        self.sent_bytes = 0
         self.faults = []
         self.fault = ""
         self.calls = []
@@ -297,6 +299,8 @@
         self._send(status, json.dumps(value).encode())
 
     def _send(self, status, data):
+        with self.standin.lock:
+            self.standin.sent_bytes += len(data)
         self.send_response(status)
         self.send_header("Content-Length", str(len(data)))
         if self.standin.era is not None:
--- a/src/bilberryturn/edge/config_feed.py
+++ b/src/bilberryturn/edge/config_feed.py
@@ -86,6 +86,7 @@
         shared = self._shared
         previous = shared.table.version if shared.table else None
         self._raw.set_config(value)
+        self._raw.peer_configs += source is Source.PEER
         shared.table = route_table
         metrics.set_gauge(
             metrics.CONFIG_VERSION, {}, float(route_table.version)
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -378,6 +378,9 @@
         era = max(state.servers_era, self._raw.servers_era)
         if state.servers_age_s >= intervals.FRESH_S:
             return state.servers is None
+        self._raw.peer_server_readings += (
+            confirmed_s > self._raw.servers_confirmed_s
+        )
         if state.servers is None:
             self._raw.servers_era = era
             self._record_changes(
--- a/src/bilberryturn/edge/followers.py
+++ b/src/bilberryturn/edge/followers.py
@@ -111,6 +111,7 @@
         source_ip: str,
         deliver: Callable[[Reading], None],
         era_tracker: store_era.EraTracker | None = None,
+        peer_readings: Callable[[], int] = lambda: 0,
     ):
         """Initialize the follower.
 
@@ -123,6 +124,8 @@
             source_ip: Local IP address of the connections.
             deliver: Receives each reading.
             era_tracker: Era of the store, shared by all clients of a node.
+            peer_readings: Returns how often a peer's reading of the table has
+                replaced this node's.
         """
         client = http.HttpClient(
             "store", store_address, wait_s + CALL_TIMEOUT_S, source_ip
@@ -134,6 +137,8 @@
         self._deliver = deliver
         self._since: int | None = None
         self._since_era: int | None = None
+        self._peer_readings = peer_readings
+        self._seen_peer_readings = 0
         self._backoff_s = INITIAL_BACKOFF_S
         self.min_backoff_s = 0.0
         self.outage = OutageTracker(f"store/{table}")
@@ -181,6 +186,7 @@
 
     def _run_step(self) -> float:
         """Make one call; returns the pause until the next one in seconds."""
+        self._drop_replaced()
         is_snapshot = self._since is None
         try:
             result = self._step()
@@ -198,6 +204,17 @@
             return self._handle_failure(result.error)
         return max(self._pause_s, SNAPSHOT_PAUSE_S if is_snapshot else 0.0)
 
+    def _drop_replaced(self) -> None:
+        """Read all rows next if peers have delivered changes of the table.
+
+        The changes since this node's last reading hold each value that a row
+        had in the meantime.
+        """
+        peer_readings = self._peer_readings()
+        if peer_readings != self._seen_peer_readings:
+            self._seen_peer_readings = peer_readings
+            self._since = None
+
     def _step(self) -> expression.Result:
         is_snapshot = self._since is None
         called_s = time.monotonic()
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -162,25 +162,29 @@
                 settings.ip,
                 store_followers.on_loop(loop, self._applied(apply)),
                 self._era_tracker,
+                peer_readings,
             )
-            for table, wait_s, pause_s, apply in (
+            for table, wait_s, pause_s, apply, peer_readings in (
                 (
                     rows.SERVER_TABLE,
                     0.0,
                     poll_intervals.server_poll_s,
                     self._applier.on_servers_read,
+                    lambda: self._raw.peer_server_readings,
                 ),
                 (
                     rows.OPERATOR_TABLE,
                     poll_intervals.config_wait_s,
                     0.0,
                     self._applier.on_config_read,
+                    lambda: self._raw.peer_configs,
                 ),
                 (
                     rows.SUSPECT_TABLE,
                     poll_intervals.suspect_wait_s,
                     poll_intervals.suspect_pause_s,
                     self._applier.on_suspects_read,
+                    lambda: 0,
                 ),
             )
         ]
--- a/src/bilberryturn/edge/peer_state.py
+++ b/src/bilberryturn/edge/peer_state.py
@@ -118,7 +118,13 @@
 
 
 class RawState:
-    """Caches the state as stored, to serve it to peers."""
+    """Caches the state as stored, to serve it to peers.
+
+    Attributes:
+        peer_configs: Number of configurations that came from a peer.
+        peer_server_readings: Number of a peer's readings of the servers'
+            entries that were later than this node's own.
+    """
 
     def __init__(self):
         self.config = b""
@@ -132,6 +138,8 @@
         self.servers_confirmed_s = -1e9
         self.config_read_s = -1e9
         self.servers_read_s = -1e9
+        self.peer_configs = 0
+        self.peer_server_readings = 0
         self.servers_era = config_order.NO_ERA
         self.config_order = config_order.ConfigOrder()
         self.drained = drained_domains.DrainedDomains()
