Fetch a large configuration from a peer apart from the polls

Cause: a poll brought the configuration within its fixed timeout of 0.5 s. What had arrived was thrown away, the relay was taken for lost and the next peers were asked for everything, 50 KB to 88 KB.

Ruled out: the relay's processor and an outage of it; the bytes arrived at the speed of its link.

Change: a poll names the digest of a large configuration, and the node fetches it in a call of its own, on a thread of its own, that goes on for as long as bytes arrive. A node sends two at a time and asks others to come back, so that polls do not wait behind the transfers. A small configuration still comes with the poll, and older nodes are served as before.

--- a/features/narrow_links.feature
+++ b/features/narrow_links.feature
@@ -16,3 +16,34 @@
     And a node that has read both and follows a relay now
     When the node reads the store itself
     Then the store has sent at most 0.1 times the size of both
+
+  # Guards against a configuration that never arrives as its transfer takes
+  # longer than the timeout of a poll, and begins anew with each poll.
+  Scenario: A configuration reaches a node over a link slower than the poll's timeout
+    Given a relay with a configuration of 1200 routes behind a link of 0.25 Mbit/s
+    When 1 node that has no store polls it
+    Then all nodes have the configuration within 4 s
+
+  # Guards against polls of one relay that time out together.
+  Scenario: A configuration reaches all nodes of a relay at the same time
+    Given a relay with a configuration of 1200 routes behind a link of 10 Mbit/s
+    When 48 nodes that have no store poll it
+    Then all nodes have the configuration within 4 s
+
+  # Guards against a node that waits for a peer that has stopped to send.
+  Scenario: A peer that stops in the middle of a transfer is given up
+    Given a relay with a configuration of 1200 routes behind a link of 0.25 Mbit/s
+    And a node that fetches the configuration
+    When the link stalls
+    Then the node has given up the peer within 3 s
+
+  # Guards against polls that wait behind the transfers of a node's link.
+  Scenario: A node sends few configurations at the same time
+    Given a relay that has read a configuration of 1200 routes
+    When 3 nodes fetch it from the relay
+    Then one of them is asked to come back
+    And it gets the configuration after one transfer has ended
+
+  Scenario: A small configuration comes with the poll
+    Given a relay that has read a configuration of 10 routes
+    Then the reply to a node that fetches large ones holds the configuration
--- a/features/steps/narrow_link_steps.py
+++ b/features/steps/narrow_link_steps.py
@@ -1,19 +1,30 @@
-"""Steps of narrow_links.feature: the bytes that a new configuration costs."""
+"""Steps of narrow_links.feature: large configurations and slow links."""
 
+import asyncio
+import itertools
 import json
 import random
 import threading
 import time
 
 import behave
+import msgspec
 
+from bilberryturn.edge import config_transfer
 from bilberryturn.edge import followers
+from bilberryturn.edge import intervals
+from bilberryturn.edge import peer_state
+from bilberryturn.edge import relays
+from bilberryturn.edge import shared_clock
+from bilberryturn.gateway import internal_server
 from bilberryturn.platform import rows
+from support import narrow_link
 from support import peer_nodes
 from support import platform_data
 
 CONFIG_WAIT_S = 0.2
 SERVER_PAUSE_S = 0.2
+TIMES = intervals.from_bounds(4.0, 4.0, 5.0)
 
 
 def _table_bytes(standin):
@@ -137,3 +148,165 @@
     sent = context.standin.sent_bytes - context.sent_before
     limit = share * _table_bytes(context.standin)
     assert sent <= limit, (sent, limit)
+
+
+class _RelayServer:
+    """Answers polls and requests for the configuration of a relay."""
+
+    def __init__(self, relay, loop):
+        self._relay = relay
+        self._configs = config_transfer.ConfigServer(relay.raw)
+        server = internal_server.InternalServer(self._answer)
+        asyncio.run_coroutine_threadsafe(
+            server.start("127.0.0.1", 0), loop
+        ).result(5)
+        self.port = server._server.sockets[0].getsockname()[1]
+
+    def _answer(self, path, body):
+        if path == config_transfer.PATH:
+            return self._configs.reply(body)
+        # The relay reads the store all the while.
+        now_s = time.monotonic()
+        raw = self._relay.raw
+        raw.config_read_s = raw.servers_read_s = now_s
+        raw.config_confirmed_s = raw.servers_confirmed_s = now_s
+        request = msgspec.json.decode(body, type=relays.StateRequest)
+        state = raw.state(request.known())
+        return internal_server.Reply(200, msgspec.json.encode(state))
+
+
+def _start_loop(context):
+    loop = asyncio.new_event_loop()
+    threading.Thread(target=loop.run_forever, daemon=True).start()
+    context.closers.append(
+        lambda: asyncio.run_coroutine_threadsafe(_end(loop), loop)
+    )
+    return loop
+
+
+async def _end(loop):
+    """End the connections and the loop, which would log those left open."""
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    loop.call_soon(loop.stop)
+
+
+@behave.given(
+    "a relay with a configuration of {count:d} routes behind a link of"
+    " {mbps:g} Mbit/s"
+)
+def given_relay_behind(context, count, mbps):
+    context.relay = peer_nodes.relay_with_routes(count)
+    context.loop = _start_loop(context)
+    server = _RelayServer(context.relay, context.loop)
+    context.link = narrow_link.NarrowLink(server.port, mbps)
+    context.closers.append(context.link.close)
+    context.peers = []
+    context.stopping = threading.Event()
+    context.closers.append(context.stopping.set)
+
+
+def _addresses_behind(address):
+    """Return addresses of nodes that rank after one, which they poll."""
+    for number in itertools.count(1):
+        own = f"10.0.0.{number}:1"
+        if relays.candidates(own, {address}, "east"):
+            yield own
+
+
+@behave.when("{count:d} node that has no store polls it")
+@behave.when("{count:d} nodes that have no store poll it")
+def when_poll(context, count):
+    address = context.link.address
+    context.began_s = time.monotonic()
+    for own in itertools.islice(_addresses_behind(address), count):
+        peer = peer_nodes.Peer(own)
+        on_loop = followers.on_loop
+        fetcher = config_transfer.ConfigFetcher(
+            "",
+            on_loop(context.loop, peer.applier.apply_fetched_config),
+            lambda _: None,
+        )
+        peers_known = threading.Event()
+        peers_known.set()
+        client = relays.RelayClient(
+            own, own, "east", "", TIMES, lambda: [address], list, dict, dict,
+            shared_clock.SharedClock(), [], peer.applier.known,
+            on_loop(context.loop, peer.applier.apply_peer_state), peers_known,
+            relays.RESTART_WAITS, offer_config=fetcher.offer,
+        )  # fmt: skip
+        for job in (fetcher, client):
+            threading.Thread(
+                target=job.run, args=(context.stopping,), daemon=True
+            ).start()
+        context.peers.append(peer)
+
+
+@behave.then("all nodes have the configuration within {bound_s:d} s")
+def then_all_have(context, bound_s):
+    digest = context.relay.raw.config_digest
+    platform_data.wait_for(
+        lambda: all(p.raw.config_digest == digest for p in context.peers),
+        context.began_s + bound_s - time.monotonic(),
+        lambda: sum(p.raw.config_digest == digest for p in context.peers),
+    )
+
+
+@behave.given("a node that fetches the configuration")
+def given_fetching(context):
+    context.given_up = threading.Event()
+    raw = context.relay.raw
+    fetcher = config_transfer.ConfigFetcher(
+        "", lambda *_: None, lambda _: context.given_up.set()
+    )
+    threading.Thread(
+        target=fetcher.run, args=(context.stopping,), daemon=True
+    ).start()
+    fetcher.offer(
+        config_transfer.Offer(context.link.address, raw.config_digest, 0, 0)
+    )
+    time.sleep(0.3)
+
+
+@behave.when("the link stalls")
+def when_stalls(context):
+    context.link.is_stalled = True
+
+
+@behave.then("the node has given up the peer within {bound_s:d} s")
+def then_given_up(context, bound_s):
+    assert context.given_up.wait(bound_s)
+
+
+@behave.when("{count:d} nodes fetch it from the relay")
+def when_fetch(context, count):
+    context.config_server = config_transfer.ConfigServer(context.relay.raw)
+    context.replies = [_fetch(context) for _ in range(count)]
+
+
+def _fetch(context):
+    request = msgspec.msgpack.encode(config_transfer.ConfigRequest())
+    return context.config_server.reply(request)
+
+
+@behave.then("one of them is asked to come back")
+def then_busy(context):
+    statuses = [reply.status for reply in context.replies]
+    assert statuses == [200, 200, config_transfer.BUSY_STATUS], statuses
+
+
+@behave.then("it gets the configuration after one transfer has ended")
+def then_after(context):
+    context.replies[0].on_sent()
+    assert _fetch(context).status == 200
+    assert _fetch(context).status == config_transfer.BUSY_STATUS
+
+
+@behave.then(
+    "the reply to a node that fetches large ones holds the configuration"
+)
+def then_inline(context):
+    known = peer_state.Known("", accepts_compressed=True, fetches_config=True)
+    assert context.relay.raw.state(known).config is not None
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import json
 import random
 import socket
 import threading
@@ -527,14 +526,7 @@
 
 @behave.given("a relay that has read a configuration of {count:d} routes")
 def givenmany_routes(context, count):
-    config = platform_data.make_config(8)
-    config["routes"] += peer_nodes.many_routes(random.Random(29), count)
-    change = rows.Change(rows.CONFIG_KEY, 8, json.dumps(config).encode())
-    context.relay = peer_nodes.Peer("relay")
-    context.relay.read_servers({}, True)
-    context.relay.applier.on_config_read(
-        followers.Reading([change], True, False, time.monotonic())
-    )
+    context.relay = peer_nodes.relay_with_routes(count)
     context.peer = peer_nodes.Peer("node")
 
 
--- a/features/support/peer_nodes.py
+++ b/features/support/peer_nodes.py
@@ -1,6 +1,7 @@
 """A node as its peers see it: what it has read and what it passes on."""
 
 import json
+import random
 import string
 import time
 
@@ -92,3 +93,16 @@
         }
         for _ in range(count)
     ]
+
+
+def relay_with_routes(count):
+    """Return a relay that has read a configuration of many routes."""
+    config = platform_data.make_config(8)
+    config["routes"] += many_routes(random.Random(29), count)
+    change = rows.Change(rows.CONFIG_KEY, 8, json.dumps(config).encode())
+    relay = Peer("relay")
+    relay.read_servers({}, True)
+    relay.applier.on_config_read(
+        followers.Reading([change], True, False, time.monotonic())
+    )
+    return relay
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -77,6 +77,7 @@
             self._raw.config_digest,
             accepts_changes=True,
             accepts_compressed=True,
+            in_force=self._raw.config_order.current,
         )
 
     def on_config_read(self, reading: followers.Reading) -> None:
@@ -344,6 +345,10 @@
         self, state: peer_state.PeerState, received_s: float
     ) -> bool:
         """Apply a peer's configuration; returns whether this node has it."""
+        is_other = state.config_digest not in ("", self._raw.config_digest)
+        if state.config is None and is_other:
+            # It is fetched apart.
+            return True
         # A peer that has no configuration yet returns an empty one.
         if state.config_age_s >= intervals.FRESH_S or state.config == "":
             return state.config is None
@@ -368,6 +373,18 @@
             )
         return True
 
+    def apply_fetched_config(
+        self, value: bytes, era: int, written_era: int
+    ) -> None:
+        """Apply a configuration that was fetched from a peer.
+
+        Args:
+            value: The configuration as stored.
+            era: Last era in which the store showed it.
+            written_era: Era in which it is known to have been written.
+        """
+        self._configs.apply(value, config_feed.Source.PEER, era, written_era)
+
     def _apply_peer_servers(
         self, state: peer_state.PeerState, received_s: float
     ) -> bool:
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -13,6 +13,7 @@
 from bilberryturn import events
 from bilberryturn import leases
 from bilberryturn import metrics
+from bilberryturn.edge import config_transfer
 from bilberryturn.edge import duties
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers as store_followers
@@ -98,6 +99,7 @@
             lambda nodes: self._node_presence.take_nodes(nodes),
             settings.heartbeat_s,
         )
+        self._config_server = config_transfer.ConfigServer(self._raw)
         self._callers = caller_server.CallerServer(self.shared)
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._request_stop)
@@ -188,6 +190,13 @@
                 ),
             )
         ]
+        fetcher = config_transfer.ConfigFetcher(
+            settings.ip,
+            store_followers.on_loop(
+                loop, self._applied(self._applier.apply_fetched_config)
+            ),
+            lambda address: relay.skip(address),
+        )
         relay = relays.RelayClient(
             self._lifetime,
             str(settings.peers or ""),
@@ -212,13 +221,14 @@
             ),
             self._era_tracker,
             is_store_reached=lambda: node_presence.has_reached_store,
+            offer_config=fetcher.offer,
         )
         self._duty_runner = self._create_duty_runner(
             store, node_presence, relay
         )
         return [
             executor.submit(job.run, self._stopping)
-            for job in (*followers, relay, self._duty_runner)
+            for job in (*followers, relay, fetcher, self._duty_runner)
         ]
 
     def _create_duty_runner(
@@ -326,6 +336,8 @@
     def _handle_peer_request(
         self, path: str, body: bytes
     ) -> internal_server.Reply:
+        if path == config_transfer.PATH:
+            return self._config_server.reply(body)
         if path != permits.PATH:
             return self._handle_state_request(body)
         reply = self.shared.availability.permits.issue(body)
--- a/src/bilberryturn/edge/peer_state.py
+++ b/src/bilberryturn/edge/peer_state.py
@@ -18,9 +18,12 @@
 # Changes retained for peers that know an earlier revision. More than the
 # restart of all servers of the largest deployment causes between two polls.
 MAX_CHANGES = 2000
+# Compressed size up to which a poll brings a configuration: less than the
+# entries of twenty servers.
+MAX_POLLED_CONFIG_BYTES = 4096
 
 
-class PeerState(msgspec.Struct):
+class PeerState(msgspec.Struct, omit_defaults=True):
     """Platform state that a node returns to a peer.
 
     Attributes:
@@ -58,6 +61,9 @@
         drained_domains: All drained failure domains, as the store confirmed
             them together with the configuration; None if they are unknown.
         drained_era: Era of the store in which they were confirmed.
+        config_digest: Digest of the configuration that the node has; "" if the
+            peer has the same, or the node has none.
+        config_version: The operator's number of that configuration.
     """
 
     revision: str
@@ -79,6 +85,8 @@
     config_written_era: int = config_order.NO_ERA
     drained_domains: list[str] | None = None
     drained_era: int = config_order.NO_ERA
+    config_digest: str = ""
+    config_version: int = 0
 
 
 class Known(NamedTuple):
@@ -91,12 +99,16 @@
         accepts_changes: Whether it accepts the changes since its revision in
             place of the whole content.
         accepts_compressed: Whether it accepts a compressed configuration.
+        fetches_config: Whether it fetches a large configuration apart.
+        in_force: The peer's configuration; None if none. Not sent.
     """
 
     revision: str
     config_digest: str = ""
     accepts_changes: bool = False
     accepts_compressed: bool = False
+    fetches_config: bool = False
+    in_force: config_order.Candidate | None = None
 
 
 class Content(enum.Enum):
@@ -185,6 +197,9 @@
         if in_force is not None:
             state.config_era = in_force.era
             state.config_written_era = in_force.written_era
+            if known.config_digest != self.config_digest:
+                state.config_digest = self.config_digest
+                state.config_version = in_force.version
         drained = self.drained
         # A peer of an older version may have confirmed the configuration since,
         # but not the drained failure domains.
@@ -220,14 +235,21 @@
             return msgspec.structs.replace(
                 state, config=base64.b64encode(self.config).decode()
             )
-        if self._compressed_config is None:
-            self._compressed_config = zlib.compress(self.config)
+        is_large = len(self.compressed_config()) > MAX_POLLED_CONFIG_BYTES
+        if known.fetches_config and is_large:
+            return state
         return msgspec.structs.replace(
             state,
-            config=base64.b64encode(self._compressed_config).decode(),
+            config=base64.b64encode(self.compressed_config()).decode(),
             is_config_compressed=True,
         )
 
+    def compressed_config(self) -> bytes:
+        """Return the configuration, compressed once for all peers (zlib)."""
+        if self._compressed_config is None:
+            self._compressed_config = zlib.compress(self.config)
+        return self._compressed_config
+
     def _with_everything(self, state: PeerState, known: Known) -> PeerState:
         return msgspec.structs.replace(
             self._with_config(state, known),
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -20,6 +20,7 @@
 from bilberryturn import leases
 from bilberryturn import rendezvous
 from bilberryturn.edge import config_order
+from bilberryturn.edge import config_transfer
 from bilberryturn.edge import followers as store_followers
 from bilberryturn.edge import intervals
 from bilberryturn.edge import peer_state
@@ -95,6 +96,7 @@
             none.
         accepts_compressed: Whether the node accepts a compressed
             configuration.
+        fetches_config: Whether the node fetches a large configuration apart.
     """
 
     lifetime: _Lifetime
@@ -105,6 +107,7 @@
     accepts_changes: bool = False
     config_digest: str = ""
     accepts_compressed: bool = False
+    fetches_config: bool = False
 
     def known(self) -> peer_state.Known:
         """Return what the node has already and accepts."""
@@ -113,6 +116,7 @@
             self.config_digest,
             self.accepts_changes,
             self.accepts_compressed,
+            self.fetches_config,
         )
 
 
@@ -145,6 +149,7 @@
         start_waits: StartWaits,
         era_tracker: store_era.EraTracker | None = None,
         is_store_reached: Callable[[], bool] = lambda: False,
+        offer_config: Callable[[config_transfer.Offer], None] | None = None,
     ):
         """Initialize the client.
 
@@ -170,7 +175,10 @@
             era_tracker: Era of the store, shared by all clients of this node.
             is_store_reached: Returns whether the store has answered the first
                 call for the other nodes.
+            offer_config: Receives each configuration of a peer that this node
+                does not have; None if polls bring them.
         """
+        self._offer_config = offer_config
         self._era_tracker = era_tracker or store_era.EraTracker()
         self._lifetime = lifetime
         self._address = address
@@ -353,6 +361,7 @@
             known.accepts_changes,
             known.config_digest,
             known.accepts_compressed,
+            self._offer_config is not None,
         )
         sent_s = time.monotonic()
         sent_boottime_s = leases.boottime_s()
@@ -360,10 +369,7 @@
         if result.is_error() or result.ok.status != 200:
             # If all nodes start, one that has not started yet would be taken
             # for lost, and many others for the relay.
-            backoff_s = (
-                0.0 if self._is_in_start_phase() else UNREACHABLE_BACKOFF_S
-            )
-            self._unreachable_until_s[address] = time.monotonic() + backoff_s
+            self.skip(address)
             events.log(
                 events.MEMBER_LOST,
                 member=address,
@@ -400,8 +406,41 @@
             self._relay = address
             self._has_had_relay = True
         self._deliver(state, received_s)
+        if self._has_new_config(state, known):
+            self._offer_config(
+                config_transfer.Offer(
+                    address,
+                    state.config_digest,
+                    state.config_era,
+                    state.config_written_era,
+                )
+            )
         return is_current
 
+    def skip(self, address: str) -> None:
+        """Poll other nodes for a while; safe on any thread."""
+        backoff_s = 0.0 if self._is_in_start_phase() else UNREACHABLE_BACKOFF_S
+        self._unreachable_until_s[address] = time.monotonic() + backoff_s
+
+    def _has_new_config(
+        self, state: peer_state.PeerState, known: peer_state.Known
+    ) -> bool:
+        """Return whether to fetch the configuration of a peer.
+
+        One that the store has not confirmed to the peer recently may be older.
+        """
+        is_other = state.config_digest not in ("", known.config_digest)
+        if self._offer_config is None or state.config is not None:
+            return False
+        if not is_other or state.config_age_s >= intervals.FRESH_S:
+            return False
+        in_force = known.in_force
+        return (
+            in_force is None
+            or state.config_era > in_force.era
+            or state.config_version > in_force.version
+        )
+
     def _record_time(self, state: peer_state.PeerState, sent_s: float) -> None:
         if state.store_s is not None:
             self._clock.record_store_time(
--- a/src/bilberryturn/events.py
+++ b/src/bilberryturn/events.py
@@ -59,6 +59,7 @@
 DOMAIN_DRAIN_UNDONE = Event(1216, "domain_drain_undone", logging.INFO)
 DRAIN_KEY_REFUSED = Event(1217, "drain_key_refused", logging.WARNING)
 STATE_ARRIVED = Event(1218, "state_arrived", logging.INFO)
+CONFIG_NOT_FETCHED = Event(1219, "config_not_fetched", logging.WARNING)
 
 REQUEST_REFUSED = Event(1301, "request_refused", logging.INFO)
 REQUEST_ENDED = Event(1302, "request_ended", logging.INFO)
--- a/src/bilberryturn/gateway/internal_server.py
+++ b/src/bilberryturn/gateway/internal_server.py
@@ -11,11 +11,16 @@
 
 
 class Reply(NamedTuple):
-    """A short response."""
+    """A short response.
+
+    Attributes:
+        on_sent: Called once all of it is sent or cannot be sent any more.
+    """
 
     status: int
     body: bytes = b""
     content_type: str = "text/plain"
+    on_sent: Callable[[], None] = lambda: None
 
 
 class InternalServer:
@@ -51,6 +56,8 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, reader, writer) -> None:
+        # Makes drain() wait until all bytes are in the kernel's buffer.
+        writer.transport.set_write_buffer_limits(high=0)
         parser = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_REQUEST_BYTES
         )
@@ -91,10 +98,15 @@
             ("content-length", str(len(reply.body))),
             ("content-type", reply.content_type),
         ]
-        writer.write(
-            parser.send(h11.Response(status_code=reply.status, headers=headers))
-            + (parser.send(h11.Data(data=reply.body)) or b"")
-            + (parser.send(h11.EndOfMessage()) or b"")
-        )
-        await writer.drain()
+        try:
+            writer.write(
+                parser.send(
+                    h11.Response(status_code=reply.status, headers=headers)
+                )
+                + (parser.send(h11.Data(data=reply.body)) or b"")
+                + (parser.send(h11.EndOfMessage()) or b"")
+            )
+            await writer.drain()
+        finally:
+            reply.on_sent()
         return parser.our_state is h11.DONE and parser.their_state is h11.DONE
--- a/src/bilberryturn/platform/http.py
+++ b/src/bilberryturn/platform/http.py
@@ -68,6 +68,28 @@
             self.headers[name.strip().lower()] = value.strip()
 
 
+class _StallGuard:
+    """Ends a transfer of which no byte has moved for some time.
+
+    curl calls it at least once a second.
+    """
+
+    def __init__(self, timeout_s: float):
+        self._timeout_s = timeout_s
+        self._moved = (0, 0)
+        self._moved_s = time.monotonic()
+
+    def check(
+        self, _down_total: int, down: int, _up_total: int, up: int
+    ) -> bool:
+        """Return whether to end the transfer."""
+        now_s = time.monotonic()
+        if (down, up) != self._moved:
+            self._moved = (down, up)
+            self._moved_s = now_s
+        return now_s - self._moved_s >= self._timeout_s
+
+
 class Response(NamedTuple):
     """An HTTP response.
 
@@ -98,6 +120,7 @@
         timeout_s: float,
         source_address: str = "",
         drops_unsent: bool = False,
+        stall_timeout_s: float | None = None,
     ):
         """Configure the client.
 
@@ -108,7 +131,11 @@
             source_address: Local IP address of the connections, or empty.
             drops_unsent: Whether a call that timed out must not reach the
                 platform later, when a network partition heals.
+            stall_timeout_s: Longest time without a byte. If given, a call goes
+                on for as long as bytes arrive, and the other time limit is
+                that of connecting.
         """
+        self._stall_timeout_s = stall_timeout_s
         self._drops_unsent = drops_unsent
         self.interface = interface
         self.address = address
@@ -154,7 +181,14 @@
         handle.setopt(pycurl.CUSTOMREQUEST, method)
         handle.setopt(pycurl.PROXY, "")
         handle.setopt(pycurl.NOSIGNAL, 1)
-        handle.setopt(pycurl.TIMEOUT_MS, self._timeout_ms)
+        if self._stall_timeout_s is None:
+            handle.setopt(pycurl.TIMEOUT_MS, self._timeout_ms)
+        else:
+            handle.setopt(pycurl.NOPROGRESS, 0)
+            handle.setopt(
+                pycurl.XFERINFOFUNCTION,
+                _StallGuard(self._stall_timeout_s).check,
+            )
         handle.setopt(pycurl.CONNECTTIMEOUT_MS, self._timeout_ms)
         handle.setopt(pycurl.WRITEFUNCTION, buffer.write)
         handle.setopt(pycurl.HEADERFUNCTION, head.add_line)
