Send a peer only what changed of a large configuration

Change: a node that fetches a configuration names the one that it has. If the peer had it before, it sends the ranges that both have in common and the new text; the result is checked against the digest, and all of it is fetched otherwise. A node keeps its last four configurations for that.

--- a/features/narrow_links.feature
+++ b/features/narrow_links.feature
@@ -47,3 +47,28 @@
   Scenario: A small configuration comes with the poll
     Given a relay that has read a configuration of 10 routes
     Then the reply to a node that fetches large ones holds the configuration
+
+  # Guards against a link that is filled by small changes of a large
+  # configuration.
+  Scenario Outline: <count> more routes cost a node that has 1900 little
+    Given a relay that has read a configuration of 1900 routes
+    When the operator adds <count> routes
+    Then a node with the configuration before gets it from the relay for <size> bytes
+    And a node with any other one gets all of it
+
+    Examples:
+      | count | size  |
+      | 1     | 1000  |
+      | 100   | 5000  |
+
+  Scenario: A change leads to the configuration whatever both hold
+    Then over 500 seeded pairs the change between them leads to the second
+
+  Scenario Outline: A change with <what> is not applied
+    Then a change with <what> is not applied
+
+    Examples:
+      | what                          |
+      | a range outside of its source |
+      | a negative range              |
+      | a result that is too large    |
--- a/features/steps/narrow_link_steps.py
+++ b/features/steps/narrow_link_steps.py
@@ -6,10 +6,12 @@
 import random
 import threading
 import time
+import zlib
 
 import behave
 import msgspec
 
+from bilberryturn.edge import config_change
 from bilberryturn.edge import config_transfer
 from bilberryturn.edge import followers
 from bilberryturn.edge import intervals
@@ -226,6 +228,7 @@
         on_loop = followers.on_loop
         fetcher = config_transfer.ConfigFetcher(
             "",
+            lambda peer=peer: peer.raw.config,
             on_loop(context.loop, peer.applier.apply_fetched_config),
             lambda _: None,
         )
@@ -259,7 +262,7 @@
     context.given_up = threading.Event()
     raw = context.relay.raw
     fetcher = config_transfer.ConfigFetcher(
-        "", lambda *_: None, lambda _: context.given_up.set()
+        "", bytes, lambda *_: None, lambda _: context.given_up.set()
     )
     threading.Thread(
         target=fetcher.run, args=(context.stopping,), daemon=True
@@ -286,9 +289,9 @@
     context.replies = [_fetch(context) for _ in range(count)]
 
 
-def _fetch(context):
-    request = msgspec.msgpack.encode(config_transfer.ConfigRequest())
-    return context.config_server.reply(request)
+def _fetch(context, base_digest=""):
+    request = config_transfer.ConfigRequest(base_digest)
+    return context.config_server.reply(msgspec.msgpack.encode(request))
 
 
 @behave.then("one of them is asked to come back")
@@ -310,3 +313,75 @@
 def then_inline(context):
     known = peer_state.Known("", accepts_compressed=True, fetches_config=True)
     assert context.relay.raw.state(known).config is not None
+
+
+@behave.when("the operator adds {count:d} routes")
+def when_adds(context, count):
+    context.digest_before = context.relay.raw.config_digest
+    context.config_before = context.relay.raw.config
+    config = json.loads(context.config_before)
+    config["version"] += 1
+    config["routes"] += peer_nodes.many_routes(random.Random(31), count)
+    change = rows.Change(rows.CONFIG_KEY, 9, json.dumps(config).encode())
+    context.relay.applier.on_config_read(
+        followers.Reading([change], False, False, time.monotonic())
+    )
+
+
+@behave.then(
+    "a node with the configuration before gets it from the relay for {size:d}"
+    " bytes"
+)
+def then_change(context, size):
+    context.config_server = config_transfer.ConfigServer(context.relay.raw)
+    body = _fetch(context, context.digest_before).body
+    reply = msgspec.msgpack.decode(body, type=config_transfer.ConfigReply)
+    config = config_change.apply(reply.change, context.config_before, 10**7)
+    assert config == context.relay.raw.config
+    assert len(body) <= size, len(body)
+
+
+@behave.then("a node with any other one gets all of it")
+def then_all(context):
+    for digest in ("", "0123456789abcdef"):
+        body = _fetch(context, digest).body
+        reply = msgspec.msgpack.decode(body, type=config_transfer.ConfigReply)
+        config = config_change.apply(reply.change, b"", 10**7)
+        assert config == context.relay.raw.config
+        context.config_server = config_transfer.ConfigServer(context.relay.raw)
+
+
+def _random_config(rng):
+    pieces = rng.choices(("a},", "b},", "{},", "},", "c", ""), k=12)
+    return "".join(pieces).encode()
+
+
+@behave.then(
+    "over {count:d} seeded pairs the change between them leads to the second"
+)
+def then_round_trip(context, count):
+    for seed in range(count):
+        rng = random.Random(seed)
+        base, config = _random_config(rng), _random_config(rng)
+        change = config_change.between(base, "d", config)
+        found = config_change.apply(change, base, 1000)
+        assert found == config, (seed, base, config, change)
+
+
+@behave.then("a change with {what} is not applied")
+def then_refused(context, what):
+    change = {
+        "a range outside of its source": config_change.Change(
+            "d", [(1, 9)], b""
+        ),
+        "a negative range": config_change.Change("d", [(-1, 1)], b""),
+        "a result that is too large": config_change.Change(
+            "d", [(0, 2)] * 600, b""
+        ),
+    }[what]
+    change.text = zlib.compress(change.text)
+    try:
+        config_change.apply(change, b"ab", 1000)
+    except config_change.ChangeError:
+        return
+    raise AssertionError(what)
--- a/src/bilberryturn/edge/config_transfer.py
+++ b/src/bilberryturn/edge/config_transfer.py
@@ -10,11 +10,11 @@
 import threading
 import time
 from typing import NamedTuple
-import zlib
 
 import msgspec
 
 from bilberryturn import events
+from bilberryturn.edge import config_change
 from bilberryturn.edge import config_order
 from bilberryturn.edge import peer_state
 from bilberryturn.gateway import internal_server
@@ -38,19 +38,29 @@
 
 
 class ConfigRequest(msgspec.Struct):
-    """Request for the configuration that a node has in force."""
+    """Request for the configuration that a node has in force.
+
+    Attributes:
+        base_digest: Digest of the configuration that the requesting node has;
+            "" to get all of it.
+    """
+
+    base_digest: str = ""
 
 
 class ConfigReply(msgspec.Struct):
     """A configuration, as MessagePack.
 
     Attributes:
-        config: The configuration as stored, compressed (zlib).
+        change: What leads to it from the configuration of the request, or all
+            of it.
+        digest: Digest of the configuration as stored.
         era: Last era in which the store showed it.
         written_era: Era in which it is known to have been written.
     """
 
-    config: bytes
+    change: config_change.Change
+    digest: str
     era: int = config_order.NO_ERA
     written_era: int = config_order.NO_ERA
 
@@ -92,7 +102,7 @@
     def reply(self, body: bytes) -> internal_server.Reply:
         """Return the reply to a request of a peer."""
         try:
-            msgspec.msgpack.decode(body, type=ConfigRequest)
+            request = msgspec.msgpack.decode(body, type=ConfigRequest)
         except msgspec.DecodeError as error:
             events.log(
                 events.FRAME_REFUSED, member="unknown", problem=str(error)
@@ -112,7 +122,8 @@
         number = self._count
         self._began_s[number] = now_s
         content = ConfigReply(
-            self._raw.compressed_config(),
+            self._raw.config_change(request.base_digest),
+            self._raw.config_digest,
             in_force.era,
             in_force.written_era,
         )
@@ -130,6 +141,7 @@
     def __init__(
         self,
         source_ip: str,
+        own_config: Callable[[], bytes],
         deliver: Callable[[bytes, int, int], None],
         on_failure: Callable[[str], None],
     ):
@@ -137,18 +149,23 @@
 
         Args:
             source_ip: Local IP address of the connections.
+            own_config: Returns the configuration of this node as stored; empty
+                if none.
             deliver: Receives a configuration as stored, its era and the era in
                 which it is known to have been written.
             on_failure: Receives the address of a peer that did not send its
                 configuration.
         """
         self._source_ip = source_ip
+        self._own_config = own_config
         self._deliver = deliver
         self._on_failure = on_failure
         self._offer: Offer | None = None
         self._has_offer = threading.Event()
         # Offered again at each poll while this node keeps another one.
         self._delivered: Offer | None = None
+        # Whether the last change did not lead to what the peer has.
+        self._needs_all = False
         self._clients: dict[str, http.HttpClient] = {}
 
     def offer(self, offer: Offer) -> None:
@@ -186,16 +203,18 @@
         if offer is None or offer.has_same_content(self._delivered):
             return 0.0
         began_s = time.monotonic()
+        base = b"" if self._needs_all else self._own_config()
+        request = ConfigRequest(peer_state.digest(base) if base else "")
         result = self._client(offer.address).call(
             METHOD,
             PATH,
-            raw=msgspec.msgpack.encode(ConfigRequest()),
+            raw=msgspec.msgpack.encode(request),
             is_idempotent=True,
         )
         if result.is_ok() and result.ok.status == BUSY_STATUS:
             self._has_offer.set()
             return BUSY_PAUSE_S * random.uniform(0.5, 1.5)
-        error = self._accept(offer, result)
+        error = self._accept(offer, base, result)
         if error is not None:
             events.log(
                 events.CONFIG_NOT_FETCHED,
@@ -206,7 +225,7 @@
             self._on_failure(offer.address)
         return 0.0
 
-    def _accept(self, offer: Offer, result) -> str | None:
+    def _accept(self, offer: Offer, base: bytes, result) -> str | None:
         """Deliver the configuration of a reply; returns an error, if any."""
         if result.is_error():
             return str(result.error)
@@ -214,13 +233,21 @@
             return f"status {result.ok.status}"
         try:
             reply = msgspec.msgpack.decode(result.ok.body, type=ConfigReply)
-            config = zlib.decompress(reply.config)
-        except (msgspec.DecodeError, zlib.error) as error:
+            config = config_change.apply(
+                reply.change,
+                base if reply.change.base_digest else b"",
+                http.MAX_RESPONSE_BYTES,
+            )
+        except (msgspec.DecodeError, config_change.ChangeError) as error:
+            self._needs_all = True
             return str(error)
+        self._needs_all = peer_state.digest(config) != reply.digest
+        if self._needs_all:
+            return "the change leads to another configuration"
         # The peer may have a newer one by now.
         self._delivered = Offer(
             offer.address,
-            peer_state.digest(config),
+            reply.digest,
             reply.era,
             reply.written_era,
         )
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -192,6 +192,7 @@
         ]
         fetcher = config_transfer.ConfigFetcher(
             settings.ip,
+            lambda: self._raw.config,
             store_followers.on_loop(
                 loop, self._applied(self._applier.apply_fetched_config)
             ),
--- a/src/bilberryturn/edge/peer_state.py
+++ b/src/bilberryturn/edge/peer_state.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from bilberryturn.edge import config_change
 from bilberryturn.edge import config_order
 from bilberryturn.edge import drained_domains
 
@@ -18,6 +19,9 @@
 # Changes retained for peers that know an earlier revision. More than the
 # restart of all servers of the largest deployment causes between two polls.
 MAX_CHANGES = 2000
+# Earlier configurations from which changes are told: a node polls at least once
+# within the time in which an operator writes as many.
+MAX_EARLIER_CONFIGS = 4
 # Compressed size up to which a poll brings a configuration: less than the
 # entries of twenty servers.
 MAX_POLLED_CONFIG_BYTES = 4096
@@ -141,8 +145,12 @@
     def __init__(self):
         self.config = b""
         self.config_digest = ""
-        # Created for the first peer that needs it.
-        self._compressed_config: bytes | None = None
+        # By the digest of a peer's configuration, "" for all of this node's;
+        # created for the first peer that needs it.
+        self._config_changes: dict[str, config_change.Change] = {}
+        self._earlier_configs: collections.OrderedDict[str, bytes] = (
+            collections.OrderedDict()
+        )
         self.servers: dict[str, bytes] = {}
         self.nodes: dict[str, str] = {}
         self.after_outage = False
@@ -174,9 +182,13 @@
 
     def set_config(self, value: bytes) -> None:
         """Set the configuration, as stored."""
+        if self.config:
+            self._earlier_configs[self.config_digest] = self.config
+        while len(self._earlier_configs) > MAX_EARLIER_CONFIGS:
+            self._earlier_configs.popitem(last=False)
         self.config = value
         self.config_digest = digest(value)
-        self._compressed_config = None
+        self._config_changes = {}
         self.mark_changed(Content.CONFIG)
 
     def state(self, known: Known) -> PeerState:
@@ -235,20 +247,33 @@
             return msgspec.structs.replace(
                 state, config=base64.b64encode(self.config).decode()
             )
-        is_large = len(self.compressed_config()) > MAX_POLLED_CONFIG_BYTES
+        compressed = self.config_change("").text
+        is_large = len(compressed) > MAX_POLLED_CONFIG_BYTES
         if known.fetches_config and is_large:
             return state
         return msgspec.structs.replace(
             state,
-            config=base64.b64encode(self.compressed_config()).decode(),
+            config=base64.b64encode(compressed).decode(),
             is_config_compressed=True,
         )
 
-    def compressed_config(self) -> bytes:
-        """Return the configuration, compressed once for all peers (zlib)."""
-        if self._compressed_config is None:
-            self._compressed_config = zlib.compress(self.config)
-        return self._compressed_config
+    def config_change(self, base_digest: str) -> config_change.Change:
+        """Return what leads from a peer's configuration to this node's.
+
+        Args:
+            base_digest: Digest of the peer's; "" for all of this node's.
+        """
+        base = self._earlier_configs.get(base_digest)
+        if not base:
+            base_digest = ""
+        change = self._config_changes.get(base_digest)
+        if change is None:
+            change = self._config_changes[base_digest] = (
+                config_change.between(base, base_digest, self.config)
+                if base
+                else config_change.whole(self.config)
+            )
+        return change
 
     def _with_everything(self, state: PeerState, known: Known) -> PeerState:
         return msgspec.structs.replace(
