--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -407,6 +407,8 @@
             status=status,
             reason=reason,
             server=chosen.server.server_id if chosen else None,
+            software_version=chosen.server.software_version if chosen else None,
+            resumes=self._incoming.headers.resumed_request_id,
             expected_s=round(chosen.expected_s, 3) if chosen else None,
             running=chosen.running if chosen else None,
             unread_tokens=chosen.uncached_tokens if chosen else None,
--- a/src/bilberryturn/platform/server_entries.py
+++ b/src/bilberryturn/platform/server_entries.py
@@ -18,6 +18,7 @@
 _MAX_SLOTS = 1_000_000
 # A longer time is taken for an error of its writer.
 _MAX_COLD_LEFT_MS = 3_600_000
+_MAX_VERSION_CHARACTERS = 100
 _Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 
 
@@ -37,6 +38,8 @@
     # Time for which the server stays cold; decoded apart, so that a bad value
     # doesn't lose the entry.
     cold_left_ms: msgspec.Raw = msgspec.Raw(b"0")
+    # Version of the server's software, a text by its writer's rules.
+    version: msgspec.Raw = msgspec.Raw(b'""')
 
 
 def decode(
@@ -76,6 +79,7 @@
                 None if entry.leaves_ms is None else entry.leaves_ms / 1000
             ),
             cold_left_s=_cold_left_s(entry.cold_left_ms),
+            software_version=_version(entry.version),
         )
     )
 
@@ -94,6 +98,16 @@
     return cold_left_ms / 1000 if is_plausible else 0.0
 
 
+def _version(value: msgspec.Raw) -> str:
+    """Return a version as text; one of another type as it is stored."""
+    text = bytes(value).decode(errors="replace")
+    try:
+        text = decoding.decode_json(bytes(value), type=str)
+    except msgspec.DecodeError:
+        pass
+    return text[:_MAX_VERSION_CHARACTERS]
+
+
 def _is_ip_address(text: str) -> bool:
     try:
         ipaddress.ip_address(text)
--- a/src/bilberryturn/platform/wire.py
+++ b/src/bilberryturn/platform/wire.py
@@ -26,6 +26,8 @@
 NOT_RUN = b"x-bilberryturn-not-run"
 URGENCY = b"x-bilberryturn-request-urgency"
 LAST_EVENT_ID = b"last-event-id"
+# Names the request that brought the first event of the stream to take up.
+RESUMES = b"resumes"
 # Names the copy of a moved run.
 MOVED_FROM = b"kv-from"
 DUTY_HOLDER = "X-Bilberryturn-Duty-Holder"
@@ -94,6 +96,8 @@
         last_event_id: Event after which an interrupted stream resumes, or
             None.
         forwarded: Headers to forward to a backend server.
+        resumed_request_id: Request that brought the first event of the stream
+            to take up, or None.
     """
 
     request_id: str
@@ -103,6 +107,7 @@
     prompt: types.Prompt | None
     last_event_id: str | None
     forwarded: Headers
+    resumed_request_id: str | None = None
 
 
 def read_caller_headers(headers: Headers) -> CallerHeaders:
@@ -132,6 +137,7 @@
         ),
         last_event_id=_optional_text(first_values.get(LAST_EVENT_ID)),
         forwarded=forwarded,
+        resumed_request_id=_optional_text(first_values.get(RESUMES)),
     )
 
 
--- a/src/bilberryturn/routing/types.py
+++ b/src/bilberryturn/routing/types.py
@@ -139,6 +139,7 @@
             is warm or did not say.
         cold_until_s: End of that time on the clock that all nodes share, in
             Unix seconds, counted from when the report was read.
+        software_version: Version of its software; "" if it states none.
     """
 
     server_id: str
@@ -154,6 +155,7 @@
     leaves_in_s: float | None = None
     cold_left_s: float = 0.0
     cold_until_s: float = 0.0
+    software_version: str = ""
 
     @property
     def address(self) -> str:
