Go on with a stream only at the software version that began it

Cause: a node that goes on with a stream whose server has ended, or that moves a run to another engine, took any server of the service. During a release the next one often has another version.

Change: once the caller has an event, only servers of the version that sent it are candidates, for another attempt and for a move. If there is none, the stream is cut, as its caller can see.

--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -192,7 +192,12 @@
         }
         chosen = shared.load_balancer.choose(
             request.requirements,
-            shared.candidates(request.requirements),
+            [
+                server
+                for server in shared.candidates(request.requirements)
+                if server.software_version
+                == self._chosen.server.software_version
+            ],
             now_s,
             frozenset(excluded),
         )
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -45,6 +45,8 @@
         # Status of the response that the end of a shutdown sent.
         self._stop_status = 0
         self._excluded: set[str] = set()
+        # Version at which the stream began; None while any may serve it.
+        self._version: str | None = None
         # Response to send if no other server has a better one.
         self._fallback: attempt_types.Response | None = None
         self._last_failure = ""
@@ -194,6 +196,14 @@
         self._delivery = delivery.Delivery(self._caller, account, shared.usage)
         return None
 
+    def _of_version(
+        self, servers: list[types.BackendServer]
+    ) -> list[types.BackendServer]:
+        """Return the servers at which the stream may go on."""
+        if self._version is None:
+            return servers
+        return [s for s in servers if s.software_version == self._version]
+
     async def _serve(self) -> tuple[int, str]:
         """Send the request to servers one after another."""
         may_have_run = False
@@ -275,7 +285,7 @@
         while True:
             now_s = time.monotonic()
             servers = shared.availability.spread(
-                shared.candidates(request.requirements)
+                self._of_version(shared.candidates(request.requirements))
             )
             for unavailable in shared.availability.exclusions(
                 request.priority, now_s, not_permitted
@@ -336,6 +346,9 @@
             return await attempt.run(may_try_another)
         finally:
             self._attempt_in_progress = False
+            if self._delivery.event_count:
+                # Another attempt goes on where this one stopped.
+                self._version = chosen.server.software_version
             self._sent_count += attempt.was_sent
             if moved and not attempt.was_sent:
                 shared.unused_copies.release(moved)
