Take up a stream of a split route at the service that began it

A route that is split between services chooses one by a hash of the request's identifier. A caller that takes a stream up sends a new identifier, so about half of the streams of a route split in two went on at the other service, whose text does not fit.

Change: the request that the caller names as the one that brought the first event decides.

Test: "A stream of a split route is taken up at the service that began it" failed before.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -21,3 +21,9 @@
     Given servers of versions v1, v2 of engines that can be moved
     When a stream runs at version v1 and its engine is about to end
     Then the stream is not moved
+
+  # Guards against a stream that another service of a split route goes on with.
+  Scenario: A stream of a split route is taken up at the service that began it
+    Given a route that is split between two services
+    When 40 callers each begin a stream and take it up by its first request
+    Then each stream has reached one service
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -154,3 +154,50 @@
 def then_not_moved(context):
     heads = [head for head, _ in context.ending.requests]
     assert len(heads) == 1, heads
+
+
+@behave.given("a route that is split between two services")
+def given_split(context):
+    backend_servers = [
+        server._replace(service=service)
+        for server, service in zip(
+            _start_servers(
+                context, ["v1", "v1"], [_script("first"), _script("second")]
+            ),
+            ("app", "other"),
+            strict=True,
+        )
+    ]
+    targets = (types.Target("app", 1.0), types.Target("other", 1.0))
+    route_table = gateway_rig.make_table(targets=targets)
+    route_table.services["other"] = types.Service("other", 100, None, None)
+    context.rig = gateway_rig.GatewayRig(backend_servers, route_table)
+    context.closers.append(context.rig.close)
+
+
+@behave.when(
+    "{count:d} callers each begin a stream and take it up by its first request"
+)
+def when_all_take_up(context, count):
+    context.streams = []
+    for number in range(count):
+        texts = (
+            gateway_rig.request_text("resumable", f"a{number}"),
+            gateway_rig.request_text(
+                "resumable",
+                f"b{number}",
+                extra=f"Last-Event-Id: 2\r\nResumes: a{number}\r\n",
+            ),
+        )
+        answers = [
+            gateway_rig.send_request(context.rig.port, text) for text in texts
+        ]
+        context.streams.append(
+            {version for a in answers for version in _versions(a.body)}
+        )
+
+
+@behave.then("each stream has reached one service")
+def then_one_service(context):
+    assert all(len(found) == 1 for found in context.streams), context.streams
+    assert len(set.union(*context.streams)) == 2
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -154,7 +154,9 @@
         now_s = time.monotonic()
         if shared.drain and not shared.drain.accepts(now_s, deadline_s):
             return outcomes.NODE_STOPPING
-        service_name = route_tables.choose_service(route, headers.request_id)
+        service_name = route_tables.choose_service(
+            route, headers.resumed_request_id or headers.request_id
+        )
         service = table.services.get(service_name)
         if service is None:
             return outcomes.no_server(RETRY_AFTER_S)
--- a/src/bilberryturn/routing/table.py
+++ b/src/bilberryturn/routing/table.py
@@ -70,7 +70,12 @@
 
 
 def choose_service(route: types.Route, request_id: str) -> str:
-    """Return one of a route's services, in proportion to their weights."""
+    """Return one of a route's services, in proportion to their weights.
+
+    Args:
+        route: The route.
+        request_id: Identifies the request, or the one whose stream it takes up.
+    """
     if len(route.targets) == 1:
         return route.targets[0].service
     total = sum(target.weight for target in route.targets)
