Take a stream up only at the software version that began it

Cause: no node knew at which version a stream had begun: a take-up was sent to any server. What a node might have known is gone with it, and a starting node could not even tell that another version had served.

While several served within the time that a stream may last, each node keeps the version of its streams in the store, written from their dispatch on; a take-up goes to a server of that version or is refused as not run. While one version serves, nothing is written or looked up.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -27,3 +27,79 @@
     Given a route that is split between two services
     When 40 callers each begin a stream and take it up by its first request
     Then each stream has reached one service
+
+  # Guards against streams that another version goes on with after their node,
+  # or all nodes, have gone.
+  Scenario Outline: A stream is taken up at <node> while two versions serve
+    Given a store, a node and servers of versions v1, v2, v1, v2
+    When 20 callers each have 2 events of a stream
+    And they take their streams up at <node>
+    Then each of them has a whole stream of one version
+
+    Examples:
+      | node                                              |
+      | the same node                                     |
+      | another node                                      |
+      | a node that starts after all nodes have lost power |
+
+  # Guards against streams that began before a release and are not recorded.
+  Scenario: A stream that began before a release is taken up during it
+    Given a store, a node and servers of versions v1, v1
+    When 20 callers each have 2 events of a stream
+    And servers of versions v2, v2 join
+    And they take their streams up at a node that starts after all nodes have lost power
+    Then each of them has a whole stream of one version
+
+  # Guards against a stream that goes on at the new version after the old one
+  # has left.
+  Scenario: A stream is not taken up once the version that began it has left
+    Given a store, a node and servers of versions v1, v1
+    When 20 callers each have 2 events of a stream
+    And servers of versions v2, v2 join
+    And the servers of version v1 leave while no node runs
+    And they take their streams up at a node that starts after all nodes have lost power
+    Then all of them are refused with no_server_of_version
+    And no server has been sent a request with the identifier of an event
+
+  Scenario: A stream whose beginning no node and no row tells is not taken up
+    Given a store, a node and servers of versions v1, v2
+    When the store rejects all writes
+    And 20 callers each have 2 events of a stream
+    And they take their streams up at a node that starts after all nodes have lost power
+    Then all of them are refused with unknown_origin
+    And no server has been sent a request with the identifier of an event
+
+  # Guards against refusals and store calls where nothing can be joined.
+  Scenario: While one version serves, streams are taken up without the store
+    Given a store, a node and servers of versions v1, v1
+    When 20 callers each have 2 events of a stream
+    And they take their streams up at another node
+    Then each of them has a whole stream of one version
+    And the store holds no stream, and none was looked up
+
+  Scenario: Rows of streams are removed once they have ended
+    Given a store, a node and servers of versions v1, v2
+    When 20 callers each have 2 events of a stream
+    And they take their streams up at another node
+    Then the store holds no stream after the next write of each node
+
+  # Guards against a belief in rows that a restore has lost.
+  Scenario: Rows of streams are written again after a restore of the store
+    Given a store, a node and servers of versions v1, v2
+    When the store is restored from a copy after 20 callers each have 2 events
+    Then the store holds 20 streams
+
+  Scenario: Rows that killed nodes left are removed after the release
+    Given a store, a node and servers of versions v1, v2
+    When 20 callers each have 2 events of a stream
+    Then the store holds 20 streams
+    And it holds none once the holder of the lease has cleaned up
+
+  # Guards against a node that takes two versions for one as it has just started.
+  Scenario: Nodes know which versions served, whichever of them restart
+    Then over 200 seeded series of releases, restarts and losses of all nodes no node with all reports takes two versions for one
+
+  Scenario: A peer that has not read the reports does not vouch for them
+    Given a relay that has not read the reports
+    When a node polls it, and again after the relay has read them
+    Then the node knows all reports only after the second poll
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -1,12 +1,20 @@
 """Steps of software_versions.feature."""
 
+import json
+import random
+import threading
 import time
 
 import behave
 
+from bilberryturn.edge import stream_records
+from bilberryturn.platform import rows
+from bilberryturn.routing import software_versions
 from bilberryturn.routing import types
 from support import gateway_rig
+from support import peer_nodes
 from support import scripted
+from support import store_standin
 
 EVENTS = 5
 EVENTS_BEFORE_BREAK = 2
@@ -173,6 +181,17 @@
     route_table.services["other"] = types.Service("other", 100, None, None)
     context.rig = gateway_rig.GatewayRig(backend_servers, route_table)
     context.closers.append(context.rig.close)
+    _know_versions(context.rig)
+
+
+def _know_versions(rig):
+    """Let a node know all reports, so that it takes one version for one."""
+
+    async def know():
+        rig.shared.software_versions.is_complete = True
+        rig.shared.update_versions()
+
+    rig.call(know)
 
 
 @behave.when(
@@ -201,3 +220,348 @@
 def then_one_service(context):
     assert all(len(found) == 1 for found in context.streams), context.streams
     assert len(set.union(*context.streams)) == 2
+
+
+class _Node:
+    """A gateway with the store's records of streams.
+
+    Attributes:
+        reads: Streams that were looked up in the store.
+    """
+
+    def __init__(self, store, backend_servers):
+        self.reads = []
+        self.is_holder = False
+        self.rig = gateway_rig.GatewayRig(backend_servers)
+        self.recorder = stream_records.StreamRecorder(
+            self.rig.shared.stream_origins,
+            rows.RowStore(store_standin.DirectClient(store)),
+            400.0,
+            lambda: 1,
+            lambda: self.is_holder,
+        )
+        read = self.recorder.read
+
+        async def count_read(name):
+            self.reads.append(name)
+            return await read(name)
+
+        self.rig.shared.stream_origins.read_stored = count_read
+        self._stopping = threading.Event()
+        threading.Thread(
+            target=self.recorder.run, args=(self._stopping,), daemon=True
+        ).start()
+
+    def know(self, reports):
+        """Learn the reports of all nodes so far, as from the store."""
+
+        async def know():
+            shared = self.rig.shared
+            shared.merge_reports("earlier", reports)
+            shared.software_versions.is_complete = True
+            self._observe()
+
+        self.rig.call(know)
+
+    def _observe(self):
+        shared = self.rig.shared
+        shared.software_versions.observe(
+            shared.directory.all_servers(), shared.time_of_day()
+        )
+        shared.update_versions()
+
+    def add(self, backend_servers):
+        async def add():
+            for server in backend_servers:
+                self.rig.shared.directory.report(server, time.monotonic())
+            self._observe()
+
+        self.rig.call(add)
+
+    def reports(self):
+        return self.rig.shared.software_versions.own_reports()
+
+    def stop(self):
+        self._stopping.set()
+
+    def close(self):
+        self.stop()
+        self.rig.close()
+
+
+def _stream_script(version):
+    """Return the script of a server whose streams go on once taken up."""
+
+    def answer(peer, head, body, number):
+        begin = int(scripted.header(head, "Last-Event-Id") or 0)
+        peer.start_stream(head)
+        last = EVENTS if begin else EVENTS_BEFORE_BREAK
+        for event in range(begin + 1, last + 1):
+            peer.chunk(_event(version, event))
+        if not begin:
+            # Goes on until the caller's node closes the connection.
+            peer.connection.settimeout(5)
+            peer.connection.recv(1)
+            return "close"
+        peer.chunk(b"")
+        return None
+
+    return answer
+
+
+def _start_node(context, backend_servers, reports):
+    node = _Node(context.store, backend_servers)
+    context.closers.append(node.close)
+    node.know(reports)
+    return node
+
+
+@behave.given("a store, a node and servers of versions {versions}")
+def given_node(context, versions):
+    context.store = store_standin.MemoryStore()
+    names = versions.split(", ")
+    context.backend_servers = _start_servers(
+        context, names, [_stream_script(name) for name in names]
+    )
+    context.all_servers = list(context.servers)
+    context.node = _start_node(context, context.backend_servers, {})
+
+
+@behave.when("{count:d} callers each have 2 events of a stream")
+def when_begin(context, count):
+    context.callers = []
+    for number in range(count):
+        connection = gateway_rig.connect(context.node.rig.port)
+        connection.sendall(gateway_rig.request_text("resumable", f"a{number}"))
+        received = b""
+        while received.count(b"data: ") < EVENTS_BEFORE_BREAK:
+            received += connection.recv(65536)
+        context.callers.append((connection, _versions(received)))
+    _wait_for_write()
+
+
+@behave.when(
+    "the store is restored from a copy after {count:d} callers each have 2"
+    " events"
+)
+def when_restored(context, count):
+    copy = context.store.copy()
+    when_begin(context, count)
+    context.store.restore(copy)
+    # Any call of the node learns of it; this one is of another client.
+    context.node.recorder._store.snapshot(rows.SERVER_TABLE)
+    _wait_for_write()
+
+
+def _wait_for_write():
+    time.sleep(3 * stream_records.MIN_WRITE_INTERVAL_S)
+
+
+@behave.when("servers of versions {versions} join")
+def when_join(context, versions):
+    names = versions.split(", ")
+    joined = _start_servers(
+        context, names, [_stream_script(name) for name in names]
+    )
+    context.all_servers += context.servers
+    joined = [s._replace(server_id=f"j{s.server_id}") for s in joined]
+    context.backend_servers = [*joined, *context.backend_servers]
+    context.node.add(joined)
+    _wait_for_write()
+
+
+@behave.when("the servers of version {version} leave while no node runs")
+def when_leave(context, version):
+    context.backend_servers = [
+        s for s in context.backend_servers if s.software_version != version
+    ]
+
+
+@behave.when("the store rejects all writes")
+def when_rejects(context):
+    context.store.transact = lambda body: (503, {})
+
+
+@behave.when("they take their streams up at {node}")
+def when_take_up(context, node):
+    reports = context.node.reports()
+    if node == "the same node":
+        context.taking = context.node
+    else:
+        if "lost power" in node:
+            context.node.stop()
+        context.taking = _start_node(context, context.backend_servers, reports)
+    context.answers = []
+    for number, (connection, _) in enumerate(context.callers):
+        connection.close()
+        text = gateway_rig.request_text(
+            "resumable",
+            f"b{number}",
+            extra=f"Last-Event-Id: 2\r\nResumes: a{number}\r\n",
+        )
+        context.answers.append(
+            gateway_rig.send_request(context.taking.rig.port, text)
+        )
+
+
+@behave.then("each of them has a whole stream of one version")
+def then_one_version(context):
+    for (_, before), answer in zip(
+        context.callers, context.answers, strict=True
+    ):
+        assert answer.is_complete and answer.status == 200, answer.head
+        found = before + _versions(answer.body)
+        assert found == [before[0]] * EVENTS, found
+
+
+@behave.then("all of them are refused with {reason}")
+def then_refused(context, reason):
+    for answer in context.answers:
+        assert answer.status == 503, answer.head
+        assert answer.header("Retry-After"), answer.head
+        assert json.loads(answer.body)["error"]["type"] == reason
+
+
+@behave.then(
+    "no server has been sent a request with the identifier of an event"
+)
+def then_not_sent(context):
+    for server in context.all_servers:
+        for head, _ in server.requests:
+            assert scripted.header(head, "Last-Event-Id") is None, head
+
+
+def _stored(context):
+    return context.store.raw_rows({rows.STREAM_TABLE})
+
+
+@behave.then("the store holds no stream, and none was looked up")
+def then_no_calls(context):
+    assert not _stored(context)
+    assert not context.taking.reads
+
+
+@behave.then("the store holds no stream after the next write of each node")
+def then_removed(context):
+    _wait_for_write()
+    assert not _stored(context), _stored(context)
+
+
+@behave.then("the store holds {count:d} streams")
+def then_holds(context, count):
+    assert len(_stored(context)) == count
+
+
+@behave.then("it holds none once the holder of the lease has cleaned up")
+def then_cleaned(context):
+    context.node.stop()
+    holder = _start_node(context, context.backend_servers, {})
+    holder.stop()
+    holder.is_holder = True
+    holder.recorder._waited_s = stream_records.CLEAN_INTERVAL_S
+    holder.recorder.write()
+    assert not _stored(context)
+
+
+class _Fleet:
+    """Nodes that read the store's servers and each other's reports."""
+
+    def __init__(self):
+        self.now_s = 1000.0
+        self.rows = {}
+        self.nodes = {}
+        self.starts = 0
+        self.versions = {"v1"}
+        # When each version was last seen to serve by a node that lived on.
+        self.served_s = {}
+
+    def servers(self):
+        return [
+            gateway_rig.make_server(v, 1, software_version=v)
+            for v in sorted(self.versions)
+        ]
+
+    def start(self):
+        self.starts += 1
+        node = software_versions.SoftwareVersions()
+        self.nodes[f"n{self.starts}"] = node
+        return node
+
+    def step(self):
+        """Let each node read the servers, then the reports of all."""
+        for node in self.nodes.values():
+            node.observe(self.servers(), self.now_s)
+        if self.nodes:
+            self.served_s.update(dict.fromkeys(self.versions, self.now_s))
+        for name, node in self.nodes.items():
+            self.rows[name] = dict(node.own_reports())
+        for node in self.nodes.values():
+            for reports in self.rows.values():
+                node.merge(reports)
+            node.is_complete = True
+        self.now_s += 1.0
+
+
+@behave.then(
+    "over {count:d} seeded series of releases, restarts and losses of all"
+    " nodes no node with all reports takes two versions for one"
+)
+def then_series(context, count):
+    window_s = 12.0
+    for seed in range(count):
+        rng = random.Random(seed)
+        fleet = _Fleet()
+        for _ in range(3):
+            fleet.start()
+        fleet.step()
+        for step in range(60):
+            kind = rng.choice(("join", "leave", "restart", "lose", "wait"))
+            if kind == "join":
+                fleet.versions.add(f"v{rng.randrange(4)}")
+            elif kind == "leave" and len(fleet.versions) > 1:
+                fleet.versions.discard(rng.choice(sorted(fleet.versions)))
+            elif kind == "restart":
+                del fleet.nodes[rng.choice(sorted(fleet.nodes))]
+                fleet.start()
+            elif kind == "lose":
+                fleet.nodes.clear()
+                if rng.random() < 0.5:
+                    fleet.versions = {f"v{rng.randrange(4)}"}
+                fleet.now_s += rng.choice((1.0, 3.0))
+                for _ in range(3):
+                    fleet.start()
+            fleet.step()
+            recent = {
+                version
+                for version, served_s in fleet.served_s.items()
+                if served_s > fleet.now_s - window_s
+            }
+            for name, node in fleet.nodes.items():
+                is_mixed = node.is_mixed(
+                    "app", fleet.servers(), window_s, fleet.now_s
+                )
+                assert is_mixed or len(recent) == 1, (seed, step, name, recent)
+
+
+@behave.given("a relay that has not read the reports")
+def given_unread_reports(context):
+    context.relay = peer_nodes.Peer("relay")
+    context.relay.read_config(1)
+    context.relay.read_servers({}, True)
+    context.peer = peer_nodes.Peer("node")
+
+
+@behave.when("a node polls it, and again after the relay has read them")
+def when_polls_twice(context):
+    context.known = []
+    versions = context.peer.shared.software_versions
+    for _ in range(2):
+        reply = context.relay.reply_to(context.peer)
+        context.peer.applier.apply_peer_state(reply, time.monotonic())
+        context.known.append(versions.is_complete)
+        context.relay.read_suspects({})
+
+
+@behave.then("the node knows all reports only after the second poll")
+def then_second(context):
+    assert context.known == [False, True], context.known
--- a/features/support/peer_nodes.py
+++ b/features/support/peer_nodes.py
@@ -48,6 +48,16 @@
             followers.Reading([change], True, False, time.monotonic())
         )
 
+    def read_suspects(self, reports):
+        """Apply a reading of all reports, by lifetime of their node."""
+        changes = [
+            rows.Change(lifetime, 1, json.dumps(counts).encode())
+            for lifetime, counts in reports.items()
+        ]
+        self.applier.on_suspects_read(
+            followers.Reading(changes, True, False, time.monotonic())
+        )
+
     def state_for(self, peer):
         """Return what a poll of a peer returns."""
         return self.raw.state(peer.applier.known())
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -137,6 +137,9 @@
             reading.after_outage,
             _era_number(reading.era),
         )
+        self._shared.software_versions.observe(
+            self._shared.directory.all_servers(), self._shared.time_of_day()
+        )
 
     def on_suspects_read(self, reading: followers.Reading) -> None:
         """Apply a reading of the nodes' reports on crashes and limits."""
@@ -162,6 +165,12 @@
                     for name in known.keys() | counts.keys()
                 }
             self.merge_suspects(lifetime, counts)
+        if reading.is_snapshot:
+            self._record_all_suspects()
+
+    def _record_all_suspects(self) -> None:
+        self._raw.record_all_suspects()
+        self._shared.software_versions.is_complete = True
 
     def confirm_config(self, confirmed_s: float) -> None:
         """Record that the store had no newer configuration at a time."""
@@ -323,6 +332,8 @@
         """
         for lifetime, counts in (state.suspects or {}).items():
             self.merge_suspects(lifetime, counts)
+        if state.has_all_suspects:
+            self._record_all_suspects()
         if state.nodes is not None:
             self.set_nodes(state.nodes)
             if self._deliver_nodes is not None:
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -23,6 +23,7 @@
 from bilberryturn.edge import presence
 from bilberryturn.edge import relays
 from bilberryturn.edge import shared_clock
+from bilberryturn.edge import stream_records
 from bilberryturn.edge import usage_windows
 from bilberryturn.edge import watchdog
 from bilberryturn.gateway import drain
@@ -40,6 +41,8 @@
 
 METRICS_PORT = 9464
 STORE_CALL_TIMEOUT_S = 1.5
+# A caller waits for these.
+STREAM_CALL_TIMEOUT_S = 0.5
 TICK_INTERVAL_S = 0.25
 SWEEP_INTERVAL_S = 1.0
 # Settings that a running node can reload; all others need a restart.
@@ -105,7 +108,7 @@
             loop.add_signal_handler(signal_number, self._request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         executor = concurrent.futures.ThreadPoolExecutor(
-            max_workers=6, thread_name_prefix="store"
+            max_workers=7, thread_name_prefix="store"
         )
         jobs = self._start_jobs(loop, executor)
         # Blocked by the start script, and so in all threads started until now;
@@ -229,14 +232,38 @@
         )
         return [
             executor.submit(job.run, self._stopping)
-            for job in (*followers, relay, fetcher, self._duty_runner)
+            for job in (
+                *followers,
+                relay,
+                fetcher,
+                self._create_stream_recorder(),
+                self._duty_runner,
+            )
         ]
 
+    def _create_stream_recorder(self) -> stream_records.StreamRecorder:
+        settings = self._settings
+        return stream_records.StreamRecorder(
+            self.shared.stream_origins,
+            rows.RowStore(
+                http.HttpClient(
+                    "store",
+                    str(settings.store),
+                    STREAM_CALL_TIMEOUT_S,
+                    settings.ip,
+                ),
+                era_tracker=self._era_tracker,
+            ),
+            settings.store_writes_per_s,
+            self._node_presence.count,
+            lambda: self._lease.is_held() and not self.shared.has_mixed_service,
+        )
+
     def _create_duty_runner(
         self, store, node_presence, relay
     ) -> duties.DutyRunner:
         settings = self._settings
-        lease = leases.Lease(
+        lease = self._lease = leases.Lease(
             "duties",
             settings.name,
             leases.LeaseOptions(settings.lease_s, duties.LEASE_MARGIN_S),
@@ -391,6 +418,8 @@
     def _update_state(self, now_s: float) -> None:
         self._applier.expire()
         self.shared.evacuation.step(now_s)
+        self.shared.update_versions()
+        self.shared.stream_origins.expire(now_s)
         self.shared.availability.log_cold()
         for cause in self.shared.part_crashes.new_causes():
             event = (
@@ -421,6 +450,7 @@
 
         def call(*arguments) -> None:
             apply(*arguments)
+            self.shared.update_versions()
             self.shared.record_arrival()
             self._update_readiness()
 
--- a/src/bilberryturn/edge/peer_state.py
+++ b/src/bilberryturn/edge/peer_state.py
@@ -68,6 +68,8 @@
         config_digest: Digest of the configuration that the node has; "" if the
             peer has the same, or the node has none.
         config_version: The operator's number of that configuration.
+        has_all_suspects: Whether the peer has all reports that the store holds
+            now. Sent with everything and once they are read.
     """
 
     revision: str
@@ -91,6 +93,7 @@
     drained_era: int = config_order.NO_ERA
     config_digest: str = ""
     config_version: int = 0
+    has_all_suspects: bool = False
 
 
 class Known(NamedTuple):
@@ -123,6 +126,7 @@
     SUSPECTS = enum.auto()
     NODES = enum.auto()
     DRAINED = enum.auto()
+    ALL_SUSPECTS = enum.auto()
 
 
 class _Change(NamedTuple):
@@ -164,6 +168,7 @@
         self.config_order = config_order.ConfigOrder()
         self.drained = drained_domains.DrainedDomains()
         self.suspects: dict[str, dict[str, int]] = {}
+        self.has_all_suspects = False
         self._lifetime = secrets.token_hex(4)
         self._change_count = 0
         self._changes: collections.deque[_Change] = collections.deque(
@@ -180,6 +185,13 @@
         self._change_count += 1
         self._changes.append(_Change(self._change_count, content, key))
 
+    def record_all_suspects(self) -> None:
+        """Record that the reports which the store holds are known."""
+        if self.has_all_suspects:
+            return
+        self.has_all_suspects = True
+        self.mark_changed(Content.ALL_SUSPECTS)
+
     def set_config(self, value: bytes) -> None:
         """Set the configuration, as stored."""
         if self.config:
@@ -280,6 +292,7 @@
             self._with_config(state, known),
             servers={key: self._entry(key) for key in self.servers},
             suspects=dict(self.suspects),
+            has_all_suspects=self.has_all_suspects,
             nodes=dict(self.nodes),
         )
 
@@ -303,6 +316,7 @@
                 lifetime: self.suspects.get(lifetime, {})
                 for lifetime in keys[Content.SUSPECTS]
             },
+            has_all_suspects=bool(keys[Content.ALL_SUSPECTS]),
             nodes=dict(self.nodes) if keys[Content.NODES] else None,
         )
 
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -11,6 +11,7 @@
 from bilberryturn.gateway import outcomes
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import state_arrival
+from bilberryturn.gateway import stream_origins
 from bilberryturn.routing import choice
 from bilberryturn.routing import crash_causes
 from bilberryturn.routing import placement
@@ -20,6 +21,8 @@
 
 # Shortest remaining time in which a request is sent to a server.
 MIN_ATTEMPT_S = 0.05
+# How a stream that was sent completely ends in the log.
+STREAMED = "streamed"
 # Sent as Retry-After if no server can take the request.
 RETRY_AFTER_S = 0.3
 
@@ -94,9 +97,16 @@
 
     async def _run(self) -> tuple[int, str]:
         refusal = await self._wait_for_state() or self._admit()
+        refusal = refusal or await self._find_version()
         if refusal is not None:
             return self._refuse(refusal)
-        return await self._serve()
+        is_complete = False
+        try:
+            status, reason = await self._serve()
+            is_complete = reason == STREAMED
+        finally:
+            self._record_stream_end(is_complete)
+        return status, reason
 
     async def _wait_for_state(self) -> outcomes.Refusal | None:
         """Wait for the state of a node that starts; returns a refusal, if any.
@@ -198,6 +208,49 @@
         self._delivery = delivery.Delivery(self._caller, account, shared.usage)
         return None
 
+    @property
+    def _stream_name(self) -> str:
+        """Return the name by which a caller takes the stream up again."""
+        headers = self._incoming.headers
+        if headers.last_event_id is None:
+            return headers.request_id
+        return headers.resumed_request_id or ""
+
+    async def _find_version(self) -> outcomes.Refusal | None:
+        """Find out which version began the stream to take up, if any.
+
+        What another version writes does not fit the events that the caller
+        has, so that it is better off without an answer.
+        """
+        shared, request = self._shared, self._request
+        service = request.service.name
+        is_taken_up = self._incoming.headers.last_event_id is not None
+        if not self._is_resumable or not is_taken_up:
+            return None
+        servers = shared.candidates(request.requirements)
+        if not shared.is_mixed(service):
+            # Servers of another version may join meanwhile.
+            self._version = servers[0].software_version if servers else None
+            shared.record_resumed_stream(service, "one_version")
+            return None
+        origin = await shared.stream_origins.find(
+            self._stream_name, request.deadline_s
+        )
+        if origin is None or origin.service != service:
+            shared.record_resumed_stream(service, "unknown_origin")
+            return outcomes.unknown_origin(RETRY_AFTER_S)
+        self._version = origin.version
+        if not self._of_version(shared.candidates(request.requirements)):
+            shared.record_resumed_stream(service, "no_server_of_version")
+            return outcomes.no_server_of_version(RETRY_AFTER_S)
+        shared.record_resumed_stream(service, "same_version")
+        return None
+
+    @property
+    def _is_resumable(self) -> bool:
+        route = self._request.route
+        return route.is_stream and route.is_retryable
+
     def _of_version(
         self, servers: list[types.BackendServer]
     ) -> list[types.BackendServer]:
@@ -206,6 +259,28 @@
             return servers
         return [s for s in servers if s.software_version == self._version]
 
+    def _record_stream_start(self, server: types.BackendServer) -> None:
+        """Record the version that is to begin the stream before it does."""
+        if self._is_resumable and not self._delivery.event_count:
+            self._shared.stream_origins.begin(
+                self._stream_name,
+                stream_origins.Origin(server.service, server.software_version),
+            )
+
+    def _record_stream_end(self, is_complete: bool) -> None:
+        """Forget the stream, unless its caller may take it up again."""
+        if not self._is_resumable:
+            return
+        origins, name = self._shared.stream_origins, self._stream_name
+        has_events = (
+            self._delivery.event_count > 0
+            or self._incoming.headers.last_event_id is not None
+        )
+        if has_events and not is_complete:
+            origins.break_off(name, self._request.deadline_s)
+        else:
+            origins.end(name)
+
     async def _serve(self) -> tuple[int, str]:
         """Send the request to servers one after another."""
         may_have_run = False
@@ -221,7 +296,7 @@
             if result is None:
                 break
             if isinstance(result, attempt_types.StreamCompleted):
-                return 200, "streamed"
+                return 200, STREAMED
             if isinstance(result, moves.MovedRun):
                 may_have_run = True
                 if not self._may_send(result.chosen):
@@ -334,6 +409,7 @@
             return None
         self._chosen = chosen
         self._excluded.add(chosen.server.server_id)
+        self._record_stream_start(chosen.server)
         attempt = attempts.Attempt(
             self._request,
             chosen,
--- a/src/bilberryturn/gateway/outcomes.py
+++ b/src/bilberryturn/gateway/outcomes.py
@@ -115,6 +115,36 @@
 )
 
 
+def unknown_origin(retry_after_s: float) -> Refusal:
+    """Refuse to go on with a stream whose software version is not known.
+
+    Args:
+        retry_after_s: Value of Retry-After.
+    """
+    return Refusal(
+        503,
+        "unknown_origin",
+        "Servers of several software versions serve, and it is not known which"
+        " one began this stream; it has not gone on, begin it anew",
+        retry_after_s,
+    )
+
+
+def no_server_of_version(retry_after_s: float) -> Refusal:
+    """Refuse to go on with a stream whose software version serves no more.
+
+    Args:
+        retry_after_s: Value of Retry-After.
+    """
+    return Refusal(
+        503,
+        "no_server_of_version",
+        "No server of the software version that began this stream can take it;"
+        " it has not gone on, begin it anew",
+        retry_after_s,
+    )
+
+
 def no_valid_response(reason: str) -> Refusal:
     """End a request that was sent and got no valid response.
 
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -16,6 +16,7 @@
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import permits
 from bilberryturn.gateway import state_arrival
+from bilberryturn.gateway import stream_origins
 from bilberryturn.gateway import upstream
 from bilberryturn.routing import budget
 from bilberryturn.routing import choice
@@ -23,6 +24,7 @@
 from bilberryturn.routing import directory
 from bilberryturn.routing import part_crashes
 from bilberryturn.routing import placement
+from bilberryturn.routing import software_versions
 from bilberryturn.routing import table as route_tables
 from bilberryturn.routing import types
 
@@ -143,6 +145,8 @@
         memory: Account of the bytes that requests hold.
         placement: In which failure domains requests may be served.
         arrival: Lets requests wait for the state of a node that starts.
+        software_versions: Versions of the services' servers.
+        stream_origins: At which version each stream of this node began.
     """
 
     def __init__(
@@ -179,6 +183,10 @@
         self.pool = pool
         self.memory = memory.MemoryAccount(memory.limit_bytes(memory_mb))
         self.arrival = state_arrival.StateArrival(self.memory)
+        self.software_versions = software_versions.SoftwareVersions()
+        # Services none of whose streams can have begun at another version.
+        self._uniform_services: frozenset[str] = frozenset()
+        self.stream_origins = stream_origins.StreamOrigins(self.is_mixed)
         self.drain: drain.Drain | None = None
         self.is_cut = False
         self.config_confirmed_s: float | None = None
@@ -248,6 +256,33 @@
             return bool(home_regions)
         return self.placement.has_home(servers, home_regions)
 
+    def is_mixed(self, service: str) -> bool:
+        """Return whether streams of several versions may be taken up."""
+        return service not in self._uniform_services
+
+    @property
+    def has_mixed_service(self) -> bool:
+        """Return whether any service of the configuration is mixed."""
+        services = self.table.services if self.table else {}
+        return not self._uniform_services >= services.keys()
+
+    def update_versions(self) -> None:
+        """Find out which services have servers of several versions."""
+        if self.table is None:
+            return
+        now_s = self.time_of_day()
+        servers: dict[str, list[types.BackendServer]] = {
+            name: [] for name in self.table.services
+        }
+        for server in self.directory.all_servers():
+            servers.setdefault(server.service, []).append(server)
+        window_s = self.table.longest_stream_s
+        self._uniform_services = frozenset(
+            name
+            for name, found in servers.items()
+            if not self.software_versions.is_mixed(name, found, window_s, now_s)
+        )
+
     def retry_budget(self, service: str) -> budget.RetryBudget:
         """Return the retry budget of a service."""
         retry_budget = self._budgets.get(service)
@@ -321,12 +356,14 @@
         """Merge the reports of another node on crashes and limits."""
         self.part_crashes.merge(node, reports)
         self.availability.limits.merge(reports)
+        self.software_versions.merge(reports)
 
     def own_reports(self) -> dict[str, int]:
         """Return the reports of this node, for other nodes."""
         return {
             **self.part_crashes.own_reports(self.time_of_day()),
             **self.availability.limits.own_reports(),
+            **self.software_versions.own_reports(),
         }
 
     def config_age_s(self) -> float | None:
@@ -351,6 +388,12 @@
             },
         )
 
+    def record_resumed_stream(self, service: str, outcome: str) -> None:
+        """Record a stream that its caller takes up in the metrics."""
+        metrics.add(
+            metrics.RESUMED_STREAMS, {"service": service, "outcome": outcome}
+        )
+
     def record_ended_request(
         self,
         route: str,
--- a/src/bilberryturn/metrics.py
+++ b/src/bilberryturn/metrics.py
@@ -144,6 +144,12 @@
         "bilberryturn_control_bytes_total", "Control bytes, by direction."
     )
 )
+RESUMED_STREAMS = _register(
+    aioprometheus.Counter(
+        "bilberryturn_resumed_streams_total",
+        "Streams that callers took up again, by service and outcome.",
+    )
+)
 CALL_BYTES = _register(
     aioprometheus.Counter(
         "bilberryturn_call_bytes_total",
--- a/src/bilberryturn/platform/rows.py
+++ b/src/bilberryturn/platform/rows.py
@@ -32,6 +32,8 @@
 SERVER_TABLE = "servers"
 # A table that only the nodes write: the crashes that each node counted.
 SUSPECT_TABLE = "suspects"
+# Another one: at which software version each running stream began.
+STREAM_TABLE = "streams"
 
 
 class _Row(msgspec.Struct):
--- a/src/bilberryturn/platform/settings_file.py
+++ b/src/bilberryturn/platform/settings_file.py
@@ -10,6 +10,7 @@
 from bilberryturn import checks
 
 DEFAULT_HEARTBEAT_S = 1.2
+DEFAULT_STORE_WRITES_PER_S = 400.0
 
 
 class Address(NamedTuple):
@@ -45,6 +46,8 @@
         is_first_start: Whether the deployment starts for the first time.
         memory_mb: Memory of the VM; a process that uses more is ended. 0 if it
             is not stated.
+        store_writes_per_s: Writes that the store takes from all nodes
+            together.
         evacuate_s: Time within which a drained failure domain must stop
             receiving requests.
     """
@@ -74,6 +77,7 @@
     usage_due_s: float
     is_first_start: bool
     memory_mb: float = 0.0
+    store_writes_per_s: float = DEFAULT_STORE_WRITES_PER_S
     evacuate_s: float = 5.0
 
     @property
@@ -216,6 +220,9 @@
         usage_due_s=reader.number("bounds.usageDelayS", 10.0),
         is_first_start=reader.text("bootstrap", "false") == "true",
         memory_mb=reader.number("limits.memoryMb", 0.0),
+        store_writes_per_s=reader.number(
+            "platform.writesPerS", DEFAULT_STORE_WRITES_PER_S
+        ),
         evacuate_s=reader.number("bounds.evacuateMs", 5000) / 1000,
     )
     if reader.faults:
--- a/src/bilberryturn/routing/table.py
+++ b/src/bilberryturn/routing/table.py
@@ -21,6 +21,7 @@
 
     Attributes:
         version: Version of the configuration; increases with each change.
+        longest_stream_s: Longest time limit of a stream that can be taken up.
     """
 
     def __init__(
@@ -44,6 +45,10 @@
         self.version = version
         self.limits = limits
         self.services = {service.name: service for service in services}
+        self.longest_stream_s = max(
+            (r.timeout_s for r in routes if r.is_stream and r.is_retryable),
+            default=0.0,
+        )
         self._accounts = accounts
         self._by_host: dict[str, list[types.Route]] = {}
         for route in sorted(routes, key=lambda r: -len(r.prefix)):
