--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -69,6 +69,13 @@
     Then all of them are refused with unknown_origin
     And no server has been sent a request with the identifier of an event
 
+  # Guards against a node that takes the versions that it sees for all that were.
+  Scenario: A node refuses take-ups before it has read the reports
+    Given a store, a node and servers of versions v1, v1
+    When 3 callers each have 2 events of a stream
+    And they take their streams up at a node that has not read the reports
+    Then all of them are refused with unknown_origin
+
   # Guards against refusals and store calls where nothing can be joined.
   Scenario: While one version serves, streams are taken up without the store
     Given a store, a node and servers of versions v1, v1
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -253,12 +253,17 @@
         ).start()
 
     def know(self, reports):
-        """Learn the reports of all nodes so far, as from the store."""
+        """Learn the reports of all nodes so far, as from the store.
+
+        Args:
+            reports: The reports; None if they have not been read.
+        """
 
         async def know():
             shared = self.rig.shared
-            shared.merge_reports("earlier", reports)
-            shared.software_versions.is_complete = True
+            if reports is not None:
+                shared.merge_reports("earlier", reports)
+                shared.software_versions.is_complete = True
             self._observe()
 
         self.rig.call(know)
@@ -390,6 +395,8 @@
     else:
         if "lost power" in node:
             context.node.stop()
+        if "not read" in node:
+            reports = None
         context.taking = _start_node(context, context.backend_servers, reports)
     context.answers = []
     for number, (connection, _) in enumerate(context.callers):
