--- a/features/mutants.py
+++ b/features/mutants.py
@@ -1061,6 +1061,42 @@
         "placement",
         "The drained failure domains after",
     ),
+    Mutant(
+        "a node reads the changes since its own last reading",
+        (
+            (
+                "edge/followers.py",
+                "        self._drop_replaced()\n        is_snapshot",
+                "        is_snapshot",
+            ),
+        ),
+        "narrow_links",
+        "reads each table once",
+    ),
+    Mutant(
+        "a large configuration comes with the poll",
+        (
+            (
+                "edge/relays.py",
+                "            self._offer_config is not None,",
+                "            False,",
+            ),
+        ),
+        "narrow_links",
+        "slower than the poll's timeout",
+    ),
+    Mutant(
+        "all of a configuration is sent for each change",
+        (
+            (
+                "edge/peer_state.py",
+                "base = self._earlier_configs.get(base_digest)",
+                "base = None",
+            ),
+        ),
+        "narrow_links",
+        "more routes cost",
+    ),
 )
 
 
