--- a/features/mutants.py
+++ b/features/mutants.py
@@ -1097,6 +1097,43 @@
         "narrow_links",
         "more routes cost",
     ),
+    Mutant(
+        "a stream goes on at any version within an answer",
+        (
+            (
+                "gateway/exchange.py",
+                "            if self._delivery.event_count:\n"
+                "                # Another",
+                "            if False:\n                # Another",
+            ),
+        ),
+        "software_versions",
+        "whose server ends",
+    ),
+    Mutant(
+        "a stream is taken up at any version",
+        (
+            (
+                "gateway/exchange.py",
+                "if not self._is_resumable or not is_taken_up:",
+                "if True:",
+            ),
+        ),
+        "software_versions",
+        "A stream is taken up at",
+    ),
+    Mutant(
+        "a starting node takes the versions that it sees for all",
+        (
+            (
+                "routing/software_versions.py",
+                "        if not self.is_complete:\n            return True\n",
+                "",
+            ),
+        ),
+        "software_versions",
+        "before it has read the reports",
+    ),
 )
 
 
