Fetch a configuration that has the number of this node's and another text

After a restore of the store the operator may give a number again. A poll that brought such a configuration was applied; an offer of it was not fetched.

Test: "A peer's configuration with version 8 of the same era, other text is fetched" failed before.

--- a/features/narrow_links.feature
+++ b/features/narrow_links.feature
@@ -72,3 +72,18 @@
       | a range outside of its source |
       | a negative range              |
       | a result that is too large    |
+
+  # Guards against a configuration that is not fetched, or fetched again and
+  # again although this node's is newer.
+  Scenario Outline: A peer's configuration with <offered> is <fetched>
+    Given a node with version 8 of the store's era 1
+    Then a large configuration with <offered> is <fetched>
+
+    Examples:
+      | offered                                | fetched     |
+      | version 9 of the same era              | fetched     |
+      | version 7 of the same era              | not fetched |
+      | version 8 of the same era, other text  | fetched     |
+      | version 7 of a later era               | fetched     |
+      | version 8 of the same era, same text   | not fetched |
+      | version 9, confirmed 9 s ago           | not fetched |
--- a/features/steps/narrow_link_steps.py
+++ b/features/steps/narrow_link_steps.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from bilberryturn.edge import config_change
+from bilberryturn.edge import config_order
 from bilberryturn.edge import config_transfer
 from bilberryturn.edge import followers
 from bilberryturn.edge import intervals
@@ -23,6 +24,7 @@
 from support import narrow_link
 from support import peer_nodes
 from support import platform_data
+from support import scripted
 
 CONFIG_WAIT_S = 0.2
 SERVER_PAUSE_S = 0.2
@@ -385,3 +387,54 @@
     except config_change.ChangeError:
         return
     raise AssertionError(what)
+
+
+@behave.given("a node with version 8 of the store's era 1")
+def given_in_force(context):
+    context.known = peer_state.Known(
+        "", "own digest", in_force=config_order.Candidate(8, "own digest", 1, 1)
+    )
+
+
+OFFERED = {
+    "version 9 of the same era": {"config_version": 9},
+    "version 7 of the same era": {"config_version": 7},
+    "version 8 of the same era, other text": {},
+    "version 7 of a later era": {"config_version": 7, "config_era": 2},
+    "version 8 of the same era, same text": {"config_digest": ""},
+    "version 9, confirmed 9 s ago": {"config_version": 9, "config_age_s": 9.0},
+}
+
+
+@behave.then("a large configuration with {offered} is {fetched}")
+def then_is_fetched(context, offered, fetched):
+    fields = {
+        "config_age_s": 0.1,
+        "config_digest": "other digest",
+        "config_version": 8,
+        "config_era": 1,
+    }
+    state = peer_state.PeerState(
+        "r.1", None, None, servers_age_s=0.1, config_read_age_s=0.1,
+        servers_read_age_s=0.1, **(fields | OFFERED[offered]),
+    )  # fmt: skip
+    reply = msgspec.json.encode(state)
+
+    def answer(peer, head, body, number):
+        peer.send(f"HTTP/1.1 200 OK\r\nContent-Length: {len(reply)}\r\n\r\n")
+        peer.send(reply)
+
+    server = scripted.ScriptedServer(answer)
+    context.closers.append(server.close)
+    address = f"127.0.0.1:{server.port}"
+    own = next(_addresses_behind(address))
+    offers = []
+    peers_known, stopping = threading.Event(), threading.Event()
+    peers_known.set()
+    relays.RelayClient(
+        own, own, "east", "", TIMES, lambda: [address], list, dict, dict,
+        shared_clock.SharedClock(), [], lambda: context.known,
+        lambda *_: stopping.set(), peers_known, relays.RESTART_WAITS,
+        offer_config=offers.append,
+    ).run(stopping)  # fmt: skip
+    assert bool(offers) == (fetched == "fetched"), offers
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -438,7 +438,7 @@
         return (
             in_force is None
             or state.config_era > in_force.era
-            or state.config_version > in_force.version
+            or state.config_version >= in_force.version
         )
 
     def _record_time(self, state: peer_state.PeerState, sent_s: float) -> None:
