Bound the reports of software versions

Entries of other writers may name services and versions without end. A node that reads the store reported each, 521,084 bytes for 500 entries, more than a row may have: the node's reports on crashes and limits, which share the row, would not have been written either.

Change: only services of the configuration count, of 50 versions at most, of which those that left are forgotten first. A node observes nothing before it has read the earlier reports: each restart of a relay would otherwise have reported the present versions as new.

Test: "Entries of other writers with many versions leave the reports small" failed before.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -106,6 +106,12 @@
   Scenario: Nodes know which versions served, whichever of them restart
     Then over 200 seeded series of releases, restarts and losses of all nodes no node with all reports takes two versions for one
 
+  # Guards against a row of reports that the store refuses as too large.
+  Scenario: Entries of other writers with many versions leave the reports small
+    Given servers of a service at version v1
+    When 500 entries with long names of versions and services come
+    Then the reports are under 10000 bytes and name version v1
+
   Scenario: A peer that has not read the reports does not vouch for them
     Given a relay that has not read the reports
     When a node polls it, and again after the relay has read them
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -13,6 +13,7 @@
 from bilberryturn.routing import types
 from support import gateway_rig
 from support import peer_nodes
+from support import platform_data
 from support import scripted
 from support import store_standin
 
@@ -269,11 +270,8 @@
         self.rig.call(know)
 
     def _observe(self):
-        shared = self.rig.shared
-        shared.software_versions.observe(
-            shared.directory.all_servers(), shared.time_of_day()
-        )
-        shared.update_versions()
+        self.rig.shared.observe_versions()
+        self.rig.shared.update_versions()
 
     def add(self, backend_servers):
         async def add():
@@ -572,3 +570,34 @@
 @behave.then("the node knows all reports only after the second poll")
 def then_second(context):
     assert context.known == [False, True], context.known
+
+
+@behave.given("servers of a service at version v1")
+def given_first_version(context):
+    context.peer = peer_nodes.Peer("node")
+    context.peer.read_config(1)
+    context.peer.read_suspects({})
+    context.peer.read_servers(
+        {"s": platform_data.make_entry(version="v1")}, True
+    )
+
+
+@behave.when("{count:d} entries with long names of versions and services come")
+def when_long(context, count):
+    context.peer.read_servers(
+        {
+            f"o{number}": platform_data.make_entry(
+                version=f"{number}" + "v" * 5000,
+                service="app" if number % 2 else f"{number}" + "s" * 5000,
+            )
+            for number in range(count)
+        },
+        False,
+    )
+
+
+@behave.then("the reports are under {size:d} bytes and name version v1")
+def then_small(context, size):
+    reports = context.peer.shared.own_reports()
+    assert len(json.dumps(reports)) < size, len(json.dumps(reports))
+    assert "version:app:v1" in reports, sorted(reports)[:3]
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -137,9 +137,7 @@
             reading.after_outage,
             _era_number(reading.era),
         )
-        self._shared.software_versions.observe(
-            self._shared.directory.all_servers(), self._shared.time_of_day()
-        )
+        self._shared.observe_versions()
 
     def on_suspects_read(self, reading: followers.Reading) -> None:
         """Apply a reading of the nodes' reports on crashes and limits."""
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -266,6 +266,22 @@
         services = self.table.services if self.table else {}
         return not self._uniform_services >= services.keys()
 
+    def observe_versions(self) -> None:
+        """Record the versions of the servers that the store lists.
+
+        Before the earlier reports are known, each version would seem new.
+        """
+        if self.table is None or not self.software_versions.is_complete:
+            return
+        self.software_versions.observe(
+            [
+                server
+                for server in self.directory.all_servers()
+                if server.service in self.table.services
+            ],
+            self.time_of_day(),
+        )
+
     def update_versions(self) -> None:
         """Find out which services have servers of several versions."""
         if self.table is None:
--- a/src/bilberryturn/routing/software_versions.py
+++ b/src/bilberryturn/routing/software_versions.py
@@ -11,8 +11,9 @@
 
 from bilberryturn.routing import types
 
-# Versions that are remembered; a release brings one for each service.
-MAX_VERSIONS = 200
+# Versions that are remembered; reports of as many have under 10 KB. A release
+# brings one for each service.
+MAX_VERSIONS = 50
 # Time for which a version that left is remembered beyond the longest stream.
 MARGIN_S = 5.0
 
@@ -77,9 +78,21 @@
             sighting = sighting._replace(at_ms=known.at_ms + 1)
         self._newest[version] = self._own[version] = sighting
         while len(self._newest) > MAX_VERSIONS:
-            oldest = min(self._newest, key=lambda v: self._newest[v].at_ms)
-            del self._newest[oldest]
-            self._own.pop(oldest, None)
+            self._forget_one()
+
+    def _forget_one(self) -> None:
+        """Forget the version that left first, or else the one that came last.
+
+        A service may have had its present version for long; entries of other
+        writers may bring versions without end.
+        """
+        gone = [v for v, s in self._newest.items() if not s.is_present]
+        if gone:
+            forgotten = min(gone, key=lambda v: self._newest[v])
+        else:
+            forgotten = max(self._newest, key=lambda v: self._newest[v])
+        del self._newest[forgotten]
+        self._own.pop(forgotten, None)
 
     def is_mixed(
         self,
