Answer 502 where a server's status only seems to say "not run"

A server that recorded a booking and then answered 503 had its status passed on.

Cause: whether a request may be sent again was decided by the mark of a request that has not run, while callers decide by the status alone. Ruled out by the record of the case: refusals of the gateway's own, and second runs of one attempt.

On routes whose requests may run once at most, such a status without the server's own statement becomes 502 may_have_run, with or without a seal, also before streams that cannot be resumed. A refusal with the mark and 421 stay as they were, and so do idempotent requests.

--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -33,6 +33,43 @@
       | end inside an event        | stream    | an incomplete stream      | 1     |
       | send a second answer       | safe      | the whole answer          | 1     |
 
+  # Guards against a promise that a request has not run, made by a server that
+  # ran it and answered a status without the mark for it.
+  Scenario Outline: A server may have run a <kind> request: <answers>
+    Given a gateway before servers that <answers> once
+    When a caller sends a <kind> request
+    Then the caller sees <outcome>
+    And the servers received the request <sends> times
+
+    Examples:
+      | answers              | kind      | outcome                   | sends |
+      | run and say 503      | unsafe    | status 502 without a seal | 1     |
+      | run and say 429      | unsafe    | status 502 without a seal | 1     |
+      | run and say 408      | unsafe    | status 502 without a seal | 1     |
+      | run and say 503      | stream    | status 502 without a seal | 1     |
+      | run and say 429      | stream    | status 502 without a seal | 1     |
+      | say 503 without seal | unsafe    | status 502 without a seal | 1     |
+      | say 429 without seal | unsafe    | status 502 without a seal | 1     |
+      | say 408 without seal | stream    | status 502 without a seal | 1     |
+      | run and say 500      | unsafe    | status 500 with its seal  | 1     |
+      | run and say 409      | unsafe    | status 409 with its seal  | 1     |
+      | run and say 503      | safe      | the whole answer          | 2     |
+      | run and say 503      | resumable | the whole stream          | 2     |
+      | run and say 429      | safe      | status 429 with its seal  | 1     |
+
+  # Guards against a mark that is no longer taken for one.
+  Scenario Outline: No server has run a <kind> request: <refuse>
+    Given a gateway before servers that <refuse> always
+    When a caller sends a <kind> request
+    Then the caller sees status 503 without a seal
+
+    Examples:
+      | refuse                | kind   |
+      | say not run           | unsafe |
+      | say not run           | stream |
+      | expect another server | unsafe |
+      | mark 429 as not run   | unsafe |
+
   Scenario: An extra answer on a reused connection is discarded
     Given a gateway before servers that send a second answer once
     When a caller sends 4 safe requests on one connection
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -36,6 +36,18 @@
 
 
 MUTANTS = (
+    Mutant(
+        "a server's 503 is passed on though the request may have run",
+        (
+            (
+                "gateway/exchange.py",
+                "if status in outcomes.NOT_RUN_STATUSES and not may_run_again:",
+                "if False:",
+            ),
+        ),
+        "gateway",
+        "A server may have run",
+    ),
     Mutant(
         "the caller's authorization header is forwarded",
         (
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -30,6 +30,24 @@
     peer.answer(head, status="503 Busy", extra="X-Bilberryturn-Not-Run: 1\r\n")
 
 
+def _mark_429(peer, head, body, number):
+    peer.answer(head, status="429 Busy", extra="X-Bilberryturn-Not-Run: 1\r\n")
+
+
+def _answer_status(status, has_seal=True):
+    def answer(peer, head, body, number):
+        if has_seal:
+            return peer.answer(head, b"recorded", status=f"{status} Failed")
+        request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
+        peer.send(
+            f"HTTP/1.1 {status} Failed\r\nX-Bilberryturn-Attempt-Id: {request}"
+            "\r\nRetry-After: 1\r\nContent-Length: 4\r\n\r\nbusy"
+        )
+        return None
+
+    return answer
+
+
 def _expect_another(peer, head, body, number):
     peer.answer(head, status="421 Misdirected Request")
 
@@ -111,6 +129,15 @@
 FAULTS = {
     "work": _work,
     "say not run": _say_not_run,
+    "mark 429 as not run": _mark_429,
+    **{
+        f"run and say {status}": _answer_status(status)
+        for status in (408, 409, 429, 500, 503)
+    },
+    **{
+        f"say {status} without seal": _answer_status(status, has_seal=False)
+        for status in (408, 429, 503)
+    },
     "expect another server": _expect_another,
     "reset after the request": _reset,
     "answer another request": _answer_another,
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -458,11 +458,17 @@
         return self._refuse(outcomes.no_server(wait_s or RETRY_AFTER_S))
 
     def _deliver(self, response: attempt_types.Response) -> tuple[int, str]:
-        self._caller.send_response(
-            response.head.status, response.head.headers, response.body
-        )
+        status = response.head.status
+        may_run_again = self._request.route.is_retryable
+        if status in outcomes.NOT_RUN_STATUSES and not may_run_again:
+            # The server did not state that it has not run the request.
+            response.holding.close()
+            refusal = outcomes.may_have_run(status)
+            self._refuse(refusal)
+            return refusal.status, f"{refusal.reason}:{status}"
+        self._caller.send_response(status, response.head.headers, response.body)
         response.holding.close()
-        return response.head.status, "answered"
+        return status, "answered"
 
     def _refuse(self, refusal: outcomes.Refusal) -> tuple[int, str]:
         self._caller.send_response(
--- a/src/bilberryturn/gateway/outcomes.py
+++ b/src/bilberryturn/gateway/outcomes.py
@@ -4,12 +4,17 @@
 
 import msgspec
 
+# A caller takes each of these statuses for a guarantee that its request has not
+# run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 class Refusal(NamedTuple):
     """A response of the gateway that ends a request.
 
     Attributes:
-        status: HTTP status; 429 and 503 guarantee that the request has not run.
+        status: HTTP status; those of NOT_RUN_STATUSES guarantee that the
+            request has not run.
         reason: Stable identifier for logs, metrics and the body.
         message: What happened and what the caller can do.
         retry_after_s: Value of Retry-After, or None.
@@ -159,6 +164,21 @@
     )
 
 
+def may_have_run(status: int) -> Refusal:
+    """End a request whose server answered a status of NOT_RUN_STATUSES.
+
+    Args:
+        status: Status of the server, which did not state that the request has
+            not run.
+    """
+    return Refusal(
+        502,
+        "may_have_run",
+        f"A backend server answered {status} without stating that it did not"
+        " run the request; find out whether it has run before sending it again",
+    )
+
+
 TIMED_OUT = Refusal(
     504,
     "timed_out",
