Let nodes of other failure domains issue permits, in decreasing shares

Cause: only nodes of the server's failure domain issued its permits. A node that reached none of them took itself for cut off and went on alone with the whole limit, so that each of the seven others did. Found beside it: any node that was asked handed out the whole limit, whoever else did.

Issuers now alternate between the server's failure domain and the others, a node asks on in that order, and a replacement hands out a quarter of the limit, each further one half as much, until the nodes before it are gone: they refuse connections, or were silent for 2 s. All together hand out 1.5 times the limit whoever is away, cut off or frozen, which is what the rule allows.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -672,6 +672,42 @@
         "limits",
         "limit of s3, one",
     ),
+    Mutant(
+        "a replacement of an issuer hands out the whole limit at once",
+        (
+            (
+                "routing/permits.py",
+                "return 1.0 if rank == 0 else",
+                "return 1.0 if True else",
+            ),
+        ),
+        "issuers",
+        "a third of the nodes miss",
+    ),
+    Mutant(
+        "nodes of one failure domain only issue a server's permits",
+        (
+            (
+                "routing/permits.py",
+                "{*all_nodes} - {*domain_nodes}",
+                "set()",
+            ),
+        ),
+        "issuers",
+        "all nodes of a domain end",
+    ),
+    Mutant(
+        "a silent issuer is never replaced in full",
+        (
+            (
+                "gateway/issuer_checks.py",
+                "return IssuerState.GONE if is_gone else",
+                "return",
+            ),
+        ),
+        "issuers",
+        "machines at other addresses",
+    ),
     Mutant(
         "cold servers have no limit",
         (
--- a/features/steps/limit_steps.py
+++ b/features/steps/limit_steps.py
@@ -157,7 +157,9 @@
         }
         self.order = {
             server: permits.issuers(
-                server, [n for n in self.nodes if n.startswith(domain)]
+                server,
+                [n for n in self.nodes if n.startswith(domain)],
+                self.nodes,
             )
             for server, domain in self.servers.items()
             if domain
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -28,6 +28,7 @@
 from bilberryturn.edge import watchdog
 from bilberryturn.gateway import drain
 from bilberryturn.gateway import internal_server
+from bilberryturn.gateway import issuer_checks
 from bilberryturn.gateway import permits
 from bilberryturn.gateway import server as caller_server
 from bilberryturn.gateway import shared_state
@@ -366,6 +367,8 @@
     ) -> internal_server.Reply:
         if path == config_transfer.PATH:
             return self._config_server.reply(body)
+        if path == issuer_checks.PATH:
+            return internal_server.Reply(200)
         if path != permits.PATH:
             return self._handle_state_request(body)
         reply = self.shared.availability.permits.issue(body)
--- a/src/bilberryturn/gateway/permits.py
+++ b/src/bilberryturn/gateway/permits.py
@@ -1,12 +1,14 @@
 """Ask the issuing node for permits to send requests to limited servers."""
 
 from collections.abc import Callable
+import itertools
 import time
 from typing import NamedTuple
 
 import msgspec
 
 from bilberryturn import events
+from bilberryturn.gateway import issuer_checks
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import upstream
 from bilberryturn.platform import decoding
@@ -20,9 +22,15 @@
 ASK_TIMEOUT_S = 0.15
 # Nodes asked for one permit: the issuer, and the next if it does not answer.
 MAX_ASKED = 2
-UNREACHABLE_BACKOFF_S = 5.0
-# Pause if no issuer answered.
+UNREACHABLE_BACKOFF_S = 2.0
+# A node whose process has ended is back soon, and says at once if it is not.
+ENDED_BACKOFF_S = 1.0
+# Pause if no issuer answered, or if it is not known yet whether those that rank
+# before the one that did are gone.
 NO_ISSUER_WAIT_S = 0.5
+# Nodes of an earlier rank that are checked at once; further ones count as
+# present.
+MAX_CHECKED = 3
 
 
 class PermitReply(msgspec.Struct):
@@ -53,6 +61,14 @@
 NO_PEERS = Peers("", lambda domain: [""])
 
 
+class _Ranking(NamedTuple):
+    """The issuers of a server, in order, and the nodes to choose from."""
+
+    domain_nodes: list[str]
+    all_nodes: list[str]
+    issuers: list[str]
+
+
 class Permits:
     """Gets permits for this node's requests and issues those of others."""
 
@@ -63,6 +79,7 @@
         pool: upstream.ConnectionPool,
         peers: Peers,
         time_of_day: Callable[[], float],
+        checks: issuer_checks.IssuerChecks | None = None,
     ):
         """Initialize without permits.
 
@@ -73,6 +90,8 @@
             peers: The nodes that issue permits, this one included.
             time_of_day: Returns the time of day that all nodes share, in Unix
                 seconds.
+            checks: Finds out whether other nodes are gone; by calls of the pool
+                if not given.
         """
         self._servers = servers
         self._limit = limit
@@ -81,6 +100,8 @@
         self._time_of_day = time_of_day
         self._issuer = permits.Issuer(time.monotonic())
         self._isolated_shares = slow_start.IsolatedShares()
+        self._checks = checks or issuer_checks.IssuerChecks(pool)
+        self._rankings: dict[str, _Ranking] = {}
         self._waits = permits.Waits()
         # Servers and priorities for which a request for a permit is pending.
         self._asking: set[tuple[types.Lifetime, int]] = set()
@@ -99,6 +120,9 @@
         self._issuer.retain(live)
         self._waits.retain(live)
         self._isolated_shares.retain(live)
+        live_ids = {server_id for server_id, _ in live}
+        for server_id in self._rankings.keys() - live_ids:
+            del self._rankings[server_id]
 
     def issue(self, body: bytes) -> bytes | None:
         """Return the reply to a node; None if its request is malformed."""
@@ -109,8 +133,37 @@
                 events.FRAME_REFUSED, member="unknown", problem=str(error)
             )
             return None
-        wait_s = self._issuer.grant(self._as_known(ask), time.monotonic())
-        return msgspec.json.encode(PermitReply(wait_s))
+        return msgspec.json.encode(PermitReply(self._grant(ask)))
+
+    def _grant(self, ask: permits.Ask) -> float:
+        """Grant a permit as an issuer, or return when to ask again."""
+        ask, now_s = self._as_known(ask), time.monotonic()
+        if ask.cold_rank is not None:
+            return self._issuer.grant(ask, now_s)
+        rank, is_certain = self._rank(ask.lifetime, now_s)
+        wait_s = self._issuer.grant(ask, now_s, rank)
+        return wait_s if is_certain else min(wait_s, NO_ISSUER_WAIT_S)
+
+    def _rank(self, lifetime: types.Lifetime, now_s: float) -> tuple[int, bool]:
+        """Return how many nodes may issue a server's permits before this one.
+
+        Also returns whether that will not change soon.
+        """
+        server = self._servers.find(lifetime[0])
+        if server is None:
+            # It is not known yet which nodes rank before this one.
+            return 1, False
+        issuers, own = self._issuers(server), self._peers.own_address
+        earlier = issuers[: issuers.index(own)] if own in issuers else issuers
+        rank, is_certain = 0, True
+        for node in earlier:
+            state = issuer_checks.IssuerState.PRESENT
+            if rank < MAX_CHECKED:
+                state = self._checks.state(node, now_s)
+            rank += state is not issuer_checks.IssuerState.GONE
+            if state is issuer_checks.IssuerState.UNCERTAIN:
+                is_certain = False
+        return rank, is_certain
 
     def _as_known(self, ask: permits.Ask) -> permits.Ask:
         """Return a request with what this node knows of a cold server.
@@ -159,22 +212,22 @@
     async def _ask_issuers(
         self, server: types.BackendServer, ask: permits.Ask
     ) -> float:
+        if not self._peers.are_known():
+            # It would take itself for the issuer of all servers.
+            return NO_ISSUER_WAIT_S
         now_s = time.monotonic()
-        nodes = [
+        nodes = (
             node
             for node in self._issuers(server)
             if self._unreachable_until_s.get(node, 0.0) <= now_s
-        ]
-        for node in nodes[:MAX_ASKED]:
+        )
+        for node in itertools.islice(nodes, MAX_ASKED):
             if node == self._peers.own_address:
-                return self._issuer.grant(ask, time.monotonic())
+                return self._grant(ask)
             try:
                 return await self._ask(node, ask)
             except (upstream.UpstreamError, msgspec.DecodeError) as error:
                 self._record_unreachable(node, server, error)
-        if not nodes:
-            # Cut off from all other nodes: this one goes on alone.
-            return self._issuer.grant(ask, time.monotonic())
         return NO_ISSUER_WAIT_S
 
     async def _ask_cold_issuer(
@@ -211,16 +264,25 @@
         )
 
     def _issuers(self, server: types.BackendServer) -> list[str]:
-        return permits.issuers(
-            server.server_id, self._peers.in_domain(server.failure_domain)
-        )
+        domain_nodes = self._peers.in_domain(server.failure_domain)
+        all_nodes = self._peers.in_domain("")
+        known = self._rankings.get(server.server_id)
+        if known is None or known[:2] != (domain_nodes, all_nodes):
+            known = self._rankings[server.server_id] = _Ranking(
+                domain_nodes,
+                all_nodes,
+                permits.issuers(server.server_id, domain_nodes, all_nodes),
+            )
+        return known.issuers
 
     def _record_unreachable(
         self, node: str, server: types.BackendServer, error: Exception
     ) -> None:
-        self._unreachable_until_s[node] = (
-            time.monotonic() + UNREACHABLE_BACKOFF_S
+        has_ended = (
+            isinstance(error, upstream.UpstreamError) and error.is_refused
         )
+        backoff_s = ENDED_BACKOFF_S if has_ended else UNREACHABLE_BACKOFF_S
+        self._unreachable_until_s[node] = time.monotonic() + backoff_s
         events.log(
             events.PERMIT_NOT_ANSWERED,
             member=node,
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -55,6 +55,11 @@
         self.was_sent = was_sent
         self.is_disconnect = is_disconnect
 
+    @property
+    def is_refused(self) -> bool:
+        """Return whether nothing listened at the server's address."""
+        return self.is_disconnect and not self.was_sent
+
 
 class Call(NamedTuple):
     """A short call whose body is JSON."""
--- a/src/bilberryturn/routing/permits.py
+++ b/src/bilberryturn/routing/permits.py
@@ -5,9 +5,15 @@
 callers send, and whichever of them restart. All nodes pick the same issuer by
 rendezvous hashing. An issuer that has just started hands out nothing before the
 server has had time for what others sent to it.
+
+If the issuer is away, other nodes replace it, of its failure domain and of
+others in turn. It may be back at any moment with all that it may hand out, so
+that its replacements together hand out half of the limit at most, unless it is
+known to be gone.
 """
 
 import collections
+import itertools
 import math
 import random
 from typing import NamedTuple
@@ -32,6 +38,10 @@
 # stop asking, and what they leave must not be lost.
 ASK_RATIO = 2.0
 MAX_WAIT_S = 10.0
+# Share of the limit that the first replacement of an issuer hands out; each
+# further one hands out half as much as the one before it.
+REPLACEMENT_SHARE = 0.25
+REPLACEMENT_BURST = 1.0
 # Waits vary by this share in both directions, so that nodes don't ask together.
 WAIT_JITTER = 0.25
 
@@ -102,12 +112,14 @@
         self._started_s = started_s
         self._buckets: dict[types.Lifetime, _Bucket] = {}
 
-    def grant(self, ask: Ask, now_s: float) -> float:
+    def grant(self, ask: Ask, now_s: float, rank: int = 0) -> float:
         """Grant a permit, or tell when to ask again.
 
         Args:
             ask: The request for a permit.
             now_s: Present time in seconds.
+            rank: Number of nodes that may issue permits of the same server and
+                rank before this one.
 
         Returns:
             0 if the permit is granted, else the seconds to wait.
@@ -120,6 +132,11 @@
             limit_per_s *= issued.share
             burst, first_permits = issued.burst, issued.first_permits
             max_wait_s = slow_start.MAX_WAIT_S
+        else:
+            share = issued_share(rank)
+            limit_per_s *= share
+            if share < 1.0:
+                burst = REPLACEMENT_BURST
         bucket = self._buckets.get(ask.lifetime)
         if bucket is None:
             bucket = self._buckets[ask.lifetime] = _Bucket(now_s, first_permits)
@@ -172,6 +189,29 @@
                 del self._until_s[lifetime, priority]
 
 
-def issuers(server_id: str, nodes: list[str]) -> list[str]:
-    """Return the nodes that issue a server's permits, in order."""
-    return rendezvous.rank(nodes, f"permits/{server_id}")
+def issued_share(rank: int) -> float:
+    """Return the share of a limit that a node hands out.
+
+    Args:
+        rank: Number of nodes that may issue permits and rank before it.
+    """
+    return 1.0 if rank == 0 else REPLACEMENT_SHARE / 2 ** (rank - 1)
+
+
+def issuers(
+    server_id: str, domain_nodes: list[str], all_nodes: list[str]
+) -> list[str]:
+    """Return the nodes that issue a server's permits, in order.
+
+    The first is of its failure domain, where most requests for it arrive. The
+    next one is of another, as the nodes of one may all be away.
+
+    Args:
+        server_id: The server.
+        domain_nodes: Nodes of its failure domain; all if it has none.
+        all_nodes: Nodes of all failure domains.
+    """
+    role = f"permits/{server_id}"
+    others = rendezvous.rank({*all_nodes} - {*domain_nodes}, role)
+    ranked = itertools.zip_longest(rendezvous.rank(domain_nodes, role), others)
+    return [node for pair in ranked for node in pair if node is not None]
