Have a node that knows no servers say that it issues no permits

Cause: with the store away, the issuer restarted and knew no servers yet. It handed out a quarter of the limit, as it could not rank itself, and its replacement did too, as the issuer was there.

Such a node now answers 503 to asks and checks, so that it counts as gone until it knows the others.

--- a/features/issuers.feature
+++ b/features/issuers.feature
@@ -46,6 +46,14 @@
     Then the server gets at most half more than its limit and 5 requests in any 4 s of each
     And it gets at least half of its limit over all
 
+  # Guards against an issuer that has started without knowing the servers, and so
+  # keeps both itself and its replacement from handing out the limit.
+  Scenario: The issuer starts again while the store is away
+    Given 9 nodes in 3 failure domains before a server that takes 4 requests a second
+    When the first node ends for 1 s and reaches neither store nor nodes for 8 s more
+    Then the server gets at most half more than its limit and 5 requests in any 4 s
+    And it gets at least 0.5 of its limit meanwhile, and 3 quarters again 6 s later
+
   # Guards against nodes that are gone for good, whose rows stay in the store: a
   # replacement must not be held back by them for long.
   Scenario: The issuers of a server are replaced by machines at other addresses
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -696,6 +696,18 @@
         "issuers",
         "all nodes of a domain end",
     ),
+    Mutant(
+        "a node that knows no servers counts as their issuer",
+        (
+            (
+                "gateway/permits.py",
+                "return self._peers.are_known()",
+                "return True",
+            ),
+        ),
+        "issuers",
+        "starts again while the store is away",
+    ),
     Mutant(
         "a silent issuer is never replaced in full",
         (
--- a/features/steps/issuer_steps.py
+++ b/features/steps/issuer_steps.py
@@ -71,6 +71,8 @@
             raise upstream.UpstreamError("cannot connect", False, True)
         if state != "up" or fleet.is_lost(self._own, address):
             raise upstream.UpstreamError("no answer in time", True)
+        if not fleet.nodes[address].can_issue():
+            return upstream.Reply(issuer_checks.NO_ISSUER_STATUS, b"")
         if call.target == issuer_checks.PATH.encode():
             return upstream.Reply(200, b"")
         return upstream.Reply(200, fleet.nodes[address].issue(call.body))
@@ -82,6 +84,7 @@
     Attributes:
         arrivals: Times at which requests reached the server.
         state: Whether each node is up, ended, frozen or off.
+        knows_at_s: Time from which on a node knows the others.
         is_lost: Returns whether a call from a node to another one is lost.
     """
 
@@ -91,29 +94,33 @@
         self.now_s = 0.0
         self.addresses = [f"10.{n % domains}.0.{n}:1" for n in range(nodes)]
         self.state = dict.fromkeys(self.addresses, "up")
+        self.knows_at_s = collections.defaultdict(float)
         self.is_lost = lambda node, other: False
         self.arrivals = []
         self.nodes = {}
         self._later = []
         self._ids = itertools.count()
         with self.virtual_time():
-            self.now_s = -60.0
             for address in self.addresses:
                 self.start(address)
-            self.now_s = 0.0
         self.order = routing_permits.issuers(
             SERVER.server_id, self.in_domain("zone-0"), self.addresses
         )
 
     def start(self, address):
         servers = directory.Directory()
-        servers.report(SERVER, self.now_s)
+        known_s = max(self.now_s, self.knows_at_s[address])
+        self.later(known_s, servers.report, SERVER, known_s)
         pool = _Pool(self, address)
         self.nodes[address] = permits.Permits(
             servers,
             lambda server: slow_start.Limit(self.limit, False),
             pool,
-            permits.Peers(address, self.in_domain),
+            permits.Peers(
+                address,
+                self.in_domain,
+                lambda: self.now_s >= self.knows_at_s[address],
+            ),
             lambda: 1.7e9 + self.now_s,
             _Checks(self, pool),
         )
@@ -222,6 +229,20 @@
     fleet.run()
 
 
+@behave.when(
+    "the first node ends for {down_s:g} s and reaches neither store nor nodes"
+    " for {unknown_s:g} s more"
+)
+def when_unknowing(context, down_s, unknown_s):
+    fleet = context.fleet
+    first = fleet.order[0]
+    context.away_s = down_s + unknown_s
+    fleet.be_away([first], "ended", AWAY_AT_S, down_s)
+    knows_at_s = AWAY_AT_S + context.away_s
+    fleet.later(AWAY_AT_S, fleet.knows_at_s.update, {first: knows_at_s})
+    fleet.run()
+
+
 @behave.then(
     "the server gets at most half more than its limit and 5 requests in any 4 s"
 )
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -367,10 +367,12 @@
     ) -> internal_server.Reply:
         if path == config_transfer.PATH:
             return self._config_server.reply(body)
+        if path not in (permits.PATH, issuer_checks.PATH):
+            return self._handle_state_request(body)
+        if not self.shared.availability.permits.can_issue():
+            return internal_server.Reply(issuer_checks.NO_ISSUER_STATUS)
         if path == issuer_checks.PATH:
             return internal_server.Reply(200)
-        if path != permits.PATH:
-            return self._handle_state_request(body)
         reply = self.shared.availability.permits.issue(body)
         if reply is None:
             return internal_server.Reply(400)
--- a/src/bilberryturn/gateway/issuer_checks.py
+++ b/src/bilberryturn/gateway/issuer_checks.py
@@ -13,9 +13,10 @@
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import upstream
 
-# Any response shows that a node is there, also that of an earlier version,
-# which doesn't know the path.
+# Any other response shows that a node issues permits, also that of an earlier
+# version, which doesn't know the path.
 PATH = "/permit-issuer"
+NO_ISSUER_STATUS = 503
 # Longer than a call to another region takes.
 CHECK_TIMEOUT_S = 0.3
 # Time between the starts of two checks of a node.
@@ -39,13 +40,14 @@
 
     Attributes:
         checked_s: Monotonic time at which the check began.
-        has_ended: Whether nothing listened at the address.
+        issues_nothing: Whether nothing listened at the address, or the node
+            said that it issues no permits.
         silent_since_s: Monotonic time since which no check was answered; None
             if this one was.
     """
 
     checked_s: float
-    has_ended: bool
+    issues_nothing: bool
     silent_since_s: float | None
 
 
@@ -71,7 +73,7 @@
             known = self._findings.get(node)
         if known is None or now_s - known.checked_s > FRESH_S:
             return IssuerState.UNCERTAIN
-        if known.has_ended:
+        if known.issues_nothing:
             return IssuerState.GONE
         if known.silent_since_s is None:
             return IssuerState.PRESENT
@@ -84,19 +86,20 @@
         task.add_done_callback(lambda _: self._pending.pop(node, None))
 
     async def _check(self, node: str, now_s: float) -> None:
-        has_ended, is_silent = False, False
+        is_silent = False
         try:
-            await self._pool.call(
+            reply = await self._pool.call(
                 node,
                 upstream.Call(b"GET", PATH.encode(), b""),
                 CHECK_TIMEOUT_S,
                 response_limits.MAX_HEAD_BYTES,
             )
+            issues_nothing = reply.status == NO_ISSUER_STATUS
         except upstream.UpstreamError as error:
-            has_ended = error.is_refused
-            is_silent = not has_ended
+            issues_nothing = error.is_refused
+            is_silent = not issues_nothing
         self._findings[node] = _Finding(
-            now_s, has_ended, self._silent_since_s(node, is_silent, now_s)
+            now_s, issues_nothing, self._silent_since_s(node, is_silent, now_s)
         )
 
     def _silent_since_s(
--- a/src/bilberryturn/gateway/permits.py
+++ b/src/bilberryturn/gateway/permits.py
@@ -124,6 +124,13 @@
         for server_id in self._rankings.keys() - live_ids:
             del self._rankings[server_id]
 
+    def can_issue(self) -> bool:
+        """Return whether this node knows for which servers it issues permits.
+
+        One that has just started would take itself for the issuer of all.
+        """
+        return self._peers.are_known()
+
     def issue(self, body: bytes) -> bytes | None:
         """Return the reply to a node; None if its request is malformed."""
         try:
@@ -212,8 +219,7 @@
     async def _ask_issuers(
         self, server: types.BackendServer, ask: permits.Ask
     ) -> float:
-        if not self._peers.are_known():
-            # It would take itself for the issuer of all servers.
+        if not self.can_issue():
             return NO_ISSUER_WAIT_S
         now_s = time.monotonic()
         nodes = (
@@ -240,8 +246,7 @@
         don't reach each other.
         """
         now_s, own = time.monotonic(), self._peers.own_address
-        if not self._peers.are_known():
-            # It would take itself for the issuer of all servers.
+        if not self.can_issue():
             return NO_ISSUER_WAIT_S
         issuers = self._issuers(server)[: slow_start.MAX_ISSUERS]
         for rank, node in enumerate(issuers):
