Tell a replaced process from a whole answer by a spare connection

Cause: whether the server had ended was asked of whoever listened at its address after the end.

A spare connection that is open before the answer ends shows whether the process goes on.

Two tables of answers.feature change: the old one now states that the server takes one connection only, as its servers end nothing but the answer, with all of its outcomes; the same states with a process that ends are cut as before, and more of them.

Three new mutants are noticed.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -55,9 +55,75 @@
       | reset behind all events |
       | close inside an event   |
 
-  # Guards against answers that look whole though their server ended inside them.
+  # Guards against answers that look whole though their server's process ended
+  # inside them, whatever is known of the server, and also if its address is in
+  # use again at once.
+  Scenario Outline: The process of a server ends in an answer without length to a <kind> request, and the server <state>
+    Given a gateway before a server whose answers have no length and that close behind <part>
+    When the server <state> while it answers a <kind> request, and its process ends
+    Then the caller sees <outcome>
+
+    Examples:
+      | state                  | kind   | part       | outcome                   |
+      | listens again          | safe   | the body   | status 502 without a seal |
+      | listens again          | unsafe | the body   | status 502 without a seal |
+      | listens again          | stream | all events | a cut stream              |
+      | listens no more        | unsafe | the body   | status 502 without a seal |
+      | listens no more        | stream | all events | a cut stream              |
+      | is due to leave        | unsafe | the body   | status 502 without a seal |
+      | is due to leave        | stream | all events | a cut stream              |
+      | has drained for long   | stream | all events | a cut stream              |
+      | is to leave in 9 s     | stream | all events | a cut stream              |
+      | was removed            | unsafe | the body   | status 502 without a seal |
+      | was removed            | stream | all events | a cut stream              |
+      | has started again      | unsafe | the body   | status 502 without a seal |
+
+  # Guards against whole answers that are taken for cut as their server leaves.
+  Scenario Outline: The process of a server goes on behind an answer without length to a <kind> request, and the server <state>
+    Given a gateway before a server whose answers have no length and that close behind <part>
+    When the server <state> while it answers a <kind> request, and its process goes on
+    Then the caller sees <outcome>
+
+    Examples:
+      | state                | kind   | part       | outcome                   |
+      | listens again        | stream | all events | the whole stream          |
+      | is due to leave      | safe   | the body   | the whole answer          |
+      | is due to leave      | unsafe | the body   | the whole answer          |
+      | is due to leave      | stream | all events | the whole stream          |
+      | has drained for long | stream | all events | the whole stream          |
+      | was removed          | unsafe | the body   | the whole answer          |
+      | was removed          | stream | all events | the whole stream          |
+      | listens no more      | unsafe | the body   | the whole answer          |
+      | listens no more      | stream | all events | the whole stream          |
+      | has started again    | unsafe | the body   | status 502 without a seal |
+      | has started again    | stream | all events | a cut stream              |
+
+  # Guards against a spare connection that the server closed as idle and that is
+  # taken for a sign of its end, or never opened again.
+  Scenario: A server closes idle connections sooner than its stream ends
+    Given a gateway before a server whose answers have no length and that close behind all events of 1.5 s
+    And the server closes idle connections after 0.3 s
+    When a caller sends a stream request
+    Then the caller sees the whole stream
+
+  # Guards against a process that ends as above, on the system's own terms.
+  Scenario Outline: A process is killed in <kind> requests and another one listens at once
+    Given a gateway before a process whose answers have no length
+    When the process is killed in each of 8 <kind> requests and another one listens at once
+    Then no caller takes an answer for whole that isn't
+
+    Examples:
+      | kind      |
+      | stream    |
+      | resumable |
+      | unsafe    |
+      | safe      |
+
+  # Guards against answers that look whole though their server ended inside them,
+  # where the gateway has no second connection to the server.
   Scenario Outline: An answer without length or chunks to a <kind> request ends as its server <state>
     Given a gateway before a server whose answers have no length and that close behind <part>
+    And the server takes one connection only
     When the server <state> while it answers a <kind> request
     Then the caller sees <outcome>
 
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -36,6 +36,42 @@
 
 
 MUTANTS = (
+    Mutant(
+        "a server that listens again counts as going on",
+        (
+            (
+                "gateway/witnesses.py",
+                "is_same_end = ended_s",
+                "is_same_end = False and ended_s",
+            ),
+        ),
+        "answers",
+        "The process of a server ends",
+    ),
+    Mutant(
+        "a spare connection that the server rejects shows its end",
+        (
+            (
+                "gateway/witnesses.py",
+                "is_same_end and not self.is_rejected",
+                "is_same_end",
+            ),
+        ),
+        "answers",
+        "ends as its server is to leave in 9 s",
+    ),
+    Mutant(
+        "an answer of a leaving server is taken for cut",
+        (
+            (
+                "gateway/answer_ends.py",
+                "    if goes_on:\n",
+                "    if False:\n",
+            ),
+        ),
+        "answers",
+        "The process of a server goes on",
+    ),
     Mutant(
         "a server's 503 is passed on though the request may have run",
         (
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -2,6 +2,8 @@
 
 import itertools
 import queue
+import subprocess
+import sys
 import threading
 import time
 
@@ -9,8 +11,10 @@
 
 from bilberryturn import backends
 from bilberryturn.platform import http
+from bilberryturn_standins import ports
 from support import gateway_rig
 from support import scripted
+from support import stream_process
 
 BODY = b"answer"
 EVENTS = 5
@@ -142,10 +146,11 @@
     assert not succeeded, succeeded
 
 
-def _unframed(end):
+def _unframed(end, on_end=None):
     def answer(peer, head, body, number):
         request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
         is_stream = "event" in end or "first" in end
+        gap_s = 1.5 / EVENTS if "1.5 s" in end else 0.0
         kind = "Content-Type: text/event-stream\r\n" if is_stream else ""
         peer.send(
             f"HTTP/1.1 200 OK\r\nX-Bilberryturn-Attempt-Id: {request}\r\n"
@@ -156,11 +161,14 @@
         if is_stream and "first" not in end:
             for number in range(1, EVENTS + 1):
                 peer.send(scripted.event(number))
+                time.sleep(gap_s)
         if "inside" in end:
             peer.send(scripted.event(EVENTS + 1)[:9])
         time.sleep(0.1)
         if end.startswith("reset"):
             peer.reset()
+        if on_end is not None:
+            on_end()
         return "close"
 
     return answer
@@ -170,7 +178,18 @@
     "a gateway before a server whose answers have no length and that {end}"
 )
 def given_unframed(context, end):
-    _start_gateway(context, _unframed(end))
+    context.process_ends = False
+
+    def on_end():
+        if context.process_ends:
+            context.server.end_connections()
+
+    _start_gateway(context, _unframed(end, on_end))
+
+
+@behave.given("the server takes one connection only")
+def given_single(context):
+    context.server.most = 1
 
 
 def _start_gateway(context, script):
@@ -181,6 +200,95 @@
     context.closers.append(context.rig.close)
 
 
+@behave.given("the server closes idle connections after {idle_s:g} s")
+def given_idle(context, idle_s):
+    context.server.idle_s = idle_s
+
+
+class _Process:
+    """A backend server that is killed, and its next process beside it."""
+
+    def __init__(self, context):
+        self.port = ports.allocate()
+        self._started = []
+        context.closers.append(self.close)
+        self._running = self._start()
+        self._listen(self._running)
+
+    def _start(self):
+        process = subprocess.Popen(
+            [
+                sys.executable,
+                stream_process.__file__,
+                str(self.port),
+                str(EVENTS),
+                "0.05",
+            ],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self._started.append(process)
+        process.stdout.readline()
+        return process
+
+    def _listen(self, process):
+        process.stdin.write("listen\n")
+        process.stdin.flush()
+        process.stdout.readline()
+
+    def replace(self, delay_s):
+        """Kill the process after a delay; another one listens at once."""
+        following = self._start()
+        time.sleep(delay_s)
+        self._running.kill()
+        self._listen(following)
+        self._running = following
+
+    def close(self):
+        for process in self._started:
+            process.kill()
+            process.wait()
+            process.stdin.close()
+            process.stdout.close()
+
+
+@behave.given("a gateway before a process whose answers have no length")
+def given_process(context):
+    context.process = _Process(context)
+    server = gateway_rig.make_server("s1", context.process.port)
+    context.rig = gateway_rig.GatewayRig([server])
+    context.closers.append(context.rig.close)
+
+
+@behave.when(
+    "the process is killed in each of {count:d} {kind:w} requests and another"
+    " one listens at once"
+)
+def when_killed(context, count, kind):
+    context.answers = []
+    for number in range(count):
+        data = gateway_rig.request_text(kind, f"k{next(_ids)}")
+        connection = gateway_rig.connect(context.rig.port)
+        connection.sendall(data)
+        # Between two events, which come each 0.05 s.
+        context.process.replace(0.0)
+        time.sleep(0.01 * number)
+        context.answers.append(gateway_rig.read_answer(connection))
+        connection.close()
+
+
+@behave.then("no caller takes an answer for whole that isn't")
+def then_none_whole(context):
+    events = b"".join(scripted.event(n + 1) for n in range(EVENTS))
+    found = [
+        answer.body
+        for answer in context.answers
+        if answer.status == 200 and answer.is_complete and answer.body != events
+    ]
+    assert not found, (len(found), len(context.answers), found[0])
+
+
 @behave.then(
     "the caller gets {count:d} events and notices that the stream was cut"
 )
@@ -214,6 +322,7 @@
             leaving._replace(leaves_in_s=9.0), now_s
         ),
         "was removed": lambda: directory.remove(known.server_id, None, now_s),
+        "listens again": lambda: None,
         "has started again": lambda: directory.report(
             known._replace(started_ms=known.started_ms + 1), now_s
         ),
@@ -221,6 +330,15 @@
     }
 
 
+@behave.when(
+    "the server {state} while it answers a {kind:w} request, and its process"
+    " {goes}"
+)
+def when_process_ends(context, state, kind, goes):
+    context.process_ends = goes == "ends"
+    when_server_ends(context, state, kind)
+
+
 @behave.when("the server {state} while it answers a {kind:w} request")
 def when_server_ends(context, state, kind):
     async def report():
--- a/features/support/scripted.py
+++ b/features/support/scripted.py
@@ -3,6 +3,7 @@
 import socket
 import struct
 import threading
+import time
 
 SEAL = "X-Bilberryturn-Server-Seal: s.1\r\n"
 
@@ -12,11 +13,16 @@
 
     Attributes:
         requests: Head and body of each request received, in order.
+        most: Connections that it takes at once; further ones are reset.
+        idle_s: Time after which it closes a connection without a request.
     """
 
     def __init__(self, script):
         self.requests = []
+        self.most = None
+        self.idle_s = None
         self._script = script
+        self._connections = set()
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.port = self._socket.getsockname()[1]
         self._lock = threading.Lock()
@@ -31,18 +37,38 @@
             pass
         self._socket.close()
 
+    def end_connections(self):
+        """Close all connections at once, as the system does for a process."""
+        with self._lock:
+            connections = list(self._connections)
+        for connection in connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def _accept(self):
         while True:
             try:
                 connection, _ = self._socket.accept()
             except OSError:
                 return
+            with self._lock:
+                is_full = len(self._connections) == self.most
+                if not is_full:
+                    self._connections.add(connection)
+            if is_full:
+                # The other side has seen the connection established by then.
+                time.sleep(0.03)
+                AcceptedConnection(connection).reset()
+                continue
             threading.Thread(
                 target=self._serve, args=(connection,), daemon=True
             ).start()
 
     def _serve(self, connection):
         peer = AcceptedConnection(connection)
+        connection.settimeout(self.idle_s)
         try:
             while True:
                 head, body = peer.read_request()
@@ -56,6 +82,8 @@
         except OSError:
             pass
         finally:
+            with self._lock:
+                self._connections.discard(connection)
             connection.close()
 
 
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -444,6 +444,7 @@
         self._pool.close_stale(
             {s.lifetime for s in servers if not s.is_leaving}
         )
+        self.shared.witnesses.close_unused()
         self.shared.retain_servers({s.lifetime for s in servers})
         self._callers.update_memory()
 
--- a/src/bilberryturn/gateway/answer_ends.py
+++ b/src/bilberryturn/gateway/answer_ends.py
@@ -1,7 +1,8 @@
 """Judge whether an answer without length or chunks is complete.
 
 Such an answer ends with its connection. So does one whose run was stopped for a
-move, or whose server ended in the middle of it.
+move, or whose server ended in the middle of it. A spare connection to the
+server tells the last case, unless there is none.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
+from bilberryturn.gateway import witnesses
 from bilberryturn.platform import wire
 from bilberryturn.routing import types
 
@@ -43,6 +45,8 @@
     server: types.BackendServer,
     move: asyncio.Task[moves.MoveResult] | None,
     is_empty: bool,
+    witness: witnesses.Witness,
+    wait_s: float,
 ) -> None:
     """Check that a connection was closed because its answer has ended.
 
@@ -52,13 +56,16 @@
         move: The move of the run that was asked for, if any; its response may
             come later than the end of the connection.
         is_empty: Whether the answer has no body.
+        witness: A spare connection to the server.
+        wait_s: Time to wait for the end of that connection.
 
     Raises:
         UpstreamError: The answer may have been cut.
     """
     if is_empty:
         raise upstream.UpstreamError("answer ended at once", True, True)
-    cut = await _find_cut(shared, server, move)
+    goes_on = await witness.goes_on(wait_s)
+    cut = await _find_cut(shared, server, move, goes_on)
     if cut is not None:
         raise upstream.UpstreamError(
             f"answer may be cut: {cut.reason}",
@@ -72,6 +79,7 @@
     shared: shared_state.SharedState,
     server: types.BackendServer,
     move: asyncio.Task[moves.MoveResult] | None,
+    goes_on: bool | None,
 ) -> Cut | None:
     """Return what else may have ended a connection than the answer's end."""
     if move is not None:
@@ -81,6 +89,14 @@
             return Cut("its run was moved")
         if result.may_have_stopped:
             return Cut("its run may have been stopped")
+    if shared.directory.has_restarted(server.lifetime):
+        return Cut("its server has started again")
+    if goes_on:
+        # One that leaves ends its answers before it ends itself.
+        return None
+    if goes_on is False:
+        is_planned = shared.directory.departure(server.lifetime) is not None
+        return Cut("its server has ended", is_crash=not is_planned)
     if _is_ending(shared, server.lifetime, time.monotonic()):
         return Cut("its server was about to end")
     if shared.directory.has_ended(server.lifetime):
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -16,6 +16,7 @@
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
+from bilberryturn.gateway import witnesses
 from bilberryturn.platform import wire
 from bilberryturn.routing import choice
 from bilberryturn.routing import types
@@ -71,6 +72,7 @@
         self._first_event_s: float | None = None
         # What is buffered of the answer.
         self._holding = shared.memory.open(self._give_way)
+        self._witness: witnesses.Witness | None = None
         # Whether the failure counted as a crash of the server.
         self._is_crash = False
         self.was_sent = False
@@ -92,6 +94,8 @@
             result = await self._run(may_try_another)
         finally:
             self._shared.evacuation.discard(self)
+            if self._witness is not None:
+                self._shared.witnesses.release(self._witness)
             if self._move is not None:
                 self._shared.load_balancer.end(
                     self._move_reservation, None, time.monotonic()
@@ -121,6 +125,8 @@
                 self._shared.availability.record_end(self._chosen.server)
             return attempt_types.AttemptFailed(error.reason, False)
         self._was_reused = self._connection.is_reused
+        if self._shared.witnesses.is_expected(self._chosen.server.service):
+            self._hold_witness()
         remaining_s = request.deadline_s - time.monotonic()
         try:
             self._connection.send(
@@ -251,8 +257,16 @@
         self._has_response = True
         head = wire.read_server_response(event.status_code, list(event.headers))
         self.is_framed = head.has_framing
+        if not answer_ends.has_end(head, self._request.incoming.method):
+            service = self._chosen.server.service
+            self._shared.witnesses.record_unframed(service)
+            self._hold_witness()
         return head
 
+    def _hold_witness(self) -> None:
+        if self._witness is None:
+            self._witness = self._shared.witnesses.hold(self._chosen.server)
+
     async def _read_own_head(self) -> wire.ServerResponse:
         """Read a head, behind the copies of answers to earlier requests."""
         for _ in range(response_limits.MAX_LATE_COPIES):
@@ -303,8 +317,14 @@
         """Check that a response has ended, and not only its connection."""
         if answer_ends.has_end(head, self._request.incoming.method):
             return
+        is_stream = self._request.route.is_stream and head.status < 300
         await answer_ends.check(
-            self._shared, self._chosen.server, self._move, is_empty
+            self._shared,
+            self._chosen.server,
+            self._move,
+            is_empty,
+            self._witness,
+            witnesses.STREAM_WAIT_S if is_stream else witnesses.ANSWER_WAIT_S,
         )
 
     async def _stream(
@@ -332,6 +352,10 @@
 
     async def _forward(self, head: wire.ServerResponse, data: bytes) -> None:
         events_before = self._delivery.event_count
+        if self._witness is not None:
+            self._witness = self._shared.witnesses.renew(
+                self._chosen.server, self._witness
+            )
         try:
             for piece in server_sent_events.split_work(
                 data, loop_time.BURST_PIECES
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -18,6 +18,7 @@
 from bilberryturn.gateway import state_arrival
 from bilberryturn.gateway import stream_origins
 from bilberryturn.gateway import upstream
+from bilberryturn.gateway import witnesses
 from bilberryturn.routing import budget
 from bilberryturn.routing import choice
 from bilberryturn.routing import crash_causes
@@ -171,6 +172,7 @@
         self.load_balancer = choice.LoadBalancer()
         self.part_crashes = part_crashes.PartCrashes()
         self.crash_checks = crash_checks.CrashChecks(pool)
+        self.witnesses = witnesses.Witnesses(pool)
         self.availability = availability.Availability(
             self.directory,
             pool,
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -82,11 +82,13 @@
     Attributes:
         transport: Set as the connection is established.
         is_at_eof: Whether the server has closed the connection.
+        ended_s: Monotonic time at which it did; 0 before.
     """
 
     def __init__(self, buffer: bytearray):
         self.transport: asyncio.Transport | None = None
         self.is_at_eof = False
+        self.ended_s = 0.0
         self._buffer = buffer
         self._received: list[bytes] = []
         self._received_bytes = 0
@@ -98,6 +100,11 @@
         """Return whether the server has closed and all bytes were read."""
         return self.is_at_eof and not self._received
 
+    @property
+    def is_reset(self) -> bool:
+        """Return whether the connection ended with an error."""
+        return self._error is not None
+
     @property
     def has_data(self) -> bool:
         """Return whether received bytes wait to be parsed."""
@@ -146,16 +153,21 @@
 
     def eof_received(self) -> bool:
         """Keep the connection, whose other direction is still open."""
-        self.is_at_eof = True
+        self._record_end()
         self._wake()
         return True
 
     def connection_lost(self, error: Exception | None) -> None:
         """End the reading."""
         self._error = error
-        self.is_at_eof = True
+        self._record_end()
         self._wake()
 
+    def _record_end(self) -> None:
+        if not self.is_at_eof:
+            self.is_at_eof = True
+            self.ended_s = time.monotonic()
+
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
@@ -300,6 +312,16 @@
             and not self._receiver.transport.is_closing()
         )
 
+    @property
+    def ended_s(self) -> float:
+        """Return the monotonic time at which it was closed; 0 before."""
+        return self._receiver.ended_s
+
+    @property
+    def is_reset(self) -> bool:
+        """Return whether it ended with an error."""
+        return self._receiver.is_reset
+
     def prepare_reuse(self) -> None:
         """Reset the parser for the next request."""
         self._parser = self._new_parser()
--- a/src/bilberryturn/routing/directory.py
+++ b/src/bilberryturn/routing/directory.py
@@ -54,8 +54,10 @@
 
     def has_ended(self, lifetime: tuple[str, int]) -> bool:
         """Return whether a server was removed or has started again."""
-        if lifetime in self._gone:
-            return True
+        return lifetime in self._gone or self.has_restarted(lifetime)
+
+    def has_restarted(self, lifetime: tuple[str, int]) -> bool:
+        """Return whether a server has started again after a lifetime."""
         known = self._servers.get(lifetime[0])
         return known is not None and known.lifetime != lifetime
 
