Notice a reset behind the end of an answer without a length

A server answered an upload of 3.9 MB at once with a 200 without a length, sent a part of its body, ended its side and reset the connection 0.03 s later.

Cause: behind the end of the server's side the connection is not read any more, so that the reset stayed at the socket. Ruled out: a reset that comes first, and a close with unread bytes, which were noticed before.

The socket is asked for its error before such an end is believed.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -152,3 +152,35 @@
       | 200 OK         | status 502 without a seal |
       | 404 Not Found  | status 502 without a seal |
       | 204 No Content | status 204 with its seal  |
+
+  # Guards against a part of an answer that is taken for the whole, as the server
+  # answers a long upload at once and breaks off while it is still being written.
+  Scenario Outline: A server answers an upload of 3.9 MB without a length, then <breaks off>, to a <kind> request over HTTP/<version>
+    Given a gateway before a server that answers uploads without a length, then <breaks off>
+    When a caller uploads 3.9 MB in a <kind> request over HTTP/<version>
+    Then the caller sees no whole success
+
+    Examples:
+      | breaks off                       | kind   | version |
+      | resets                           | safe   | 1.1     |
+      | resets                           | unsafe | 1.1     |
+      | resets                           | unsafe | 1.0     |
+      | resets                           | stream | 1.1     |
+      | resets                           | stream | 1.0     |
+      | closes with the rest unread      | unsafe | 1.1     |
+      | closes with the rest unread      | stream | 1.1     |
+      | ends its side and resets         | safe   | 1.1     |
+      | ends its side and resets         | unsafe | 1.1     |
+      | ends its side and resets         | unsafe | 1.0     |
+      | ends its side and resets         | stream | 1.1     |
+
+  # Guards against a sound answer to an upload that is taken for cut.
+  Scenario Outline: A server answers an upload of 3.9 MB before it has read it, then reads the rest, to a <kind> request
+    Given a gateway before a server that answers uploads without a length, then reads the rest and closes
+    When a caller uploads 3.9 MB in a <kind> request over HTTP/1.1
+    Then the caller sees <outcome>
+
+    Examples:
+      | kind   | outcome          |
+      | unsafe | the whole answer |
+      | stream | the whole stream |
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -48,6 +48,18 @@
         "answers",
         "The process of a server ends",
     ),
+    Mutant(
+        "a reset behind the end of an answer is not noticed",
+        (
+            (
+                "gateway/answer_ends.py",
+                "    if connection.is_reset:",
+                "    if False:",
+            ),
+        ),
+        "answers",
+        "then ends its side and resets",
+    ),
     Mutant(
         "a spare connection that the server rejects shows its end",
         (
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -2,6 +2,7 @@
 
 import itertools
 import queue
+import socket
 import subprocess
 import sys
 import threading
@@ -11,6 +12,7 @@
 
 from bilberryturn import backends
 from bilberryturn.platform import http
+from bilberryturn.routing import types
 from bilberryturn_standins import ports
 from support import gateway_rig
 from support import scripted
@@ -369,3 +371,127 @@
         return "close"
 
     _start_gateway(context, answer)
+
+
+# Uploads, and statuses that no answer has
+
+UPLOAD_BYTES = 3_900_000
+
+
+class _UploadServer:
+    """Answers as soon as it has read the head of a request.
+
+    Attributes:
+        port: Port that it listens on.
+    """
+
+    def __init__(self, context, end):
+        self._end = end
+        self._socket = socket.create_server(("127.0.0.1", 0))
+        self.port = self._socket.getsockname()[1]
+        context.closers.append(self._socket.close)
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                connection, _ = self._socket.accept()
+            except OSError:
+                return
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection):
+        received = b""
+        while b"\r\n\r\n" not in received:
+            data = connection.recv(4096)
+            if not data:
+                connection.close()
+                return
+            received += data
+        head, _, rest = received.partition(b"\r\n\r\n")
+        text = head.decode("latin-1")
+        request = scripted.header(text, "X-Bilberryturn-Attempt-Id")
+        is_stream = " /stream/" in text
+        kind = "Content-Type: text/event-stream\r\n" if is_stream else ""
+        events = b"".join(scripted.event(n + 1) for n in range(EVENTS))
+        whole = events if is_stream else BODY
+        connection.sendall(
+            f"HTTP/1.1 200 OK\r\nX-Bilberryturn-Attempt-Id: {request}\r\n"
+            f"{scripted.SEAL}{kind}Connection: close\r\n\r\n".encode()
+            + whole
+        )
+        # The other side has read the answer by then.
+        time.sleep(0.05)
+        if "ends its side" in self._end:
+            connection.shutdown(socket.SHUT_WR)
+            time.sleep(0.03)
+        if self._end.endswith("resets"):
+            scripted.AcceptedConnection(connection).reset()
+        elif self._end.startswith("reads the rest"):
+            left = UPLOAD_BYTES - len(rest)
+            while left > 0 and (data := connection.recv(65536)):
+                left -= len(data)
+        connection.close()
+
+
+@behave.given(
+    "a gateway before a server that answers uploads without a length, then"
+    " {end}"
+)
+def given_uploads(context, end):
+    server = _UploadServer(context, end)
+    changed = gateway_rig.make_table()
+    changed.limits = types.Limits(body_bytes=2 * UPLOAD_BYTES)
+    context.rig = gateway_rig.GatewayRig(
+        [gateway_rig.make_server("s1", server.port)], changed
+    )
+    context.closers.append(context.rig.close)
+
+
+@behave.when(
+    "a caller uploads 3.9 MB in a {kind:w} request over HTTP/{version}"
+)
+def when_upload(context, kind, version):
+    data = gateway_rig.request_text(
+        kind, f"w{next(_ids)}", body=b"x" * UPLOAD_BYTES
+    ).replace(b"HTTP/1.1", f"HTTP/{version}".encode(), 1)
+    connection = gateway_rig.connect(context.rig.port)
+    connection.sendall(data)
+    context.answer = (
+        _read_until_closed(connection)
+        if version == "1.0"
+        else gateway_rig.read_answer(connection)
+    )
+    connection.close()
+
+
+def _read_until_closed(connection):
+    """Read an answer that is complete if its connection ends in order."""
+    received, is_complete = b"", True
+    try:
+        while data := connection.recv(65536):
+            received += data
+    except ConnectionResetError:
+        is_complete = False
+    head, _, body = received.partition(b"\r\n\r\n")
+    return gateway_rig.Answer(head.decode("latin-1"), body, is_complete)
+
+
+@behave.then("the caller sees no whole success")
+def then_no_whole(context):
+    answer = context.answer
+    assert answer.status != 200 or not answer.is_complete, answer.body
+    assert answer.status in (0, 200, 502), answer.head
+
+
+@behave.given(
+    "a gateway before a server that answers with the status line {status}"
+)
+def given_status_line(context, status):
+    def answer(peer, head, body, number):
+        peer.answer(head, BODY, status=status)
+        return "close"
+
+    _start_gateway(context, answer)
--- a/src/bilberryturn/gateway/answer_ends.py
+++ b/src/bilberryturn/gateway/answer_ends.py
@@ -43,6 +43,7 @@
 async def check(
     shared: shared_state.SharedState,
     server: types.BackendServer,
+    connection: upstream.Connection,
     move: asyncio.Task[moves.MoveResult] | None,
     is_empty: bool,
     witness: witnesses.Witness,
@@ -53,6 +54,7 @@
     Args:
         shared: State that all requests share.
         server: The server that closed the connection.
+        connection: The connection, of which all was read.
         move: The move of the run that was asked for, if any; its response may
             come later than the end of the connection.
         is_empty: Whether the answer has no body.
@@ -65,7 +67,13 @@
     if is_empty:
         raise upstream.UpstreamError("answer ended at once", True, True)
     goes_on = await witness.goes_on(wait_s)
-    cut = await _find_cut(shared, server, move, goes_on)
+    if goes_on is None:
+        # A reset may follow the end.
+        await asyncio.sleep(wait_s)
+    if connection.is_reset:
+        cut = Cut("its connection was reset")
+    else:
+        cut = await _find_cut(shared, server, move, goes_on)
     if cut is not None:
         raise upstream.UpstreamError(
             f"answer may be cut: {cut.reason}",
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -321,6 +321,7 @@
         await answer_ends.check(
             self._shared,
             self._chosen.server,
+            self._connection,
             self._move,
             is_empty,
             self._witness,
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import os
 import socket
 import time
 from typing import NamedTuple
@@ -102,7 +103,16 @@
 
     @property
     def is_reset(self) -> bool:
-        """Return whether the connection ended with an error."""
+        """Return whether the connection ended with an error.
+
+        One that comes after the server has closed its side, such as a reset,
+        is not reported to the protocol.
+        """
+        raw_socket = self.transport.get_extra_info("socket")
+        if self._error is None and raw_socket.fileno() >= 0:
+            code = raw_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self._error = OSError(code, os.strerror(code))
         return self._error is not None
 
     @property
