Count a status from 600 on as no valid answer

Such a status was passed on to callers with the server's seal.

It now counts as a failed attempt: another server where the route allows it, 502 otherwise.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -184,3 +184,24 @@
       | kind   | outcome          |
       | unsafe | the whole answer |
       | stream | the whole stream |
+
+  # Guards against a status that no answer can have and that reaches a caller.
+  Scenario Outline: A server answers <status> to a <kind> request
+    Given a gateway before a server that answers with the status line <status>
+    When a caller sends a <kind> request
+    Then the caller sees status 502 without a seal
+
+    Examples:
+      | status       | kind   |
+      | 000 Trouble  | safe   |
+      | 000 Trouble  | unsafe |
+      | 000 Trouble  | stream |
+      | 099 Trouble  | unsafe |
+      | 42 Trouble   | unsafe |
+      | 2000 Trouble | unsafe |
+      | -20 Trouble  | unsafe |
+      | 2O0 Trouble  | unsafe |
+      | 600 Trouble  | safe   |
+      | 600 Trouble  | unsafe |
+      | 999 Trouble  | unsafe |
+      | 999 Trouble  | stream |
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -254,6 +254,8 @@
         event = await self._connection.next_event()
         if not isinstance(event, h11.Response):
             raise upstream.UpstreamError("no answer", True)
+        if event.status_code > response_limits.MAX_STATUS:
+            raise upstream.UpstreamError("no valid status", True)
         self._has_response = True
         head = wire.read_server_response(event.status_code, list(event.headers))
         self.is_framed = head.has_framing
--- a/src/bilberryturn/gateway/response_limits.py
+++ b/src/bilberryturn/gateway/response_limits.py
@@ -8,6 +8,8 @@
 
 # Status line and headers, and likewise each chunk header and the trailers.
 MAX_HEAD_BYTES = 64 * 1024
+# Higher ones name no kind of response (RFC 9110, section 15).
+MAX_STATUS = 599
 # Informational responses (1xx) before the final one.
 MAX_INFORMATIONAL_RESPONSES = 8
 # Answers to earlier requests before the one to the request that was sent.
