Look a stream's version up if the list of servers is old

Cause: "one version serves" was read from a list of servers of any age. Ruled out: resumptions within an answer, moves and split routes, which do not use it.

With a list older than 2.5 s, on a clock that counts suspensions, a take-up is decided as during a release: by the node's own streams or the rows of the store, and refused as not run if neither tells.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -36,6 +36,18 @@
 
 
 MUTANTS = (
+    Mutant(
+        "a node that stood still takes its list of servers for new",
+        (
+            (
+                "gateway/exchange.py",
+                "if not shared.is_mixed(service) and shared.is_in_step():",
+                "if not shared.is_mixed(service):",
+            ),
+        ),
+        "software_versions",
+        "that was suspended for 3 s",
+    ),
     Mutant(
         "a server that listens again counts as going on",
         (
--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -42,6 +42,25 @@
       | another node                                      |
       | a node that starts after all nodes have lost power |
 
+  # Guards against streams of a new version that a node goes on with at the old
+  # one, as it was cut off or stood still while the new servers joined.
+  Scenario Outline: A stream of a new version is taken up at a node that <out of step>
+    Given a store, a node and servers of versions v1, v1
+    And another node that knows them
+    When servers of versions v2, v2 join, of which the other node does not hear
+    And 20 callers each have 2 events of a stream
+    And they take their streams up at the other node, which <out of step>
+    Then no stream has events of two versions
+    And <refused> of them are refused
+
+    Examples:
+      | out of step                               | refused |
+      | is cut off from the nodes and the store   | 20      |
+      | is cut off from the nodes                 | some    |
+      | stood still for 3 s                       | some    |
+      | was suspended for 3 s                     | some    |
+      | has heard of them again                   | none    |
+
   # Guards against streams that began before a release and are not recorded.
   Scenario: A stream that began before a release is taken up during it
     Given a store, a node and servers of versions v1, v1
@@ -77,6 +96,14 @@
     Then all of them are refused with unknown_origin
 
   # Guards against refusals and store calls where nothing can be joined.
+  # Guards against nodes that refuse to go on with streams that they began.
+  Scenario: A node that is cut off goes on with its own streams
+    Given a store, a node and servers of versions v1, v1
+    When 20 callers each have 2 events of a stream
+    And the node has heard of nothing for 10 s
+    And they take their streams up at the same node
+    Then each of them has a whole stream of one version
+
   Scenario: While one version serves, streams are taken up without the store
     Given a store, a node and servers of versions v1, v1
     When 20 callers each have 2 events of a stream
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -4,10 +4,13 @@
 import random
 import threading
 import time
+from unittest import mock
 
 import behave
 
+from bilberryturn import leases
 from bilberryturn.edge import stream_records
+from bilberryturn.gateway import shared_state
 from bilberryturn.platform import rows
 from bilberryturn.routing import software_versions
 from bilberryturn.routing import types
@@ -373,6 +376,85 @@
     _wait_for_write()
 
 
+@behave.given("another node that knows them")
+def given_other(context):
+    context.other = _start_node(context, context.backend_servers, {})
+    context.other_servers = list(context.backend_servers)
+
+
+@behave.when(
+    "servers of versions {versions} join, of which the other node does not hear"
+)
+def when_join_unheard(context, versions):
+    when_join(context, versions)
+
+
+def _hear_of_nothing(node, time_s, has_stood_still=False):
+    """Let the server list of a node be as old as after a time."""
+
+    async def age():
+        shared = node.rig.shared
+        # The steady clock does not count the time of a suspension.
+        age_s = 0.0 if has_stood_still else time_s
+        shared.servers_confirmed_s = time.monotonic() - age_s
+        if has_stood_still:
+            boottime_s = leases.boottime_s
+            shared_state.leases = mock.Mock(
+                boottime_s=lambda: boottime_s() + time_s
+            )
+
+    node.rig.call(age)
+
+
+@behave.when("the node has heard of nothing for {time_s:g} s")
+def when_unheard(context, time_s):
+    _hear_of_nothing(context.node, time_s)
+
+
+@behave.when("they take their streams up at the other node, which {state}")
+def when_take_up_elsewhere(context, state):
+    context.closers.append(lambda: setattr(shared_state, "leases", leases))
+    other = context.taking = context.other
+    if state == "has heard of them again":
+        other.add(context.backend_servers)
+        _hear_of_nothing(other, 0.0)
+    else:
+        _hear_of_nothing(other, 3.0, has_stood_still="suspended" in state)
+    if "store" in state:
+
+        async def lose_store():
+            other.rig.shared.stream_origins.read_stored = _find_nothing
+
+        other.rig.call(lose_store)
+    _take_up(context)
+
+
+async def _find_nothing(name):
+    return None
+
+
+@behave.then("no stream has events of two versions")
+def then_not_joined(context):
+    for (_, before), answer in zip(
+        context.callers, context.answers, strict=True
+    ):
+        after = _versions(answer.body) if answer.status == 200 else []
+        assert len({*before, *after}) == 1, (before, after)
+
+
+@behave.then("{count} of them are refused")
+def then_count_refused(context, count):
+    refused = [a for a in context.answers if a.status == 503]
+    for answer in refused:
+        reason = json.loads(answer.body)["error"]["type"]
+        assert reason in ("unknown_origin", "no_server_of_version"), reason
+    expected = {"none": 0, "20": 20}.get(count)
+    if expected is None:
+        assert 0 < len(refused) < 20, len(refused)
+    else:
+        assert len(refused) == expected, len(refused)
+
+
 @behave.when("the servers of version {version} leave while no node runs")
 def when_leave(context, version):
     context.backend_servers = [
@@ -396,6 +478,10 @@
         if "not read" in node:
             reports = None
         context.taking = _start_node(context, context.backend_servers, reports)
+    _take_up(context)
+
+
+def _take_up(context):
     context.answers = []
     for number, (connection, _) in enumerate(context.callers):
         connection.close()
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -228,7 +228,7 @@
         if not self._is_resumable or not is_taken_up:
             return None
         servers = shared.candidates(request.requirements)
-        if not shared.is_mixed(service):
+        if not shared.is_mixed(service) and shared.is_in_step():
             # Servers of another version may join meanwhile.
             self._version = servers[0].software_version if servers else None
             shared.record_resumed_stream(service, "one_version")
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from bilberryturn import leases
 from bilberryturn import metrics
 from bilberryturn.gateway import availability
 from bilberryturn.gateway import crash_checks
@@ -31,6 +32,9 @@
 
 # Time for which leaving servers go on, unless the deployment states another.
 DEFAULT_DRAIN_S = 2.5
+# Age that the server list of a node reaches while nothing is in disorder: that of
+# a reading by its relay and of a poll.
+IN_STEP_S = 2.5
 # Ended windows that a node keeps publishing, in case a write of them is lost.
 KEPT_WINDOWS = 2
 
@@ -192,7 +196,9 @@
         self.drain: drain.Drain | None = None
         self.is_cut = False
         self.config_confirmed_s: float | None = None
-        self.servers_confirmed_s: float | None = None
+        self._servers_confirmed_s: float | None = None
+        # Time for which the machine had been suspended by then.
+        self._suspended_s = 0.0
         self._retry_limits = retry_limits
         self._node_count = 1
         self._budgets: dict[str, budget.RetryBudget] = {}
@@ -388,6 +394,29 @@
         """Return the time since the configuration was last confirmed."""
         return _age_s(self.config_confirmed_s)
 
+    @property
+    def servers_confirmed_s(self) -> float | None:
+        """Return when the server list was last confirmed by the store."""
+        return self._servers_confirmed_s
+
+    @servers_confirmed_s.setter
+    def servers_confirmed_s(self, confirmed_s: float) -> None:
+        self._servers_confirmed_s = confirmed_s
+        self._suspended_s = leases.boottime_s() - time.monotonic()
+
+    def is_in_step(self) -> bool:
+        """Return whether the server list is as new as that of other nodes.
+
+        A node that was cut off or stood still may not know yet which servers
+        others have used meanwhile.
+        """
+        confirmed_s = self._servers_confirmed_s
+        if confirmed_s is None:
+            # Requests wait for the first list.
+            return True
+        age_s = leases.boottime_s() - self._suspended_s - confirmed_s
+        return age_s < IN_STEP_S
+
     def servers_age_s(self) -> float | None:
         """Return the time since the server list was last confirmed."""
         return _age_s(self.servers_confirmed_s)
