--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -32,8 +32,8 @@
 
 # Time for which leaving servers go on, unless the deployment states another.
 DEFAULT_DRAIN_S = 2.5
-# Age that the server list of a node reaches while nothing is in disorder: that of
-# a reading by its relay and of a poll.
+# Age that the server list of a node in order does not reach. It is that of a
+# reading by its relay and of a poll.
 IN_STEP_S = 2.5
 # Ended windows that a node keeps publishing, in case a write of them is lost.
 KEPT_WINDOWS = 2
