Notice in the firms' own entry that a service was replaced in its answer

A call that runs once to a service whose process was replaced inside an answer without a length got 200 with a part of the body, and the entry recorded that as its result.

Whoever listened at the address after the end stood for the service that had answered.

A spare connection, opened with the head of the answer, tells it. Answers of models end with [DONE] or are JSON, so that they don't need it.

--- a/features/once.feature
+++ b/features/once.feature
@@ -17,6 +17,7 @@
       | service disconnects before answering | 502 backend_failed may have run    | 409 outcome_unknown may have run | once         |
       | service disconnects in its answer    | 502 backend_failed may have run    | 409 outcome_unknown may have run | once         |
       | service ends in an unframed answer   | 502 backend_failed may have run    | 409 outcome_unknown may have run | once         |
+      | service is replaced in an answer     | 502 backend_failed may have run    | 409 outcome_unknown may have run | once         |
       | service answers too late             | 504 deadline_exceeded may have run | 409 outcome_unknown may have run | once         |
       | entry killed after dispatch          | a broken connection                | 409 outcome_unknown may have run | once         |
       | entry killed before dispatch         | a broken connection                | anything                         | at most once |
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -56,6 +56,10 @@
     standin(context).ends_in_answer = True
 
 
+def be_replaced(context):
+    standin(context).is_replaced_in_answer = True
+
+
 def answer_late(context):
     standin(context).delay_s = LATE_S
     context.cluster.apply(
@@ -125,6 +129,7 @@
     "service disconnects before answering": cut_before,
     "service disconnects in its answer": cut_in,
     "service ends in an unframed answer": end_in,
+    "service is replaced in an answer": be_replaced,
     "service answers too late": answer_late,
     "entry killed after dispatch": kill_after_dispatch,
     "entry killed before dispatch": kill_before_dispatch,
--- a/src/bilberryturn/entry/services.py
+++ b/src/bilberryturn/entry/services.py
@@ -77,6 +77,7 @@
         )
         self._holder = grants.GrantHolder(node, request, self._requirements)
         self._upstream: backends.Call | None = None
+        self._spare: unframed_answers.SpareConnection | None = None
 
     def run(self) -> ServiceResponse:
         """Return the response of the service.
@@ -165,6 +166,16 @@
 
     def _send(self) -> tuple[backends.CallEnd, ServiceResponse | None]:
         """Send the call to the granted server and read its response."""
+        try:
+            return self._send_and_read()
+        finally:
+            if self._spare is not None:
+                self._spare.close()
+                self._spare = None
+
+    def _send_and_read(
+        self,
+    ) -> tuple[backends.CallEnd, ServiceResponse | None]:
         call, request = self._call, self._exchange
         path = "/" + urllib.parse.quote(call.path, safe=PATH_CHARACTERS)
         if call.query:
@@ -173,6 +184,10 @@
             call.method, path, self._headers(), call.body or None
         )
         self._upstream = upstream
+        server = (
+            self._holder.grant.address,
+            self._node.settings.node.source_address,
+        )
         head, parts, size = None, [], 0
         while True:
             event = request.next_event()
@@ -180,6 +195,8 @@
                 continue
             if isinstance(event, backends.CallHead):
                 head = event
+                if unframed_answers.is_unframed(head, call.method):
+                    self._spare = unframed_answers.SpareConnection(*server)
             elif isinstance(event, backends.CallData):
                 self._node.stream_loop.mark_consumed(upstream, len(event.data))
                 parts.append(event.data)
@@ -191,14 +208,8 @@
             else:
                 self._upstream = None
                 break
-        if not event.error:
-            cut = unframed_answers.find_cut(
-                head,
-                call.method,
-                not size,
-                self._holder.grant.address,
-                self._node.settings.node.source_address,
-            )
+        if not event.error and self._spare is not None:
+            cut = unframed_answers.find_cut(self._spare, not size, *server)
             event = event._replace(error=cut)
         if event.error:
             if not event.may_have_run:
--- a/src/bilberryturn_standins/server.py
+++ b/src/bilberryturn_standins/server.py
@@ -81,6 +81,12 @@
         self._runner = None
         self._site = None
 
+    def close_connections(self) -> None:
+        """Close all connections at once, as the system does for a process."""
+        for connection in self._runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.close()
+
     async def _start(self) -> None:
         application = web.Application(client_max_size=MAX_BODY_BYTES)
         application.add_routes(self.routes())
--- a/src/bilberryturn_standins/service.py
+++ b/src/bilberryturn_standins/service.py
@@ -9,6 +9,8 @@
 # A call whose query holds this text ends the service for a while.
 POISON = "poison-pill"
 RESTART_S = 0.5
+# Time after the beginning of an answer at which the process is replaced.
+REPLACED_AFTER_S = 0.2
 
 
 class ServiceStandin(server.StandinServer):
@@ -30,6 +32,7 @@
         self.cut_before_answer = False
         self.cut_in_answer = False
         self.ends_in_answer = False
+        self.is_replaced_in_answer = False
 
     def routes(self):
         """Return the routes of the service."""
@@ -55,6 +58,8 @@
         answer = {"done": key, "number": len(self.executions)}
         if self.ends_in_answer:
             return await self._end(request)
+        if self.is_replaced_in_answer:
+            return await self._be_replaced(request)
         if not self.cut_in_answer:
             return web.json_response(answer)
         response = web.StreamResponse(headers={"Content-Length": "100"})
@@ -75,6 +80,17 @@
         asyncio.get_running_loop().create_task(self._restart())
         return web.Response(status=500)
 
+    async def _be_replaced(self, request):
+        """End inside an answer without a length as another process listens."""
+        self.is_replaced_in_answer = False
+        request.transport.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+            b'Connection: close\r\n\r\n{"done"'
+        )
+        await asyncio.sleep(REPLACED_AFTER_S)
+        self.close_connections()
+        return web.Response(status=500)
+
     async def _crash(self, request):
         """Abort the connection and refuse new ones until restarted."""
         self.crashes += 1
