--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -442,8 +442,7 @@
 )
 def given_uploads(context, end):
     server = _UploadServer(context, end)
-    # Reading an upload takes long on a busy machine.
-    changed = gateway_rig.make_table(timeout_s=6.0)
+    changed = gateway_rig.make_table()
     changed.limits = types.Limits(body_bytes=2 * UPLOAD_BYTES)
     context.rig = gateway_rig.GatewayRig(
         [gateway_rig.make_server("s1", server.port)], changed
