Keep one spare connection to a server in one place

A held connection that ends is closed with its last answer, so that no list of earlier ones is kept; the wait for its end is in one place. Nothing changes for callers: answers.feature and moves.feature pass as before.

--- a/src/bilberryturn/gateway/answer_ends.py
+++ b/src/bilberryturn/gateway/answer_ends.py
@@ -67,9 +67,6 @@
     if is_empty:
         raise upstream.UpstreamError("answer ended at once", True, True)
     goes_on = await witness.goes_on(wait_s)
-    if goes_on is None:
-        # A reset may follow the end.
-        await asyncio.sleep(wait_s)
     if connection.is_reset:
         cut = Cut("its connection was reset")
     else:
--- a/src/bilberryturn/gateway/witnesses.py
+++ b/src/bilberryturn/gateway/witnesses.py
@@ -43,19 +43,43 @@
         released_s: Monotonic time at which the last one released it.
     """
 
-    def __init__(self):
+    def __init__(self, retry_s: float = RETRY_S):
+        """Initialize without a connection.
+
+        Args:
+            retry_s: Pause before the next one if the server rejects this one.
+        """
         self.holders = 0
         self.released_s = 0.0
-        self._connection: upstream.Connection | None = None
+        self.retry_s = retry_s
+        self._began_s = time.monotonic()
         self._opened_s = 0.0
+        self._connection: upstream.Connection | None = None
+        self._task: asyncio.Task | None = None
+
+    def begin_open(
+        self, pool: upstream.ConnectionPool, server: types.BackendServer
+    ) -> None:
+        """Open the connection in the background."""
+        self._task = asyncio.get_running_loop().create_task(
+            self._open(pool, server)
+        )
 
-    def open(self, connection: upstream.Connection) -> None:
-        """Use a connection that was just established."""
-        self._connection = connection
+    async def _open(
+        self, pool: upstream.ConnectionPool, server: types.BackendServer
+    ) -> None:
+        try:
+            self._connection = await pool.acquire(
+                server, CONNECT_TIMEOUT_S, may_reuse=False
+            )
+        except upstream.UpstreamError:
+            # The answer is judged without it.
+            return
         self._opened_s = time.monotonic()
 
     def close(self) -> None:
-        """Close the connection, if there is one."""
+        """Close the connection, or give up opening it."""
+        self._task.cancel()
         if self._connection is not None:
             self._connection.close()
 
@@ -66,12 +90,17 @@
 
     @property
     def is_rejected(self) -> bool:
-        """Return whether the server refused to take the connection."""
-        connection = self._connection
-        if connection is None:
-            return True
-        lived_s = connection.ended_s - self._opened_s
-        return connection.is_reset and lived_s < REJECTED_S
+        """Return whether the server did not take the connection."""
+        if self._connection is None:
+            return self._task.done()
+        lived_s = self._connection.ended_s - self._opened_s
+        return self._connection.is_reset and lived_s < REJECTED_S
+
+    def is_due(self, now_s: float) -> bool:
+        """Return whether another connection is to be opened in its place."""
+        if self.is_rejected:
+            return now_s - self._began_s >= self.retry_s
+        return self._connection is not None and not self.is_alive
 
     def has_ended_for(self, time_s: float) -> bool:
         """Return whether the connection ended at least a time ago."""
@@ -89,10 +118,9 @@
             None if this connection cannot show it.
         """
         ended_s = time.monotonic()
+        await asyncio.sleep(wait_s)
         if self._connection is None or ended_s - self._opened_s < MIN_AGE_S:
             return None
-        if self.is_alive:
-            await asyncio.sleep(wait_s)
         if self.is_alive:
             return True
         # One that ended earlier had been idle for too long.
@@ -100,23 +128,12 @@
         return False if is_same_end and not self.is_rejected else None
 
 
-class _Server:
-    """The spare connections to one server lifetime."""
-
-    def __init__(self):
-        self.current: Witness | None = None
-        self.all: list[Witness] = []
-        self.task: asyncio.Task | None = None
-        self.tried_s = 0.0
-        self.retry_s = RETRY_S
-
-
 class Witnesses:
     """Keeps spare connections to servers while their answers need them."""
 
     def __init__(self, pool: upstream.ConnectionPool):
         self._pool = pool
-        self._servers: dict[types.Lifetime, _Server] = {}
+        self._current: dict[types.Lifetime, Witness] = {}
         # When an answer of a service last had neither length nor chunks.
         self._unframed_s: dict[str, float] = {}
 
@@ -131,19 +148,31 @@
 
     def hold(self, server: types.BackendServer) -> Witness:
         """Return a spare connection to a server, which must be released."""
-        known = self._servers.setdefault(server.lifetime, _Server())
-        if known.task is None and not (
-            known.current and known.current.is_alive
-        ):
-            self._replace(server, known)
-        witness = known.current
+        witness = self._current.get(server.lifetime)
+        if witness is None or witness.is_due(time.monotonic()):
+            witness = self._replace(server, witness)
         witness.holders += 1
         return witness
 
+    def _replace(
+        self, server: types.BackendServer, earlier: Witness | None
+    ) -> Witness:
+        retry_s = RETRY_S
+        if earlier is not None:
+            if earlier.is_rejected:
+                retry_s = min(MAX_RETRY_S, 2 * earlier.retry_s)
+            if not earlier.holders:
+                earlier.close()
+        witness = self._current[server.lifetime] = Witness(retry_s)
+        witness.begin_open(self._pool, server)
+        return witness
+
     def release(self, witness: Witness) -> None:
         """End one hold of a spare connection."""
         witness.holders -= 1
         witness.released_s = time.monotonic()
+        if not witness.holders and witness.has_ended_for(0.0):
+            witness.close()
 
     def renew(self, server: types.BackendServer, witness: Witness) -> Witness:
         """Return the held connection, or another if it ended some time ago."""
@@ -152,48 +181,13 @@
         self.release(witness)
         return self.hold(server)
 
-    def _replace(self, server: types.BackendServer, known: _Server) -> None:
-        now_s = time.monotonic()
-        if known.current is not None and known.current.is_rejected:
-            if now_s - known.tried_s < known.retry_s:
-                return
-            known.retry_s = min(MAX_RETRY_S, 2 * known.retry_s)
-        else:
-            known.retry_s = RETRY_S
-        known.tried_s = now_s
-        known.current = Witness()
-        known.all.append(known.current)
-        known.task = asyncio.get_running_loop().create_task(
-            self._open(server, known, known.current)
-        )
-
-    async def _open(
-        self, server: types.BackendServer, known: _Server, witness: Witness
-    ) -> None:
-        try:
-            witness.open(
-                await self._pool.acquire(
-                    server, CONNECT_TIMEOUT_S, may_reuse=False
-                )
-            )
-        except upstream.UpstreamError:
-            # The answer is judged without it.
-            pass
-        finally:
-            known.task = None
-
     def close_unused(self) -> None:
         """Close the connections that no answer has needed for some time."""
         now_s = time.monotonic()
-        for lifetime, known in list(self._servers.items()):
-            for witness in list(known.all):
-                is_needed = witness.holders or known.task is not None
-                if is_needed or now_s - witness.released_s < UNUSED_S:
-                    continue
+        for lifetime, witness in list(self._current.items()):
+            if not witness.holders and now_s - witness.released_s >= UNUSED_S:
                 witness.close()
-                known.all.remove(witness)
-            if not known.all:
-                del self._servers[lifetime]
+                del self._current[lifetime]
         self._unframed_s = {
             service: seen_s
             for service, seen_s in self._unframed_s.items()
