Look at a stream's move before the server's other connections

A stream without length or chunks that is moved paused 0.25 s longer since: the end of its run was first judged by the spare connection, though the reply to the move tells the same at once. Shown by a scenario in which other connections are waited for 30 s, which timed out before and passes.

The move is looked at first, as it was before. A mutant is noticed.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -54,6 +54,15 @@
       | before it answers that another move goes on      | a broken stream       | nothing                      |
       | never answers                                    | a broken stream       | nothing                      |
 
+  # Guards against a pause in a moved stream, as the end of its run is judged by
+  # the server's other connections first.
+  Scenario: A moved stream without length or chunks does not wait for other connections to end
+    Given two engines, the first of which streams without length or chunks and closes before it answers that it moved the run
+    And other connections are waited for 30 s
+    When the first engine is reported to end in 9 s and its streams are moved
+    Then the caller of the stream sees the whole stream
+    And the second engine received the moved run behind event 2
+
   # Guards against a caller who has to send its request again, though its route
   # allows to resume the stream.
   Scenario: A resumable stream without length or chunks closes and its engine never answers
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -65,13 +65,26 @@
         (
             (
                 "gateway/answer_ends.py",
-                "    if connection.is_reset:",
+                "    if answer.connection.is_reset:",
                 "    if False:",
             ),
         ),
         "answers",
         "then ends its side and resets",
     ),
+    Mutant(
+        "the end of a moved stream is judged by other connections first",
+        (
+            (
+                "gateway/answer_ends.py",
+                "    cut = await _find_stop(answer.move)\n",
+                "    await answer.witness.goes_on(answer.wait_s)\n"
+                "    cut = await _find_stop(answer.move)\n",
+            ),
+        ),
+        "moves",
+        "does not wait for other connections",
+    ),
     Mutant(
         "a spare connection that the server rejects shows its end",
         (
--- a/features/steps/move_steps.py
+++ b/features/steps/move_steps.py
@@ -5,10 +5,12 @@
 import socket
 import threading
 import time
+from unittest import mock
 
 import behave
 
 from bilberryturn.gateway import moves
+from bilberryturn.gateway import witnesses
 from bilberryturn.routing import directory
 from bilberryturn.routing import table
 from bilberryturn.routing import types
@@ -380,6 +382,13 @@
     context.kind = "stream"
 
 
+@behave.given("other connections are waited for {wait_s:g} s")
+def given_wait(context, wait_s):
+    patch = mock.patch.object(witnesses, "STREAM_WAIT_S", wait_s)
+    patch.start()
+    context.closers.append(patch.stop)
+
+
 @behave.given("the route allows to resume streams")
 def given_resumable(context):
     context.kind = "resumable"
--- a/src/bilberryturn/gateway/answer_ends.py
+++ b/src/bilberryturn/gateway/answer_ends.py
@@ -40,37 +40,42 @@
     return head.has_framing or has_no_body
 
 
-async def check(
-    shared: shared_state.SharedState,
-    server: types.BackendServer,
-    connection: upstream.Connection,
-    move: asyncio.Task[moves.MoveResult] | None,
-    is_empty: bool,
-    witness: witnesses.Witness,
-    wait_s: float,
-) -> None:
-    """Check that a connection was closed because its answer has ended.
+class EndedAnswer(NamedTuple):
+    """An answer without length or chunks whose connection has ended.
 
-    Args:
-        shared: State that all requests share.
+    Attributes:
         server: The server that closed the connection.
         connection: The connection, of which all was read.
         move: The move of the run that was asked for, if any; its response may
             come later than the end of the connection.
-        is_empty: Whether the answer has no body.
         witness: A spare connection to the server.
         wait_s: Time to wait for the end of that connection.
+    """
+
+    server: types.BackendServer
+    connection: upstream.Connection
+    move: asyncio.Task[moves.MoveResult] | None
+    witness: witnesses.Witness
+    wait_s: float
+
+
+async def check(
+    shared: shared_state.SharedState, answer: EndedAnswer, is_empty: bool
+) -> None:
+    """Check that a connection was closed because its answer has ended.
+
+    Args:
+        shared: State that all requests share.
+        answer: The answer.
+        is_empty: Whether the answer has no body.
 
     Raises:
         UpstreamError: The answer may have been cut.
     """
     if is_empty:
         raise upstream.UpstreamError("answer ended at once", True, True)
-    goes_on = await witness.goes_on(wait_s)
-    if connection.is_reset:
-        cut = Cut("its connection was reset")
-    else:
-        cut = await _find_cut(shared, server, move, goes_on)
+    cut = await _find_stop(answer.move)
+    cut = cut or await _find_end(shared, answer)
     if cut is not None:
         raise upstream.UpstreamError(
             f"answer may be cut: {cut.reason}",
@@ -80,20 +85,29 @@
         )
 
 
-async def _find_cut(
-    shared: shared_state.SharedState,
-    server: types.BackendServer,
+async def _find_stop(
     move: asyncio.Task[moves.MoveResult] | None,
-    goes_on: bool | None,
 ) -> Cut | None:
-    """Return what else may have ended a connection than the answer's end."""
-    if move is not None:
-        # The move goes on if the request is cancelled meanwhile.
-        result = await asyncio.shield(move)
-        if isinstance(result, moves.MovedRun):
-            return Cut("its run was moved")
-        if result.may_have_stopped:
-            return Cut("its run may have been stopped")
+    """Return whether a run was stopped to be moved."""
+    if move is None:
+        return None
+    # The move goes on if the request is cancelled meanwhile.
+    result = await asyncio.shield(move)
+    if isinstance(result, moves.MovedRun):
+        return Cut("its run was moved")
+    if result.may_have_stopped:
+        return Cut("its run may have been stopped")
+    return None
+
+
+async def _find_end(
+    shared: shared_state.SharedState, answer: EndedAnswer
+) -> Cut | None:
+    """Return whether the connection or its server ended inside an answer."""
+    server = answer.server
+    goes_on = await answer.witness.goes_on(answer.wait_s)
+    if answer.connection.is_reset:
+        return Cut("its connection was reset")
     if shared.directory.has_restarted(server.lifetime):
         return Cut("its server has started again")
     if goes_on:
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -320,15 +320,17 @@
         if answer_ends.has_end(head, self._request.incoming.method):
             return
         is_stream = self._request.route.is_stream and head.status < 300
-        await answer_ends.check(
-            self._shared,
+        wait_s = (
+            witnesses.STREAM_WAIT_S if is_stream else witnesses.ANSWER_WAIT_S
+        )
+        answer = answer_ends.EndedAnswer(
             self._chosen.server,
             self._connection,
             self._move,
-            is_empty,
             self._witness,
-            witnesses.STREAM_WAIT_S if is_stream else witnesses.ANSWER_WAIT_S,
+            wait_s,
         )
+        await answer_ends.check(self._shared, answer, is_empty)
 
     async def _stream(
         self, head: wire.ServerResponse
