Judge an answer that is there also at the end of its time limit

An answer without length or chunks that ended within 0.1 s (a stream 0.25 s) of its attempt's time limit was dropped since, as the wait for the spare connection outlasted the limit: 504, or a broken stream, though all of it had come.

The limit is moved back by the time that the judgement takes.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -106,6 +106,19 @@
     When a caller sends a stream request
     Then the caller sees the whole stream
 
+  # Guards against a ready answer that is dropped as its judgement outlasts the
+  # time limit of the request.
+  Scenario Outline: An answer without length to a <kind> request ends just before its time limit
+    Given a gateway before a server whose answers have no length and that close behind <part> after 1.0 s
+    And routes with a timeout of 1.0 s
+    When a caller sends a <kind> request
+    Then the caller sees <outcome>
+
+    Examples:
+      | kind   | part       | outcome          |
+      | unsafe | the body   | the whole answer |
+      | stream | all events | the whole stream |
+
   # Guards against a process that ends as above, on the system's own terms.
   Scenario Outline: A process is killed in <kind> requests and another one listens at once
     Given a gateway before a process whose answers have no length
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -85,6 +85,18 @@
         "moves",
         "does not wait for other connections",
     ),
+    Mutant(
+        "an answer that is there is dropped at its time limit",
+        (
+            (
+                "gateway/attempts.py",
+                "if end_s > self._time_limit.when():",
+                "if False:",
+            ),
+        ),
+        "answers",
+        "just before its time limit",
+    ),
     Mutant(
         "a spare connection that the server rejects shows its end",
         (
--- a/features/steps/answer_steps.py
+++ b/features/steps/answer_steps.py
@@ -166,7 +166,7 @@
                 time.sleep(gap_s)
         if "inside" in end:
             peer.send(scripted.event(EVENTS + 1)[:9])
-        time.sleep(0.1)
+        time.sleep(1.0 if end.endswith("after 1.0 s") else 0.1)
         if end.startswith("reset"):
             peer.reset()
         if on_end is not None:
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -9,6 +9,7 @@
 from bilberryturn import server_sent_events
 from bilberryturn.gateway import answer_ends
 from bilberryturn.gateway import attempt_types
+from bilberryturn.gateway import crash_checks
 from bilberryturn.gateway import crash_records
 from bilberryturn.gateway import delivery
 from bilberryturn.gateway import loop_time
@@ -73,6 +74,7 @@
         # What is buffered of the answer.
         self._holding = shared.memory.open(self._give_way)
         self._witness: witnesses.Witness | None = None
+        self._time_limit: asyncio.Timeout | None = None
         # Whether the failure counted as a crash of the server.
         self._is_crash = False
         self.was_sent = False
@@ -139,7 +141,7 @@
             self._sent_s = time.monotonic()
             async with asyncio.timeout(
                 self._timeout_s(remaining_s, may_try_another)
-            ):
+            ) as self._time_limit:
                 return await self._receive()
         except upstream.UpstreamError as error:
             if self._move is not None:
@@ -323,6 +325,8 @@
         wait_s = (
             witnesses.STREAM_WAIT_S if is_stream else witnesses.ANSWER_WAIT_S
         )
+        # An answer that is there is judged also at the end of its time.
+        self._extend_time_limit(wait_s + crash_checks.REFUSAL_TIMEOUT_S)
         answer = answer_ends.EndedAnswer(
             self._chosen.server,
             self._connection,
@@ -332,6 +336,12 @@
         )
         await answer_ends.check(self._shared, answer, is_empty)
 
+    def _extend_time_limit(self, time_s: float) -> None:
+        """Let the attempt go on for at least a time."""
+        end_s = asyncio.get_running_loop().time() + time_s
+        if end_s > self._time_limit.when():
+            self._time_limit.reschedule(end_s)
+
     async def _stream(
         self, head: wire.ServerResponse
     ) -> attempt_types.AttemptResult:
