Show that streams of a new version go on at the old one at a node in order

Callers take their streams up at the same time from now on, so that a decision that takes time does not add up; the checks are the same.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -95,7 +95,30 @@
     And they take their streams up at a node that has not read the reports
     Then all of them are refused with unknown_origin
 
-  # Guards against refusals and store calls where nothing can be joined.
+  # Guards against streams of a new version that go on at the old one at a node
+  # whose list of servers is as new as those of nodes in order mostly are.
+  Scenario Outline: A stream of a new version is taken up at a node whose list is <age> s old
+    Given a store, a node and servers of versions v1, v1
+    And another node that knows them
+    When servers of versions v2, v2 join, of which the other node does not hear
+    And 20 callers each have 2 events of a stream
+    And the streams are taken up at the other node, whose list is <age> s old
+    Then no stream has events of two versions
+
+    Examples:
+      | age |
+      | 0   |
+      | 1   |
+      | 2   |
+
+  Scenario: A stream of a new version goes on at a node that hears of it meanwhile
+    Given a store, a node and servers of versions v1, v1
+    And another node that knows them
+    When servers of versions v2, v2 join, of which the other node does not hear
+    And 20 callers each have 2 events of a stream
+    And the streams are taken up at the other node, which hears of the servers 0.5 s later
+    Then each of them has a whole stream of one version
+
   # Guards against nodes that refuse to go on with streams that they began.
   Scenario: A node that is cut off goes on with its own streams
     Given a store, a node and servers of versions v1, v1
@@ -104,6 +127,7 @@
     And they take their streams up at the same node
     Then each of them has a whole stream of one version
 
+  # Guards against refusals and store calls where nothing can be joined.
   Scenario: While one version serves, streams are taken up without the store
     Given a store, a node and servers of versions v1, v1
     When 20 callers each have 2 events of a stream
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -1,5 +1,6 @@
 """Steps of software_versions.feature."""
 
+import concurrent.futures
 import json
 import random
 import threading
@@ -429,6 +430,33 @@
     _take_up(context)
 
 
+@behave.when(
+    "the streams are taken up at the other node, whose list is {age_s:g} s old"
+)
+def when_take_up_behind(context, age_s):
+    context.taking = context.other
+    _hear_of_nothing(context.other, age_s)
+    _take_up(context)
+
+
+@behave.when(
+    "the streams are taken up at the other node, which hears of the servers"
+    " {time_s:g} s later"
+)
+def when_take_up_before(context, time_s):
+    other = context.taking = context.other
+    _hear_of_nothing(other, 1.0)
+
+    def hear():
+        other.add(context.backend_servers)
+        _hear_of_nothing(other, 0.0)
+
+    timer = threading.Timer(time_s, hear)
+    timer.start()
+    _take_up(context)
+    timer.join()
+
+
 async def _find_nothing(name):
     return None
 
@@ -482,16 +510,23 @@
 
 
 def _take_up(context):
-    context.answers = []
-    for number, (connection, _) in enumerate(context.callers):
+    """Let all callers take their streams up at the same time."""
+    for connection, _ in context.callers:
         connection.close()
-        text = gateway_rig.request_text(
+    texts = [
+        gateway_rig.request_text(
             "resumable",
             f"b{number}",
             extra=f"Last-Event-Id: 2\r\nResumes: a{number}\r\n",
         )
-        context.answers.append(
-            gateway_rig.send_request(context.taking.rig.port, text)
+        for number in range(len(context.callers))
+    ]
+    port = context.taking.rig.port
+    with concurrent.futures.ThreadPoolExecutor(len(texts)) as executor:
+        context.answers = list(
+            executor.map(
+                lambda text: gateway_rig.send_request(port, text), texts
+            )
         )
 
 
