--- a/features/relays.feature
+++ b/features/relays.feature
@@ -55,6 +55,25 @@
     And the node polls the relay
     Then the node uses 599 servers
 
+  # Guards against ages that leave out the time for which a machine was
+  # suspended, so that lists from before seem new.
+  Scenario: A list that waited while the node was suspended does not look newer than it is
+    Given a node that reads the servers' entries from a store
+    When the node is suspended for 2 s during the call
+    Then its list of servers is at least 2 s old
+
+  Scenario: A reply that waited while the node was suspended does not look newer than it is
+    Given a relay that has read 600 servers
+    When a node is suspended for 2 s during its poll of the relay
+    Then its list of servers is at least 2 s old
+
+  Scenario: A relay that was suspended does not pass on its list as new
+    Given a relay that has read 600 servers
+    And a node that has the relay's content
+    When the relay is suspended for 5 s while a server leaves, of which the node reads
+    And the node polls the relay, whose steady clock stood still meanwhile
+    Then the node uses 599 servers
+
   Scenario: Nodes that start together find their relay before they read the store
     Given a stand-in of the users' store
     When 12 nodes of one failure domain start together
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -6,8 +6,10 @@
 import socket
 import threading
 import time
+from unittest import mock
 
 import behave
+import expression
 import msgspec
 
 from bilberryturn import leases
@@ -122,6 +124,92 @@
     )
 
 
+class _Suspensions:
+    """Lets the clock that counts suspensions go ahead of the steady one."""
+
+    def __init__(self, context):
+        self.total_s = 0.0
+        boottime_s = leases.boottime_s
+        patch = mock.patch.object(
+            leases, "boottime_s", lambda: boottime_s() + self.total_s
+        )
+        patch.start()
+        context.closers.append(patch.stop)
+
+
+@behave.given("a node that reads the servers' entries from a store")
+def given_reading_node(context):
+    context.peer = peer_nodes.Peer("node")
+    context.follower = followers.Follower(
+        rows.SERVER_TABLE, "127.0.0.1:1", 0.0, 0.0, "",
+        context.peer.applier.on_servers_read,
+    )  # fmt: skip
+
+
+@behave.when("the node is suspended for {time_s:g} s during the call")
+def when_suspended_in_call(context, time_s):
+    suspensions = _Suspensions(context)
+
+    def snapshot(table):
+        suspensions.total_s += time_s
+        return expression.Ok(rows.Changes([], 1))
+
+    context.follower._store = mock.Mock(snapshot=snapshot)
+    context.follower._run_step()
+
+
+@behave.when(
+    "a node is suspended for {time_s:g} s during its poll of the relay"
+)
+def when_suspended_in_poll(context, time_s):
+    suspensions = _Suspensions(context)
+    peer = context.peer = peer_nodes.Peer("node")
+    client = relays.RelayClient(
+        "n1", "10.0.0.1:1", "east", "", TIMES, list, list, dict, dict,
+        shared_clock.SharedClock(), [], peer.applier.known,
+        peer.applier.apply_peer_state, threading.Event(),
+        relays.RESTART_WAITS,
+    )  # fmt: skip
+
+    def reply(*arguments, **options):
+        state = context.relay.state_for(peer)
+        suspensions.total_s += time_s
+        return expression.Ok(http.Response(200, msgspec.json.encode(state), {}))
+
+    client._clients["10.0.0.2:1"] = mock.Mock(call=reply)
+    client._query("10.0.0.2:1")
+
+
+@behave.then("its list of servers is at least {age_s:g} s old")
+def then_old(context, age_s):
+    found_s = context.peer.shared.servers_age_s()
+    assert found_s is None or found_s >= age_s, found_s
+
+
+@behave.when(
+    "the relay is suspended for {time_s:g} s while a server leaves, of which"
+    " the node reads"
+)
+def when_relay_suspended(context, time_s):
+    context.suspended_s = time_s
+    context.relay.read_servers({}, False, age_s=time_s)
+    left = dict(context.entries)
+    left.popitem()
+    context.peer.read_servers(left, True, age_s=1.0)
+
+
+@behave.when(
+    "the node polls the relay, whose steady clock stood still meanwhile"
+)
+def when_polls_suspended(context):
+    steady_s = time.monotonic
+    with mock.patch.object(
+        time, "monotonic", lambda: steady_s() - context.suspended_s
+    ):
+        reply = context.relay.reply_to(context.peer)
+    context.peer.applier.apply_peer_state(reply, time.monotonic())
+
+
 @behave.when("all servers report a heartbeat")
 def when_heartbeats(context):
     context.relay.read_servers(
