Log how a stream that is taken up was found to go on

The logs had the age of the list of servers at the end of a request, and not at the decision on the version, nor which decision it was; the metrics count the decisions without their age. Both are needed to tell a list that is too old from one that only seems new.

--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -61,6 +61,10 @@
         self._home_regions: frozenset[str] | None = None
         # Time for which the request waited for the state of the node.
         self._waited_s: float | None = None
+        # How a stream that the caller takes up was found to go on.
+        self._resumption: str | None = None
+        # Age of the list of servers as that was decided.
+        self._resumption_list_age_s: float | None = None
 
     async def run(self) -> None:
         """Respond to the request; cancelling it releases its resources."""
@@ -231,21 +235,26 @@
         if not shared.is_mixed(service) and shared.is_in_step():
             # Servers of another version may join meanwhile.
             self._version = servers[0].software_version if servers else None
-            shared.record_resumed_stream(service, "one_version")
+            self._record_resumption("one_version")
             return None
         origin = await shared.stream_origins.find(
             self._stream_name, request.deadline_s
         )
         if origin is None or origin.service != service:
-            shared.record_resumed_stream(service, "unknown_origin")
+            self._record_resumption("unknown_origin")
             return outcomes.unknown_origin(RETRY_AFTER_S)
         self._version = origin.version
         if not self._of_version(shared.candidates(request.requirements)):
-            shared.record_resumed_stream(service, "no_server_of_version")
+            self._record_resumption("no_server_of_version")
             return outcomes.no_server_of_version(RETRY_AFTER_S)
-        shared.record_resumed_stream(service, "same_version")
+        self._record_resumption("same_version")
         return None
 
+    def _record_resumption(self, outcome: str) -> None:
+        self._resumption = outcome
+        self._resumption_list_age_s = self._shared.servers_age_s()
+        self._shared.record_resumed_stream(self._request.service.name, outcome)
+
     @property
     def _is_resumable(self) -> bool:
         route = self._request.route
@@ -506,6 +515,8 @@
             server=chosen.server.server_id if chosen else None,
             software_version=chosen.server.software_version if chosen else None,
             resumes=self._incoming.headers.resumed_request_id,
+            resumption=self._resumption,
+            resumption_list_age_s=self._resumption_list_age_s,
             expected_s=round(chosen.expected_s, 3) if chosen else None,
             running=chosen.running if chosen else None,
             unread_tokens=chosen.uncached_tokens if chosen else None,
