Count the time of suspensions in the age of what the store confirmed

Callers had their streams taken up by a list of servers from before a suspension that seemed new. The steady clock stands still while a machine is suspended, and ages were differences of it: the age of an answer that waited in the socket, of a relay's own reading, and of what a poll brought. Only the age of a list that lay ready was corrected, by an offset that the next reading set anew. A relay passed its list on as new to all nodes that poll it, where it also replaced newer ones.

Readings, confirmations and polls are timed by the boot clock, which counts suspensions; the correction is not needed any more. The configuration and the drained failure domains, whose ages are compared in the same way, are included.

relays.feature, the three scenarios with a suspension: failed before, pass. The mutant that takes a reading's time after its call is noticed.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -36,6 +36,18 @@
 
 
 MUTANTS = (
+    Mutant(
+        "a reading that waited while the node was suspended counts as new",
+        (
+            (
+                "edge/followers.py",
+                "called_s,\n                    result.ok.era,",
+                "leases.boottime_s(),\n                    result.ok.era,",
+            ),
+        ),
+        "relays",
+        "A list that waited while the node was suspended",
+    ),
     Mutant(
         "a node that stood still takes its list of servers for new",
         (
--- a/features/steps/belief_steps.py
+++ b/features/steps/belief_steps.py
@@ -9,6 +9,7 @@
 import behave
 import msgspec
 
+from bilberryturn import leases
 from bilberryturn import rendezvous
 from bilberryturn.edge import duties
 from bilberryturn.edge import feeds
@@ -243,7 +244,7 @@
 def then_own_reads_fresh(context, age_s, limit_s):
     end_s = time.monotonic() + limit_s
     while time.monotonic() < end_s:
-        found_s = time.monotonic() - context.node.raw.servers_read_s
+        found_s = leases.boottime_s() - context.node.raw.servers_read_s
         assert found_s < age_s, found_s
         time.sleep(0.05)
 
@@ -275,7 +276,7 @@
         peer.send(answer)
 
     def _state(self, known_revision):
-        read_s = time.monotonic() - self.age_s
+        read_s = leases.boottime_s() - self.age_s
         self.raw.config_confirmed_s = self.raw.servers_confirmed_s = read_s
         self.raw.config_read_s = self.raw.servers_read_s = read_s
         return self.raw.state(peer_state.Known(known_revision))
@@ -351,7 +352,7 @@
         "is not Base64": {"config": "a"},
         "cannot be decompressed": {"is_config_compressed": True},
     }[fault]
-    now_s = time.monotonic()
+    now_s = leases.boottime_s()
     context.applier.apply_peer_state(
         msgspec.structs.replace(
             state, config_age_s=0.0, servers_age_s=0.0, **broken
@@ -370,7 +371,7 @@
 @behave.when('the node reads that server "good" has left')
 def when_read_left(context):
     entry = json.dumps(platform_data.make_entry()).encode()
-    now_s = time.monotonic()
+    now_s = leases.boottime_s()
     context.client._set_reads_store(True, is_relay=False)
     context.applier.apply_servers({"good": entry}, True, now_s - 2, False)
     context.applier.apply_servers({"good": None}, False, now_s, False)
--- a/features/steps/narrow_link_steps.py
+++ b/features/steps/narrow_link_steps.py
@@ -11,6 +11,7 @@
 import behave
 import msgspec
 
+from bilberryturn import leases
 from bilberryturn.edge import config_change
 from bilberryturn.edge import config_order
 from bilberryturn.edge import config_transfer
@@ -124,9 +125,9 @@
             rows.Change(key, 1, value)
             for _, key, value in context.standin.raw_rows({table})
         ]
-        read(followers.Reading(changes, True, False, time.monotonic()))
+        read(followers.Reading(changes, True, False, leases.boottime_s()))
     context.peer.applier.apply_peer_state(
-        relay.reply_to(context.peer), time.monotonic()
+        relay.reply_to(context.peer), leases.boottime_s()
     )
     assert context.peer.content()[0] == context.version
 
@@ -134,7 +135,7 @@
 @behave.when("the node reads the store itself")
 def when_reads(context):
     context.sent_before = context.standin.sent_bytes
-    began_s = time.monotonic()
+    began_s = leases.boottime_s()
     for follower in context.followed:
         follower.activate()
     _wait_until_read(context, began_s)
@@ -170,7 +171,7 @@
         if path == config_transfer.PATH:
             return self._configs.reply(body)
         # The relay reads the store all the while.
-        now_s = time.monotonic()
+        now_s = leases.boottime_s()
         raw = self._relay.raw
         raw.config_read_s = raw.servers_read_s = now_s
         raw.config_confirmed_s = raw.servers_confirmed_s = now_s
@@ -326,7 +327,7 @@
     config["routes"] += peer_nodes.many_routes(random.Random(31), count)
     change = rows.Change(rows.CONFIG_KEY, 9, json.dumps(config).encode())
     context.relay.applier.on_config_read(
-        followers.Reading([change], False, False, time.monotonic())
+        followers.Reading([change], False, False, leases.boottime_s())
     )
 
 
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -10,6 +10,7 @@
 import behave
 import msgspec
 
+from bilberryturn import leases
 from bilberryturn import metrics
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers
@@ -58,7 +59,7 @@
             for key, value in values.items()
         ]
         reading = followers.Reading(
-            changes, is_snapshot, False, time.monotonic(), era
+            changes, is_snapshot, False, leases.boottime_s(), era
         )
         self.applier.on_config_read(reading)
 
@@ -69,7 +70,7 @@
             type=peer_state.PeerState,
         )
         state.config_age_s += age_s
-        self.applier.apply_peer_state(state, time.monotonic())
+        self.applier.apply_peer_state(state, leases.boottime_s())
 
     def drained(self):
         return sorted(self.shared.placement.drained)
@@ -230,7 +231,7 @@
         assert context.peer.raw.state(peer_state.Known("")).drained_era == era
     if "omits" in what:
         context.peer.raw.drained.domains = None
-        context.peer.applier.confirm_config(time.monotonic())
+        context.peer.applier.confirm_config(leases.boottime_s())
     context.node.take(context.peer)
 
 
@@ -252,7 +253,7 @@
 
 @behave.then("it omits the list if the configuration is confirmed without it")
 def then_omits(context):
-    context.node.applier.confirm_config(time.monotonic())
+    context.node.applier.confirm_config(leases.boottime_s())
     state = context.node.raw.state(peer_state.Known(""))
     assert state.drained_domains is None, state
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -65,7 +65,7 @@
             )
         elif kind == "poll":
             reply = relay.reply_to(node)
-            node.applier.apply_peer_state(reply, time.monotonic())
+            node.applier.apply_peer_state(reply, leases.boottime_s())
         elif kind == "lost":
             relay.reply_to(node)
         elif kind == "restart":
@@ -80,7 +80,7 @@
             node.read_servers(store, True)
     # The relay reads the store again after the node's own reading.
     relay.read_servers({}, False)
-    node.applier.apply_peer_state(relay.reply_to(node), time.monotonic())
+    node.applier.apply_peer_state(relay.reply_to(node), leases.boottime_s())
     assert node.content() == relay.content(), seed
 
 
@@ -112,7 +112,7 @@
 def given_node(context):
     context.peer = peer_nodes.Peer("node")
     context.peer.applier.apply_peer_state(
-        context.relay.reply_to(context.peer), time.monotonic() - 10.0
+        context.relay.reply_to(context.peer), leases.boottime_s() - 10.0
     )
     assert len(context.peer.shared.directory.usable("app")) == SERVERS
 
@@ -120,7 +120,7 @@
 @behave.when("the node polls the relay")
 def when_polls(context):
     context.peer.applier.apply_peer_state(
-        context.relay.reply_to(context.peer), time.monotonic()
+        context.relay.reply_to(context.peer), leases.boottime_s()
     )
 
 
@@ -207,7 +207,7 @@
         time, "monotonic", lambda: steady_s() - context.suspended_s
     ):
         reply = context.relay.reply_to(context.peer)
-    context.peer.applier.apply_peer_state(reply, time.monotonic())
+    context.peer.applier.apply_peer_state(reply, leases.boottime_s())
 
 
 @behave.when("all servers report a heartbeat")
@@ -279,7 +279,7 @@
     " reads it"
 )
 def when_rejects(context, outage_s):
-    context.outage_end_s = time.monotonic() + outage_s
+    context.outage_end_s = leases.boottime_s() + outage_s
     reader = peer_nodes.Peer("reader")
     for ago_s in range(outage_s, 0, -1):
         reader.read_servers(context.entries, True)
@@ -299,7 +299,7 @@
         {"server-7": None},
         False,
         after_outage=True,
-        age_s=time.monotonic() - read_s,
+        age_s=leases.boottime_s() - read_s,
     )
 
 
@@ -308,7 +308,7 @@
     " later that the entry of one server is gone"
 )
 def when_back(context, outage_s, later_s):
-    context.outage_end_s = time.monotonic() + outage_s
+    context.outage_end_s = leases.boottime_s() + outage_s
     context.relay.read_servers({}, False, True, -outage_s)
     when_gone(context, later_s)
 
@@ -331,7 +331,7 @@
 def when_waits(context):
     reply = context.relay.reply_to(context.peer)
     # Received 3 s ago, applied now; the relay saw the departure in between.
-    context.peer.applier.apply_peer_state(reply, time.monotonic() - 3.0)
+    context.peer.applier.apply_peer_state(reply, leases.boottime_s() - 3.0)
     context.relay.read_servers({"server-7": None}, False, age_s=2.0)
 
 
@@ -576,7 +576,9 @@
     for count in (first, second):
         unread = peer_nodes.Peer("relay")
         unread.applier.set_nodes(_node_rows(count))
-        peer.applier.apply_peer_state(unread.reply_to(peer), time.monotonic())
+        peer.applier.apply_peer_state(
+            unread.reply_to(peer), leases.boottime_s()
+        )
         context.counts.append(len(context.presence.domain_peers()))
 
 
--- a/features/steps/slow_start_steps.py
+++ b/features/steps/slow_start_steps.py
@@ -13,6 +13,7 @@
 
 import behave
 
+from bilberryturn import leases
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers
 from bilberryturn.edge import peer_state
@@ -468,7 +469,7 @@
 
     def poll(self, relay):
         state = relay.raw.state(self.applier.known())
-        self.applier.apply_peer_state(state, time.monotonic())
+        self.applier.apply_peer_state(state, leases.boottime_s())
 
 
 def _config():
@@ -479,7 +480,7 @@
 
 def _reading(key, value):
     change = rows.Change(key, 1, json.dumps(value).encode())
-    return followers.Reading([change], True, False, time.monotonic())
+    return followers.Reading([change], True, False, leases.boottime_s())
 
 
 @behave.given("a node behind a relay that has read a warm server")
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -11,7 +11,6 @@
 
 from bilberryturn import leases
 from bilberryturn.edge import stream_records
-from bilberryturn.gateway import shared_state
 from bilberryturn.platform import rows
 from bilberryturn.routing import software_versions
 from bilberryturn.routing import types
@@ -390,23 +389,25 @@
     when_join(context, versions)
 
 
-def _hear_of_nothing(node, time_s, has_stood_still=False):
+def _hear_of_nothing(node, time_s):
     """Let the server list of a node be as old as after a time."""
 
     async def age():
-        shared = node.rig.shared
-        # The steady clock does not count the time of a suspension.
-        age_s = 0.0 if has_stood_still else time_s
-        shared.servers_confirmed_s = time.monotonic() - age_s
-        if has_stood_still:
-            boottime_s = leases.boottime_s
-            shared_state.leases = mock.Mock(
-                boottime_s=lambda: boottime_s() + time_s
-            )
+        node.rig.shared.servers_confirmed_s = leases.boottime_s() - time_s
 
     node.rig.call(age)
 
 
+def _suspend(context, time_s):
+    """Let the clock that counts suspensions go ahead of the steady one."""
+    boottime_s = leases.boottime_s
+    patch = mock.patch.object(
+        leases, "boottime_s", lambda: boottime_s() + time_s
+    )
+    patch.start()
+    context.closers.append(patch.stop)
+
+
 @behave.when("the node has heard of nothing for {time_s:g} s")
 def when_unheard(context, time_s):
     _hear_of_nothing(context.node, time_s)
@@ -414,13 +415,15 @@
 
 @behave.when("they take their streams up at the other node, which {state}")
 def when_take_up_elsewhere(context, state):
-    context.closers.append(lambda: setattr(shared_state, "leases", leases))
     other = context.taking = context.other
     if state == "has heard of them again":
         other.add(context.backend_servers)
         _hear_of_nothing(other, 0.0)
+    elif "suspended" in state:
+        _hear_of_nothing(other, 0.0)
+        _suspend(context, 3.0)
     else:
-        _hear_of_nothing(other, 3.0, has_stood_still="suspended" in state)
+        _hear_of_nothing(other, 3.0)
     if "store" in state:
 
         async def lose_store():
@@ -683,7 +686,7 @@
     versions = context.peer.shared.software_versions
     for _ in range(2):
         reply = context.relay.reply_to(context.peer)
-        context.peer.applier.apply_peer_state(reply, time.monotonic())
+        context.peer.applier.apply_peer_state(reply, leases.boottime_s())
         context.known.append(versions.is_complete)
         context.relay.read_suspects({})
 
--- a/features/steps/starting_node_steps.py
+++ b/features/steps/starting_node_steps.py
@@ -61,7 +61,7 @@
         if part == "configuration":
             shared.table = context.route_table
         else:
-            shared.servers_confirmed_s = time.monotonic()
+            shared.servers_confirmed_s = leases.boottime_s()
         if part == "servers":
             server = gateway_rig.make_server("s0", context.server.port)
             shared.directory.report(server, time.monotonic())
@@ -303,7 +303,7 @@
     changes = []
     if value is not None:
         changes.append(rows.Change(key, 1, json.dumps(value).encode()))
-    reading = followers.Reading(changes, True, False, time.monotonic(), 0)
+    reading = followers.Reading(changes, True, False, leases.boottime_s(), 0)
     context.node._applied(reader)(reading)
 
 
--- a/features/support/peer_nodes.py
+++ b/features/support/peer_nodes.py
@@ -3,10 +3,10 @@
 import json
 import random
 import string
-import time
 
 import msgspec
 
+from bilberryturn import leases
 from bilberryturn.edge import feeds
 from bilberryturn.edge import followers
 from bilberryturn.edge import peer_state
@@ -37,7 +37,7 @@
         ]
         self.applier.on_servers_read(
             followers.Reading(
-                changes, is_snapshot, after_outage, time.monotonic() - age_s
+                changes, is_snapshot, after_outage, leases.boottime_s() - age_s
             )
         )
 
@@ -45,7 +45,7 @@
         value = json.dumps(platform_data.make_config(version)).encode()
         change = rows.Change(rows.CONFIG_KEY, version, value)
         self.applier.on_config_read(
-            followers.Reading([change], True, False, time.monotonic())
+            followers.Reading([change], True, False, leases.boottime_s())
         )
 
     def read_suspects(self, reports):
@@ -55,7 +55,7 @@
             for lifetime, counts in reports.items()
         ]
         self.applier.on_suspects_read(
-            followers.Reading(changes, True, False, time.monotonic())
+            followers.Reading(changes, True, False, leases.boottime_s())
         )
 
     def state_for(self, peer):
@@ -113,6 +113,6 @@
     relay = Peer("relay")
     relay.read_servers({}, True)
     relay.applier.on_config_read(
-        followers.Reading([change], True, False, time.monotonic())
+        followers.Reading([change], True, False, leases.boottime_s())
     )
     return relay
--- a/src/bilberryturn/edge/drained_domains.py
+++ b/src/bilberryturn/edge/drained_domains.py
@@ -14,7 +14,7 @@
     Attributes:
         domains: The drained failure domains, or None until they were read.
         era: Era of the store in which they were read.
-        confirmed_s: Monotonic time at which the store confirmed them.
+        confirmed_s: Boot time at which the store confirmed them.
     """
 
     def __init__(self):
@@ -35,7 +35,7 @@
             reading: The rows that were read.
             is_snapshot: Whether these are all rows and not only changes.
             era: Era of the store.
-            confirmed_s: Monotonic time at which the store answered.
+            confirmed_s: Boot time at which the store answered.
 
         Returns:
             Whether the drained failure domains changed.
@@ -57,7 +57,7 @@
             domains: The drained failure domains; None if the peer doesn't know
                 them.
             era: Era of the store in which the peer has them.
-            confirmed_s: Monotonic time at which the store confirmed them.
+            confirmed_s: Boot time at which the store confirmed them.
 
         Returns:
             Whether the drained failure domains changed.
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bilberryturn import events
+from bilberryturn import leases
 from bilberryturn import metrics
 from bilberryturn.edge import config_feed
 from bilberryturn.edge import config_order
@@ -53,8 +54,8 @@
         """
         # Entries cannot have expired in a shorter outage.
         self._min_lapse_s = MISSED_HEARTBEATS * heartbeat_s
-        # Monotonic time of the first confirmation of the entries after an
-        # outage of the store.
+        # Boot time of the first confirmation of the entries after an outage of
+        # the store.
         self._outage_end_s = -math.inf
         self._deliver_nodes = deliver_nodes
         # Revision of the peer whose content this node has; "" if it has read
@@ -84,7 +85,7 @@
         """Apply a reading of the operator's table."""
         # The store may have held the call (long poll), so that the reading is
         # as recent as its answer.
-        now_s = time.monotonic()
+        now_s = leases.boottime_s()
         self.peer_revision = ""
         self._raw.config_read_s = now_s
         self.confirm_config(now_s)
@@ -189,7 +190,7 @@
         Args:
             changed: Entries by server, as stored; None for a removed one.
             is_snapshot: Whether these are all entries and not only changes.
-            confirmed_s: Monotonic time at which the store confirmed them.
+            confirmed_s: Boot time at which the store confirmed them.
             after_outage: Whether the store was unreachable until recently.
             era: Era of the store.
         """
@@ -279,7 +280,10 @@
         if after_outage and unconfirmed_s >= self._min_lapse_s:
             self._outage_end_s = confirmed_s
         until_s = self._outage_end_s + server_directory.RESTORE_GRACE_S
-        return until_s if confirmed_s < until_s else None
+        if confirmed_s >= until_s:
+            return None
+        # The directory goes by the monotonic clock.
+        return until_s - leases.boottime_s() + time.monotonic()
 
     def _mark_changed_entries(
         self, content: dict[str, types.BackendServer | bytes]
@@ -326,7 +330,7 @@
 
         Args:
             state: The state; its ages include the duration of the request.
-            received_s: Monotonic time at which it was received.
+            received_s: Boot time at which it was received.
         """
         for lifetime, counts in (state.suspects or {}).items():
             self.merge_suspects(lifetime, counts)
--- a/src/bilberryturn/edge/followers.py
+++ b/src/bilberryturn/edge/followers.py
@@ -10,6 +10,7 @@
 import expression
 
 from bilberryturn import events
+from bilberryturn import leases
 from bilberryturn.edge import intervals
 from bilberryturn.platform import exceptions
 from bilberryturn.platform import http
@@ -35,8 +36,8 @@
         rows: Rows that changed, or all of them.
         is_snapshot: Whether these are all rows.
         after_outage: Whether the store was unreachable until recently.
-        called_s: Monotonic time at the start of the call; the rows are at
-            least as recent.
+        called_s: Boot time at the start of the call; the rows are at least as
+            recent.
         era: Era of the store; None if it states none.
     """
 
@@ -217,7 +218,7 @@
 
     def _step(self) -> expression.Result:
         is_snapshot = self._since is None
-        called_s = time.monotonic()
+        called_s = leases.boottime_s()
         if is_snapshot:
             result = self._store.snapshot(self._table)
         else:
--- a/src/bilberryturn/edge/peer_state.py
+++ b/src/bilberryturn/edge/peer_state.py
@@ -5,12 +5,12 @@
 import enum
 import hashlib
 import secrets
-import time
 from typing import NamedTuple
 import zlib
 
 import msgspec
 
+from bilberryturn import leases
 from bilberryturn.edge import config_change
 from bilberryturn.edge import config_order
 from bilberryturn.edge import drained_domains
@@ -140,6 +140,9 @@
 class RawState:
     """Caches the state as stored, to serve it to peers.
 
+    Times of readings and confirmations are boot times, which go on while the
+    machine is suspended.
+
     Attributes:
         peer_configs: Number of configurations that came from a peer.
         peer_server_readings: Number of a peer's readings of the servers'
@@ -205,7 +208,7 @@
 
     def state(self, known: Known) -> PeerState:
         """Return the state, without content that a peer already has."""
-        now_s = time.monotonic()
+        now_s = leases.boottime_s()
         state = PeerState(
             self.revision,
             None,
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -167,8 +167,8 @@
             clock: Clock that takes the time from each reply.
             followers: Followers of the store's tables.
             known: Returns what this node has of its peers' content.
-            deliver: Receives the state from each reply and the monotonic time
-                at which it was received.
+            deliver: Receives the state from each reply and the boot time at
+                which it was received.
             peers_known: Set once the addresses of other nodes have been read
                 or cannot be read.
             start_waits: How long to wait for peers and a relay at the start.
@@ -363,8 +363,8 @@
             known.accepts_compressed,
             self._offer_config is not None,
         )
-        sent_s = time.monotonic()
-        sent_boottime_s = leases.boottime_s()
+        # Counts the time for which a reply waits while the VM is suspended.
+        sent_s = leases.boottime_s()
         result = client.call("PUT", "/state", request, is_idempotent=True)
         if result.is_error() or result.ok.status != 200:
             # If all nodes start, one that has not started yet would be taken
@@ -378,7 +378,7 @@
                     if result.is_error()
                     else f"status {result.ok.status}"
                 ),
-                duration_s=round(time.monotonic() - sent_s, 3),
+                duration_s=round(leases.boottime_s() - sent_s, 3),
             )
             return False
         self._unreachable_until_s.pop(address, None)
@@ -389,10 +389,10 @@
         except msgspec.DecodeError as error:
             events.log(events.FRAME_REFUSED, member=address, problem=str(error))
             return False
-        self._record_time(state, sent_boottime_s)
+        self._record_time(state, sent_s)
         if state.servers_era != config_order.NO_ERA:
             self._era_tracker.observe(state.servers_era)
-        received_s = time.monotonic()
+        received_s = leases.boottime_s()
         state = _with_elapsed(state, received_s - sent_s)
         is_current = self._is_current(state)
         if is_current and address != self._relay:
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -140,9 +140,9 @@
         table: Active configuration, or None until the first was read.
         drain: The graceful shutdown in progress, or None.
         is_cut: Whether the shutdown has cut the requests that still ran.
-        config_confirmed_s: Monotonic time at which the configuration was last
+        config_confirmed_s: Boot time at which the configuration was last
             confirmed, or None.
-        servers_confirmed_s: Monotonic time at which the server list was last
+        servers_confirmed_s: Boot time at which the server list was last
             confirmed, or None.
         time_of_day: Returns the time of day that all nodes share, in Unix
             seconds.
@@ -196,9 +196,7 @@
         self.drain: drain.Drain | None = None
         self.is_cut = False
         self.config_confirmed_s: float | None = None
-        self._servers_confirmed_s: float | None = None
-        # Time for which the machine had been suspended by then.
-        self._suspended_s = 0.0
+        self.servers_confirmed_s: float | None = None
         self._retry_limits = retry_limits
         self._node_count = 1
         self._budgets: dict[str, budget.RetryBudget] = {}
@@ -394,28 +392,15 @@
         """Return the time since the configuration was last confirmed."""
         return _age_s(self.config_confirmed_s)
 
-    @property
-    def servers_confirmed_s(self) -> float | None:
-        """Return when the server list was last confirmed by the store."""
-        return self._servers_confirmed_s
-
-    @servers_confirmed_s.setter
-    def servers_confirmed_s(self, confirmed_s: float) -> None:
-        self._servers_confirmed_s = confirmed_s
-        self._suspended_s = leases.boottime_s() - time.monotonic()
-
     def is_in_step(self) -> bool:
         """Return whether the server list is as new as that of other nodes.
 
         A node that was cut off or stood still may not know yet which servers
         others have used meanwhile.
         """
-        confirmed_s = self._servers_confirmed_s
-        if confirmed_s is None:
-            # Requests wait for the first list.
-            return True
-        age_s = leases.boottime_s() - self._suspended_s - confirmed_s
-        return age_s < IN_STEP_S
+        age_s = self.servers_age_s()
+        # Requests wait for the first list.
+        return age_s is None or age_s < IN_STEP_S
 
     def servers_age_s(self) -> float | None:
         """Return the time since the server list was last confirmed."""
@@ -465,5 +450,5 @@
     return (
         None
         if confirmed_s is None
-        else round(time.monotonic() - confirmed_s, 3)
+        else round(leases.boottime_s() - confirmed_s, 3)
     )
