Let a stream be taken up only by a list of servers that is newer than the request

Callers got streams that were joined from two software versions: servers of a new version had joined and begun them, and a node that had not heard of it took them for streams of the one version that it knew.

Cause: "one version serves" is a statement about now and was read from a list of up to 2.5 s ago. A stream begins and breaks off in less time than that, so no limit on the age is short enough; the list of a node in order is up to two seconds behind.

A node that did not begin the stream waits until the store has confirmed the list after the request came. A server that sent the caller an event had its entry before, so that this list holds it. If no newer list comes within drain_s, the node looks the stream up in the store, as during a release, and refuses what cannot be known.

A take-up at another node now waits for the next reading, 0.7 s on average by the intervals, not measured.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -49,12 +49,12 @@
         "A list that waited while the node was suspended",
     ),
     Mutant(
-        "a node that stood still takes its list of servers for new",
+        "a stream goes on by a list from before it was taken up",
         (
             (
                 "gateway/exchange.py",
-                "if not shared.is_mixed(service) and shared.is_in_step():",
-                "if not shared.is_mixed(service):",
+                "return has_newer_list and not shared.is_mixed(service)",
+                "return not shared.is_mixed(service)",
             ),
         ),
         "software_versions",
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -393,7 +393,7 @@
     """Let the server list of a node be as old as after a time."""
 
     async def age():
-        node.rig.shared.servers_confirmed_s = leases.boottime_s() - time_s
+        node.rig.shared.list_waits.confirm(leases.boottime_s() - time_s)
 
     node.rig.call(age)
 
--- a/features/steps/starting_node_steps.py
+++ b/features/steps/starting_node_steps.py
@@ -61,7 +61,7 @@
         if part == "configuration":
             shared.table = context.route_table
         else:
-            shared.servers_confirmed_s = leases.boottime_s()
+            shared.list_waits.confirm(leases.boottime_s())
         if part == "servers":
             server = gateway_rig.make_server("s0", context.server.port)
             shared.directory.report(server, time.monotonic())
--- a/features/support/gateway_rig.py
+++ b/features/support/gateway_rig.py
@@ -1,6 +1,7 @@
 """Runs the gateway on loopback in front of scripted backend servers."""
 
 import asyncio
+import math
 import socket
 import threading
 import time
@@ -93,6 +94,9 @@
         self.shared.table = route_table
         for backend_server in servers:
             self.shared.directory.report(backend_server, time.monotonic())
+        if servers:
+            # No other server joins of which a store would know.
+            self.shared.list_waits.confirm(math.inf)
         self.server = server.CallerServer(self.shared)
         with socket.create_server(("127.0.0.1", 0)) as probe:
             self.port = probe.getsockname()[1]
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -438,10 +438,10 @@
         self._configs.release()
         changes = self._shared.directory.expire(time.monotonic())
         if changes:
-            self._record_changes(changes, self._shared.servers_confirmed_s)
+            self._record_changes(changes, self._raw.servers_confirmed_s)
 
     def _record_changes(self, changes, confirmed_s: float) -> None:
-        self._shared.servers_confirmed_s = confirmed_s
+        self._shared.list_waits.confirm(confirmed_s)
         self._raw.servers_confirmed_s = confirmed_s
         for change in changes:
             if change is not None:
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -4,6 +4,7 @@
 import time
 
 from bilberryturn import events
+from bilberryturn import leases
 from bilberryturn.gateway import attempt_types
 from bilberryturn.gateway import attempts
 from bilberryturn.gateway import delivery
@@ -231,15 +232,14 @@
         is_taken_up = self._incoming.headers.last_event_id is not None
         if not self._is_resumable or not is_taken_up:
             return None
-        servers = shared.candidates(request.requirements)
-        if not shared.is_mixed(service) and shared.is_in_step():
+        origins, name = shared.stream_origins, self._stream_name
+        if origins.known(name) is None and await self._has_one_version():
+            servers = shared.candidates(request.requirements)
             # Servers of another version may join meanwhile.
             self._version = servers[0].software_version if servers else None
             self._record_resumption("one_version")
             return None
-        origin = await shared.stream_origins.find(
-            self._stream_name, request.deadline_s
-        )
+        origin = await origins.find(name, request.deadline_s)
         if origin is None or origin.service != service:
             self._record_resumption("unknown_origin")
             return outcomes.unknown_origin(RETRY_AFTER_S)
@@ -250,6 +250,22 @@
         self._record_resumption("same_version")
         return None
 
+    async def _has_one_version(self) -> bool:
+        """Return whether no other version can have begun the stream.
+
+        Its server may have joined just before, so that only a list that is
+        newer than the request shows it.
+        """
+        shared, service = self._shared, self._request.service.name
+        if shared.is_mixed(service):
+            return False
+        has_newer_list = await shared.list_waits.wait(
+            leases.boottime_s(),
+            # All nodes learn of a server's end within this time.
+            min(shared.drain_s, self._remaining_s() - MIN_ATTEMPT_S),
+        )
+        return has_newer_list and not shared.is_mixed(service)
+
     def _record_resumption(self, outcome: str) -> None:
         self._resumption = outcome
         self._resumption_list_age_s = self._shared.servers_age_s()
--- /dev/null
+++ b/src/bilberryturn/gateway/list_waits.py
@@ -0,0 +1,57 @@
+"""Let requests wait until the list of servers is newer than themselves.
+
+What a request rests on may have happened at another node just before it came,
+such as a server that has joined and begun its stream. A list that the store
+confirmed after the request came holds each server that was used before.
+"""
+
+import asyncio
+
+
+class ListWaits:
+    """Waits for the list of servers; runs on the event loop.
+
+    Attributes:
+        confirmed_s: Boot time at which the store last confirmed the list; None
+            before.
+    """
+
+    def __init__(self):
+        self.confirmed_s: float | None = None
+        # Set to let a waiting request look again.
+        self._waiting: set[asyncio.Event] = set()
+
+    def confirm(self, confirmed_s: float) -> None:
+        """Record a confirmation, and wake the requests that wait for one."""
+        self.confirmed_s = confirmed_s
+        for changed in self._waiting:
+            changed.set()
+
+    async def wait(self, since_s: float, timeout_s: float) -> bool:
+        """Wait for a list that was confirmed after a time.
+
+        Args:
+            since_s: The time on the boot clock, in seconds.
+            timeout_s: Longest time to wait, in seconds.
+
+        Returns:
+            Whether there is one.
+        """
+        if self._is_newer(since_s):
+            return True
+        changed = asyncio.Event()
+        self._waiting.add(changed)
+        try:
+            async with asyncio.timeout(timeout_s):
+                while not self._is_newer(since_s):
+                    changed.clear()
+                    await changed.wait()
+        except TimeoutError:
+            # The list may have come in the same turn of the event loop.
+            pass
+        finally:
+            self._waiting.discard(changed)
+        return self._is_newer(since_s)
+
+    def _is_newer(self, since_s: float) -> bool:
+        return self.confirmed_s is not None and self.confirmed_s >= since_s
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -13,6 +13,7 @@
 from bilberryturn.gateway import availability
 from bilberryturn.gateway import crash_checks
 from bilberryturn.gateway import drain
+from bilberryturn.gateway import list_waits
 from bilberryturn.gateway import memory
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import permits
@@ -32,9 +33,6 @@
 
 # Time for which leaving servers go on, unless the deployment states another.
 DEFAULT_DRAIN_S = 2.5
-# Age that the server list of a node in order does not reach. It is that of a
-# reading by its relay and of a poll.
-IN_STEP_S = 2.5
 # Ended windows that a node keeps publishing, in case a write of them is lost.
 KEPT_WINDOWS = 2
 
@@ -142,14 +140,13 @@
         is_cut: Whether the shutdown has cut the requests that still ran.
         config_confirmed_s: Boot time at which the configuration was last
             confirmed, or None.
-        servers_confirmed_s: Boot time at which the server list was last
-            confirmed, or None.
         time_of_day: Returns the time of day that all nodes share, in Unix
             seconds.
         drain_s: Time for which leaving servers go on at least, in seconds.
         memory: Account of the bytes that requests hold.
         placement: In which failure domains requests may be served.
         arrival: Lets requests wait for the state of a node that starts.
+        list_waits: Lets requests wait for a newer list of servers.
         software_versions: Versions of the services' servers.
         stream_origins: At which version each stream of this node began.
     """
@@ -189,6 +186,7 @@
         self.pool = pool
         self.memory = memory.MemoryAccount(memory.limit_bytes(memory_mb))
         self.arrival = state_arrival.StateArrival(self.memory)
+        self.list_waits = list_waits.ListWaits()
         self.software_versions = software_versions.SoftwareVersions()
         # Services none of whose streams can have begun at another version.
         self._uniform_services: frozenset[str] = frozenset()
@@ -196,7 +194,6 @@
         self.drain: drain.Drain | None = None
         self.is_cut = False
         self.config_confirmed_s: float | None = None
-        self.servers_confirmed_s: float | None = None
         self._retry_limits = retry_limits
         self._node_count = 1
         self._budgets: dict[str, budget.RetryBudget] = {}
@@ -213,7 +210,7 @@
         """
         parts = (
             (state_arrival.Part.CONFIG, self.table),
-            (state_arrival.Part.SERVERS, self.servers_confirmed_s),
+            (state_arrival.Part.SERVERS, self.list_waits.confirmed_s),
         )
         self.arrival.update(
             {part for part, value in parts if value is not None}
@@ -392,19 +389,9 @@
         """Return the time since the configuration was last confirmed."""
         return _age_s(self.config_confirmed_s)
 
-    def is_in_step(self) -> bool:
-        """Return whether the server list is as new as that of other nodes.
-
-        A node that was cut off or stood still may not know yet which servers
-        others have used meanwhile.
-        """
-        age_s = self.servers_age_s()
-        # Requests wait for the first list.
-        return age_s is None or age_s < IN_STEP_S
-
     def servers_age_s(self) -> float | None:
         """Return the time since the server list was last confirmed."""
-        return _age_s(self.servers_confirmed_s)
+        return _age_s(self.list_waits.confirmed_s)
 
     def record_home_refusal(
         self, route: str, client_account: str | None
--- a/src/bilberryturn/gateway/stream_origins.py
+++ b/src/bilberryturn/gateway/stream_origins.py
@@ -93,6 +93,12 @@
             if origin is not None:
                 self._keep(name, origin, until_s)
 
+    def known(self, name: str) -> Origin | None:
+        """Return the origin of a stream that this node knows."""
+        with self._lock:
+            known = self._running.get(name)
+            return known or self._broken.get(name, (None, 0.0))[0]
+
     async def find(self, name: str, until_s: float) -> Origin | None:
         """Return the origin of a stream; None if it is not known.
 
@@ -100,12 +106,8 @@
             name: Name of the stream.
             until_s: Monotonic time until which it may be taken up.
         """
-        if not is_name(name):
-            return None
-        with self._lock:
-            known = self._running.get(name)
-            known = known or self._broken.get(name, (None, 0.0))[0]
-        if known is not None:
+        known = self.known(name)
+        if known is not None or not is_name(name):
             return known
         origin = await self.read_stored(name)
         if origin is not None:
