Read the list of servers soon if a request waits for it

A caller that takes up a stream at another node than the one that began it waits for a list of servers that is newer than its request, up to a poll of the relay and a reading of the store.

The wait now ends the pause before the node's next poll, whose request says so, and the pause before the relay's next reading. Both follow each other no closer than 0.1 s; the polls slow down again while no reading comes, and a store that fails is not called sooner than before.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -74,6 +74,12 @@
     And the node polls the relay, whose steady clock stood still meanwhile
     Then the node uses 599 servers
 
+  # Guards against callers that wait for the next poll and the next reading.
+  Scenario: A request that needs a newer list of servers has it soon
+    Given a stand-in of the users' store
+    When 3 nodes of one failure domain start together
+    Then each of 10 requests at each node has a newer list within 0.6 s
+
   Scenario: Nodes that start together find their relay before they read the store
     Given a stand-in of the users' store
     When 12 nodes of one failure domain start together
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -376,7 +376,12 @@
             [self.follower, config_follower], applier.known,
             followers.on_loop(self.loop, applier.apply_peer_state),
             node_presence.first_read, relays.FIRST_START_WAITS,
+            needs_reading=self.peer.shared.list_waits.is_awaited,
         )  # fmt: skip
+        self.peer.shared.list_waits.hasten = lambda: (
+            self.follower.hasten(),
+            relay.hasten(),
+        )
         lease = leases.Lease("duties", f"n{number}", LEASE, store)
         duty_runner = duties.DutyRunner(
             lease, LEASE.ttl_s, node_presence, lambda _: None, None, None, True,
@@ -390,6 +395,8 @@
 
     def _answer(self, path, body):
         request = msgspec.json.decode(body, type=relays.StateRequest)
+        if request.needs_reading:
+            self.follower.hasten()
         state = self.peer.raw.state(request.known())
         return internal_server.Reply(200, msgspec.json.encode(state))
 
@@ -431,6 +438,22 @@
     assert len(reading) == 1, len(reading)
 
 
+@behave.then(
+    "each of {count:d} requests at each node has a newer list within"
+    " {limit_s:g} s"
+)
+def then_newer_list(context, count, limit_s):
+    rng = random.Random(59)
+    for node in context.starting * count:
+        time.sleep(rng.uniform(0.0, 0.3))
+        since_s = leases.boottime_s()
+        is_newer = asyncio.run_coroutine_threadsafe(
+            node.peer.shared.list_waits.wait(since_s, 3.0), node.loop
+        ).result(5)
+        took_s = leases.boottime_s() - since_s
+        assert is_newer and took_s < limit_s, took_s
+
+
 @behave.given("a relay that has not read the store")
 def given_unread(context):
     unread = peer_nodes.Peer("relay")
--- a/src/bilberryturn/edge/followers.py
+++ b/src/bilberryturn/edge/followers.py
@@ -145,6 +145,7 @@
         self.outage = OutageTracker(f"store/{table}")
         self.active = threading.Event()
         self.active.set()
+        self._pause = intervals.Pause()
         self._dependents: tuple[Follower, ...] = ()
         self._reached_since_s: float | None = None
 
@@ -183,7 +184,15 @@
         while not stopping.is_set():
             if not self.active.wait(ACTIVE_CHECK_INTERVAL_S):
                 continue
-            stopping.wait(self._run_step())
+            pause_s = self._run_step()
+            if self._reached_since_s is None:
+                stopping.wait(pause_s)
+            else:
+                self._pause.wait(pause_s, stopping)
+
+    def hasten(self) -> None:
+        """Make the next call soon, unless calls fail; safe on any thread."""
+        self._pause.hasten()
 
     def _run_step(self) -> float:
         """Make one call; returns the pause until the next one in seconds."""
--- a/src/bilberryturn/edge/intervals.py
+++ b/src/bilberryturn/edge/intervals.py
@@ -5,6 +5,8 @@
 change, all nodes must receive the change within the bound.
 """
 
+import threading
+import time
 from typing import NamedTuple
 
 # Shares of the time within which a configuration must be in force: the longest
@@ -32,10 +34,36 @@
 # State that the store confirmed to a peer within this time is as valid as a
 # reading of the store. An outage that ended within this time is recent.
 FRESH_S = 3.0
+# Shortest pause between calls that are hastened, as requests wait for them.
+HASTENED_PAUSE_S = 0.1
 # A reachable node of the same failure domain answers within this time.
 MAX_RELAY_TIMEOUT_S = 0.5
 
 
+class Pause:
+    """The pause between two calls of a thread, which others may end early."""
+
+    def __init__(self):
+        self._hastened = threading.Event()
+
+    def hasten(self) -> None:
+        """End this pause or the next one early; safe on any thread."""
+        self._hastened.set()
+
+    def wait(self, pause_s: float, stopping: threading.Event) -> None:
+        """Wait for a time or until the next call is hastened.
+
+        Args:
+            pause_s: The time in seconds.
+            stopping: Ends the wait, if the next call is hastened then.
+        """
+        began_s = time.monotonic()
+        if self._hastened.wait(pause_s):
+            self._hastened.clear()
+            rest_s = min(pause_s, HASTENED_PAUSE_S)
+            stopping.wait(max(0.0, began_s + rest_s - time.monotonic()))
+
+
 class Intervals(NamedTuple):
     """Intervals and timeouts of reading the store and polling a relay.
 
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -227,7 +227,10 @@
             self._era_tracker,
             is_store_reached=lambda: node_presence.has_reached_store,
             offer_config=fetcher.offer,
+            needs_reading=self.shared.list_waits.is_awaited,
         )
+        self._hastened = (followers[0], relay)
+        self.shared.list_waits.hasten = self._hasten_readings
         self._duty_runner = self._create_duty_runner(
             store, node_presence, relay
         )
@@ -242,6 +245,11 @@
             )
         ]
 
+    def _hasten_readings(self) -> None:
+        """Read the list of servers soon, from the store or from a relay."""
+        for reader in self._hastened:
+            reader.hasten()
+
     def _create_stream_recorder(self) -> stream_records.StreamRecorder:
         settings = self._settings
         return stream_records.StreamRecorder(
@@ -390,6 +398,9 @@
         self._count_writer.update_suspects(request.lifetime, request.suspects)
         self._applier.merge_suspects(request.lifetime, request.suspects)
         self._clock_samples.record(request.lifetime, request.clock_offset_s)
+        if request.needs_reading:
+            server_follower, _ = self._hastened
+            server_follower.hasten()
         state = msgspec.structs.replace(
             self._raw.state(request.known()),
             store_s=self._clock.store_s(),
@@ -525,6 +536,7 @@
                 break
         self.shared.usage.close()
         self._stopping.set()
+        self._hasten_readings()
         remaining_s = plan.kill_s - time.monotonic()
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -97,6 +97,8 @@
         accepts_compressed: Whether the node accepts a compressed
             configuration.
         fetches_config: Whether the node fetches a large configuration apart.
+        needs_reading: Whether requests of the node wait for a newer list of
+            servers.
     """
 
     lifetime: _Lifetime
@@ -108,6 +110,7 @@
     config_digest: str = ""
     accepts_compressed: bool = False
     fetches_config: bool = False
+    needs_reading: bool = False
 
     def known(self) -> peer_state.Known:
         """Return what the node has already and accepts."""
@@ -150,6 +153,7 @@
         era_tracker: store_era.EraTracker | None = None,
         is_store_reached: Callable[[], bool] = lambda: False,
         offer_config: Callable[[config_transfer.Offer], None] | None = None,
+        needs_reading: Callable[[], bool] = lambda: False,
     ):
         """Initialize the client.
 
@@ -177,7 +181,13 @@
                 call for the other nodes.
             offer_config: Receives each configuration of a peer that this node
                 does not have; None if polls bring them.
+            needs_reading: Returns whether requests wait for a newer list of
+                servers.
         """
+        self._needs_reading = needs_reading
+        self._pause = intervals.Pause()
+        # Polls since requests began to wait.
+        self._hastened_polls = 0
         self._offer_config = offer_config
         self._era_tracker = era_tracker or store_era.EraTracker()
         self._lifetime = lifetime
@@ -241,7 +251,11 @@
                     job="relays",
                     error=f"{type(error).__name__}: {error}",
                 )
-            stopping.wait(self._pause_s())
+            self._pause.wait(self._pause_s(), stopping)
+
+    def hasten(self) -> None:
+        """Poll soon; safe on any thread."""
+        self._pause.hasten()
 
     def begin(self) -> None:
         """Begin to wait for a relay, now that other nodes may be known."""
@@ -254,6 +268,14 @@
             return START_POLL_INTERVAL_S
         if self._is_in_start_phase():
             return START_POLL_INTERVAL_S
+        if not self._needs_reading():
+            self._hastened_polls = 0
+        else:
+            # Doubles, as a relay may not be able to read the store.
+            pause_s = intervals.HASTENED_PAUSE_S * 2**self._hastened_polls
+            self._hastened_polls += 1
+            if pause_s < self._intervals.relay_poll_s:
+                return pause_s
         jitter = random.uniform(-1.0, 1.0) * intervals.RELAY_POLL_JITTER
         return self._intervals.relay_poll_s * (1 + jitter)
 
@@ -362,6 +384,7 @@
             known.config_digest,
             known.accepts_compressed,
             self._offer_config is not None,
+            self._needs_reading(),
         )
         # Counts the time for which a reply waits while the VM is suspended.
         sent_s = leases.boottime_s()
--- a/src/bilberryturn/gateway/list_waits.py
+++ b/src/bilberryturn/gateway/list_waits.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 
 class ListWaits:
@@ -14,13 +15,19 @@
     Attributes:
         confirmed_s: Boot time at which the store last confirmed the list; None
             before.
+        hasten: Called as a request begins to wait, to have the list read soon.
     """
 
     def __init__(self):
         self.confirmed_s: float | None = None
+        self.hasten: Callable[[], None] = lambda: None
         # Set to let a waiting request look again.
         self._waiting: set[asyncio.Event] = set()
 
+    def is_awaited(self) -> bool:
+        """Return whether requests wait; safe on any thread."""
+        return bool(self._waiting)
+
     def confirm(self, confirmed_s: float) -> None:
         """Record a confirmation, and wake the requests that wait for one."""
         self.confirmed_s = confirmed_s
@@ -41,6 +48,7 @@
             return True
         changed = asyncio.Event()
         self._waiting.add(changed)
+        self.hasten()
         try:
             async with asyncio.timeout(timeout_s):
                 while not self._is_newer(since_s):
