Refuse a take-up after a second if no newer list of servers comes

While the store is away, callers that took a stream up at another node than its own waited for drain_s (2.5 s, or 4 s) before they were refused. A second is enough for a poll that times out and the node's own reading after it; a caller that is refused then still has time for another node, or to begin anew.

--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -260,9 +260,7 @@
         if shared.is_mixed(service):
             return False
         has_newer_list = await shared.list_waits.wait(
-            leases.boottime_s(),
-            # All nodes learn of a server's end within this time.
-            min(shared.drain_s, self._remaining_s() - MIN_ATTEMPT_S),
+            leases.boottime_s(), self._remaining_s() - MIN_ATTEMPT_S
         )
         return has_newer_list and not shared.is_mixed(service)
 
--- a/src/bilberryturn/gateway/list_waits.py
+++ b/src/bilberryturn/gateway/list_waits.py
@@ -8,6 +8,10 @@
 import asyncio
 from collections.abc import Callable
 
+# Enough for a poll of a relay that is gone and a reading of the node itself. A
+# caller that waits longer is served sooner by another node.
+MAX_WAIT_S = 1.0
+
 
 class ListWaits:
     """Waits for the list of servers; runs on the event loop.
@@ -39,7 +43,7 @@
 
         Args:
             since_s: The time on the boot clock, in seconds.
-            timeout_s: Longest time to wait, in seconds.
+            timeout_s: Longest time to wait, up to MAX_WAIT_S, in seconds.
 
         Returns:
             Whether there is one.
@@ -50,7 +54,7 @@
         self._waiting.add(changed)
         self.hasten()
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(min(timeout_s, MAX_WAIT_S)):
                 while not self._is_newer(since_s):
                     changed.clear()
                     await changed.wait()
