Bound the pause between polls that requests wait for

Found in review: the pause doubled with each poll for as long as requests waited, without a bound, and after 1,024 polls in a row the computation overflowed outside of the thread's handling of errors, so that the node never polled again.

The pause doubles up to the usual interval. relays.feature, "Polls slow down": OverflowError before, passes.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -80,6 +80,11 @@
     When 3 nodes of one failure domain start together
     Then each of 10 requests at each node has a newer list within 0.6 s
 
+  # Guards against a thread that ends as the pauses between polls double.
+  Scenario: Polls slow down while no newer list of servers comes
+    Given a node whose requests wait for a newer list of servers
+    Then all but 4 of its next 2000 polls come at the usual interval
+
   Scenario: Nodes that start together find their relay before they read the store
     Given a stand-in of the users' store
     When 12 nodes of one failure domain start together
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -454,6 +454,25 @@
         assert is_newer and took_s < limit_s, took_s
 
 
+@behave.given("a node whose requests wait for a newer list of servers")
+def given_waiting(context):
+    context.client = relays.RelayClient(
+        "n1", "10.0.0.1:1", "east", "", TIMES, list, list, dict, dict,
+        shared_clock.SharedClock(), [], lambda: peer_state.Known(""),
+        lambda *_: None, threading.Event(), relays.RESTART_WAITS,
+        needs_reading=lambda: True,
+    )  # fmt: skip
+
+
+@behave.then(
+    "all but {early:d} of its next {count:d} polls come at the usual interval"
+)
+def then_slow_down(context, early, count):
+    pauses_s = [context.client._pause_s() for _ in range(count)]
+    usual_s = TIMES.relay_poll_s * (1 - intervals.RELAY_POLL_JITTER)
+    assert sum(pause_s < usual_s for pause_s in pauses_s) <= early, pauses_s[:9]
+
+
 @behave.given("a relay that has not read the store")
 def given_unread(context):
     unread = peer_nodes.Peer("relay")
--- a/src/bilberryturn/edge/relays.py
+++ b/src/bilberryturn/edge/relays.py
@@ -186,8 +186,8 @@
         """
         self._needs_reading = needs_reading
         self._pause = intervals.Pause()
-        # Polls since requests began to wait.
-        self._hastened_polls = 0
+        # Pause before the next poll that requests wait for.
+        self._hastened_pause_s = intervals.HASTENED_PAUSE_S
         self._offer_config = offer_config
         self._era_tracker = era_tracker or store_era.EraTracker()
         self._lifetime = lifetime
@@ -268,14 +268,13 @@
             return START_POLL_INTERVAL_S
         if self._is_in_start_phase():
             return START_POLL_INTERVAL_S
+        pause_s = self._hastened_pause_s
         if not self._needs_reading():
-            self._hastened_polls = 0
-        else:
+            self._hastened_pause_s = intervals.HASTENED_PAUSE_S
+        elif pause_s < self._intervals.relay_poll_s:
             # Doubles, as a relay may not be able to read the store.
-            pause_s = intervals.HASTENED_PAUSE_S * 2**self._hastened_polls
-            self._hastened_polls += 1
-            if pause_s < self._intervals.relay_poll_s:
-                return pause_s
+            self._hastened_pause_s *= 2
+            return pause_s
         jitter = random.uniform(-1.0, 1.0) * intervals.RELAY_POLL_JITTER
         return self._intervals.relay_poll_s * (1 + jitter)
 
