Apply a peer's changes only to the content that they refer to

Found in review: a node's list of servers could lack one that had joined, or hold one that had left, and count as confirmed for as long as the entries did not change again. An own reading that began before the relay's last news and ended between the next poll and its reply replaced the list by an older one; the reply, that there was nothing new, then confirmed it.

The reply names the revision that the peer asked with, and a node whose content is another one by then asks for everything next. Nodes of an earlier version name none and are believed as before.

relays.feature, "An own reading that ends late": 2 of 2 failed before, pass.

--- a/features/relays.feature
+++ b/features/relays.feature
@@ -85,6 +85,22 @@
     Given a node whose requests wait for a newer list of servers
     Then all but 4 of its next 2000 polls come at the usual interval
 
+  # Guards against lists without a server, or with one that has left, that count
+  # as confirmed: the node's own reading began before what the relay told, and
+  # ended between its next poll and the reply.
+  Scenario Outline: An own reading that ends late does not count as what the relay has as a server <changes>
+    Given a relay and a node that have the same servers
+    And an own reading of the node that began then
+    When a server <changes> and the relay tells the node
+    And the own reading ends between the node's next poll and its reply
+    And the node polls the relay
+    Then the node has the relay's content
+
+    Examples:
+      | changes |
+      | joins   |
+      | leaves  |
+
   Scenario: Nodes that start together find their relay before they read the store
     Given a stand-in of the users' store
     When 12 nodes of one failure domain start together
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -473,6 +473,48 @@
     assert sum(pause_s < usual_s for pause_s in pauses_s) <= early, pauses_s[:9]
 
 
+@behave.given("a relay and a node that have the same servers")
+def given_same(context):
+    context.entries = {f"s{n}": platform_data.make_entry() for n in range(3)}
+    context.relay = peer_nodes.Peer("relay")
+    context.peer = peer_nodes.Peer("node")
+    for peer in (context.relay, context.peer):
+        peer.read_config(3)
+        peer.read_servers(context.entries, True, age_s=1.0)
+
+
+@behave.given("an own reading of the node that began then")
+def given_own_reading(context):
+    context.began_s = leases.boottime_s()
+
+
+@behave.when("a server {changes} and the relay tells the node")
+def when_relay_tells(context, changes):
+    changed = dict(context.entries)
+    if changes == "joins":
+        changed["s9"] = platform_data.make_entry()
+    else:
+        del changed["s0"]
+    context.relay.read_servers(changed, True)
+    when_polls(context)
+    assert context.peer.content() == context.relay.content()
+
+
+@behave.when("the own reading ends between the node's next poll and its reply")
+def when_own_reading_ends(context):
+    reply = context.relay.reply_to(context.peer)
+    context.peer.read_servers(
+        context.entries, True, age_s=leases.boottime_s() - context.began_s
+    )
+    context.peer.applier.apply_peer_state(reply, leases.boottime_s())
+    context.relay.read_servers({}, False)
+
+
+@behave.then("the node has the relay's content")
+def then_same(context):
+    assert context.peer.content() == context.relay.content()
+
+
 @behave.given("a relay that has not read the store")
 def given_unread(context):
     unread = peer_nodes.Peer("relay")
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -406,6 +406,8 @@
         if config_order.NO_ERA < state.servers_era < self._raw.servers_era:
             return False
         era = max(state.servers_era, self._raw.servers_era)
+        if not self._has_base_of(state):
+            return False
         if state.servers_age_s >= intervals.FRESH_S:
             return state.servers is None
         self._raw.peer_server_readings += (
@@ -433,6 +435,16 @@
         )
         return True
 
+    def _has_base_of(self, state: peer_state.PeerState) -> bool:
+        """Return whether a peer's entries lead to those that it has.
+
+        This node may have read the store itself since it asked for changes, and
+        an answer of the store may be older than what the peer told before.
+        """
+        if state.servers is not None and state.is_complete:
+            return True
+        return state.base_revision in (None, self.peer_revision)
+
     def expire(self) -> None:
         """Drop expired entries, and apply a configuration that has waited."""
         self._configs.release()
--- a/src/bilberryturn/edge/peer_state.py
+++ b/src/bilberryturn/edge/peer_state.py
@@ -70,6 +70,8 @@
         config_version: The operator's number of that configuration.
         has_all_suspects: Whether the peer has all reports that the store holds
             now. Sent with everything and once they are read.
+        base_revision: Revision that the peer named, to which changes refer;
+            None from nodes of an earlier version.
     """
 
     revision: str
@@ -94,6 +96,7 @@
     config_digest: str = ""
     config_version: int = 0
     has_all_suspects: bool = False
+    base_revision: str | None = None
 
 
 class Known(NamedTuple):
@@ -219,6 +222,7 @@
             now_s - self.servers_read_s,
             after_outage=self.after_outage,
             servers_era=self.servers_era,
+            base_revision=known.revision,
         )
         in_force = self.config_order.current
         if in_force is not None:
