Answer a take-up also if the lookup of its stream gets no answer

Found in review: the lookup of where a stream began had no time limit of its own.

A lookup takes 0.6 s at most, the wait for a reader included, and one that cannot be made finds nothing; the caller is told that the stream has not gone on.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -119,6 +119,24 @@
     And the streams are taken up at the other node, which hears of the servers 0.5 s later
     Then each of them has a whole stream of one version
 
+  # Guards against callers that wait for one another's lookups.
+  Scenario: Many streams are taken up at a node whose store does not answer
+    Given a store, a node and servers of versions v1, v1
+    And another node that knows them
+    When 60 callers each have 2 events of a stream
+    And the store answers the other node after 0.5 s that it is away
+    And the streams are taken up at the other node, whose list is 3 s old
+    Then all of them are refused with unknown_origin
+    And each of them within 2 s
+
+  Scenario: A stream is taken up at a node whose records have stopped
+    Given a store, a node and servers of versions v1, v1
+    And another node that knows them
+    When 20 callers each have 2 events of a stream
+    And the other node's records stop
+    And the streams are taken up at the other node, whose list is 3 s old
+    Then all of them are refused with unknown_origin
+
   # Guards against nodes that refuse to go on with streams that they began.
   Scenario: A node that is cut off goes on with its own streams
     Given a store, a node and servers of versions v1, v1
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -8,9 +8,11 @@
 from unittest import mock
 
 import behave
+import expression
 
 from bilberryturn import leases
 from bilberryturn.edge import stream_records
+from bilberryturn.platform import exceptions
 from bilberryturn.platform import rows
 from bilberryturn.routing import software_versions
 from bilberryturn.routing import types
@@ -252,9 +254,10 @@
 
         self.rig.shared.stream_origins.read_stored = count_read
         self._stopping = threading.Event()
-        threading.Thread(
+        self.thread = threading.Thread(
             target=self.recorder.run, args=(self._stopping,), daemon=True
-        ).start()
+        )
+        self.thread.start()
 
     def know(self, reports):
         """Learn the reports of all nodes so far, as from the store.
@@ -460,6 +463,28 @@
     timer.join()
 
 
+@behave.when(
+    "the store answers the other node after {time_s:g} s that it is away"
+)
+def when_slow_store(context, time_s):
+    def read(key):
+        time.sleep(time_s)
+        return expression.Error(exceptions.PlatformRefusedError("store", 503))
+
+    context.other.recorder._store.read = read
+
+
+@behave.when("the other node's records stop")
+def when_records_stop(context):
+    context.other.stop()
+    context.other.thread.join(5)
+
+
+@behave.then("each of them within {time_s:g} s")
+def then_within(context, time_s):
+    assert max(context.took_s) < time_s, sorted(context.took_s)
+
+
 async def _find_nothing(name):
     return None
 
@@ -524,13 +549,16 @@
         )
         for number in range(len(context.callers))
     ]
-    port = context.taking.rig.port
+    began_s = time.monotonic()
+    context.took_s = []
+
+    def take_up(text):
+        answer = gateway_rig.send_request(context.taking.rig.port, text)
+        context.took_s.append(time.monotonic() - began_s)
+        return answer
+
     with concurrent.futures.ThreadPoolExecutor(len(texts)) as executor:
-        context.answers = list(
-            executor.map(
-                lambda text: gateway_rig.send_request(port, text), texts
-            )
-        )
+        context.answers = list(executor.map(take_up, texts))
 
 
 @behave.then("each of them has a whole stream of one version")
--- a/src/bilberryturn/edge/stream_records.py
+++ b/src/bilberryturn/edge/stream_records.py
@@ -24,6 +24,8 @@
 # stream needs them, by the node that holds the lease.
 CLEAN_INTERVAL_S = 10.0
 READERS = 4
+# Time for a read, the wait for a reader included. A caller waits for it.
+READ_TIMEOUT_S = 0.6
 
 
 class _Row(msgspec.Struct):
@@ -81,7 +83,7 @@
                     error=f"{type(error).__name__}: {error}",
                 )
             stopping.wait(self.interval_s())
-        self._readers.shutdown(wait=False, cancel_futures=True)
+        self._readers.shutdown(wait=False)
 
     def interval_s(self) -> float:
         """Return the pause until the next write of this node."""
@@ -132,9 +134,15 @@
     async def read(self, name: str) -> stream_origins.Origin | None:
         """Return the origin of a stream as the store holds it."""
         loop = asyncio.get_running_loop()
-        result = await loop.run_in_executor(
-            self._readers, self._store.read, _key(name)
-        )
+        try:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                result = await loop.run_in_executor(
+                    self._readers, self._store.read, _key(name)
+                )
+        except (TimeoutError, RuntimeError):
+            # Many reads wait for a store that is away, or the node is stopping
+            # and starts none.
+            return None
         if result.is_error() or result.ok.value is None:
             return None
         try:
