Look streams up for a time after a node had no list of servers

Found in review: a version can come and leave while a node is cut off. After a restore of the store, and after an outage, entries of a version may be missing from a confirmed list as well.

A node that had no confirmed list for longer than drain_s, which one in order does not reach, decides as during a release for 5 s, by the streams that it began and by the rows of the store. So does each node after a restore.

software_versions.feature, "A stream of a version that came and left": the mutant without the check fails it; the whole feature passes.

--- a/features/mutants.py
+++ b/features/mutants.py
@@ -48,13 +48,25 @@
         "relays",
         "A list that waited while the node was suspended",
     ),
+    Mutant(
+        "a node that was cut off takes the versions that serve for all",
+        (
+            (
+                "gateway/exchange.py",
+                "if not has_newer_list or shared.list_waits.has_gap:",
+                "if not has_newer_list:",
+            ),
+        ),
+        "software_versions",
+        "came and left",
+    ),
     Mutant(
         "a stream goes on by a list from before it was taken up",
         (
             (
                 "gateway/exchange.py",
-                "return has_newer_list and not shared.is_mixed(service)",
-                "return not shared.is_mixed(service)",
+                "if not has_newer_list or shared.list_waits.has_gap:",
+                "if shared.list_waits.has_gap:",
             ),
         ),
         "software_versions",
--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -119,6 +119,21 @@
     And the streams are taken up at the other node, which hears of the servers 0.5 s later
     Then each of them has a whole stream of one version
 
+  # Guards against a node that was cut off while a version came and left, and
+  # takes the versions that serve by then for all that did.
+  Scenario Outline: A stream of a version that came and left <when> is taken up
+    Given a store, a node and servers of versions v1, v1
+    And another node that knows them
+    When servers of versions v2, v2 join, of which the other node does not hear
+    And 20 callers each have 2 events of a stream
+    And the streams are taken up at the other node, which learns after <when> that only v1 serves
+    Then no stream has events of two versions
+
+    Examples:
+      | when                   |
+      | a cut of 4 s           |
+      | a restore of the store |
+
   # Guards against callers that wait for one another's lookups.
   Scenario: Many streams are taken up at a node whose store does not answer
     Given a store, a node and servers of versions v1, v1
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -12,6 +12,7 @@
 
 from bilberryturn import leases
 from bilberryturn.edge import stream_records
+from bilberryturn.gateway import list_waits
 from bilberryturn.platform import exceptions
 from bilberryturn.platform import rows
 from bilberryturn.routing import software_versions
@@ -463,6 +464,26 @@
     timer.join()
 
 
+@behave.when(
+    "the streams are taken up at the other node, which learns after {event}"
+    " that only v1 serves"
+)
+def when_take_up_after(context, event):
+    other = context.taking = context.other
+    other.rig.shared.list_waits = list_waits.ListWaits(other.rig.shared.drain_s)
+    _hear_of_nothing(other, 4.0 if "cut" in event else 1.0)
+
+    def confirm():
+        if "restore" in event:
+            other.rig.shared.list_waits.mark_gap()
+        _hear_of_nothing(other, 0.0)
+
+    timer = threading.Timer(0.5, confirm)
+    timer.start()
+    _take_up(context)
+    timer.join()
+
+
 @behave.when(
     "the store answers the other node after {time_s:g} s that it is away"
 )
--- a/src/bilberryturn/edge/feeds.py
+++ b/src/bilberryturn/edge/feeds.py
@@ -199,6 +199,7 @@
         if is_restored:
             # Servers write the entries again that the copy lacks.
             self._outage_end_s = confirmed_s
+            self._shared.list_waits.mark_gap()
         self._raw.servers_era = era
         decoded = []
         content = {} if is_snapshot else dict(self._entry_content)
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -254,15 +254,18 @@
         """Return whether no other version can have begun the stream.
 
         Its server may have joined just before, so that only a list that is
-        newer than the request shows it.
+        newer than the request shows it. It may also have left again while the
+        node was cut off, of which only reports tell.
         """
         shared, service = self._shared, self._request.service.name
-        if shared.is_mixed(service):
+        if shared.is_mixed(service) or shared.list_waits.has_gap:
             return False
         has_newer_list = await shared.list_waits.wait(
             leases.boottime_s(), self._remaining_s() - MIN_ATTEMPT_S
         )
-        return has_newer_list and not shared.is_mixed(service)
+        if not has_newer_list or shared.list_waits.has_gap:
+            return False
+        return not shared.is_mixed(service)
 
     def _record_resumption(self, outcome: str) -> None:
         self._resumption = outcome
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -186,7 +186,7 @@
         self.pool = pool
         self.memory = memory.MemoryAccount(memory.limit_bytes(memory_mb))
         self.arrival = state_arrival.StateArrival(self.memory)
-        self.list_waits = list_waits.ListWaits()
+        self.list_waits = list_waits.ListWaits(drain_s)
         self.software_versions = software_versions.SoftwareVersions()
         # Services none of whose streams can have begun at another version.
         self._uniform_services: frozenset[str] = frozenset()
