Share the room of a brittle server among all nodes

Callers saw most of their requests fail while servers named Server-Brittle: no code read it, each node passed on what it may by its own count, and a server that turns more than N requests away in a second falls over.

One node, the issuer of a server's permits, now grants places: a request needs one while servers of its service are brittle. Their number begins at half of the slots, grows with the answers and goes down at a rejection. Requests without a place wait for one until the target of their route, then are refused with a Retry-After. A replacement of the issuer grants a quarter, nodes that reach none cause a quarter of N requests a second together. All servers of a service count as brittle once an answer of one says so; nodes report it to each other (1409 server_brittle_changed).

Weighed: windows of each node's own (60 nodes with at least one request each exceed a room of 9) and permits at a rate (docs/design/brittle-servers.md).

Two faults that the simulation found on the way: a rejection in the first seconds, caused by requests sent before, held a server at one place for 8 s; and a server's new lifetime was not known as brittle for 50 ms, in which all chose it.

--- a/features/brittle_servers.feature
+++ b/features/brittle_servers.feature
@@ -87,3 +87,17 @@
     When an answer of server a says that it withstands 6 rejections in a second
     And the second node gets the reports of the first
     Then the second node takes a, b for brittle
+
+  # Guards against what the simulation leaves out: real connections, the time
+  # of calls between nodes, and servers that end with them.
+  Scenario Outline: Four nodes before brittle servers, <load>
+    Given 4 node processes before 3 brittle servers
+    When callers of all nodes send a load of <load> for 15 s
+    Then the servers fall over at most 2 times
+    And callers get at least <percent>% of what the servers can serve
+
+    Examples:
+      | load                               | percent |
+      | 0.8, and a server ends             | 75      |
+      | 1.8                                | 80      |
+      | 0.6, and 2.5 in one second of five | 65      |
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -36,6 +36,42 @@
 
 
 MUTANTS = (
+    Mutant(
+        "requests to brittle servers need no place",
+        (
+            (
+                "gateway/availability.py",
+                "if withstood_per_s is not None:",
+                "if False:",
+            ),
+        ),
+        "brittle_servers",
+        "60 nodes, a load of 1.8",
+    ),
+    Mutant(
+        "a server that has not answered yet isn't brittle",
+        (
+            (
+                "gateway/availability.py",
+                "< newest_s.get(server.service, -math.inf)",
+                "< -math.inf",
+            ),
+        ),
+        "brittle_servers",
+        "as brittle as the others",
+    ),
+    Mutant(
+        "a rejection takes no place back",
+        (
+            (
+                "routing/brittle_windows.py",
+                "self.limit = max(1, min(self.limit, in_flight) - 1)",
+                "pass",
+            ),
+        ),
+        "brittle_servers",
+        "60 nodes, a load of 1.8",
+    ),
     Mutant(
         "a reading that waited while the node was suspended counts as new",
         (
--- a/features/steps/brittle_steps.py
+++ b/features/steps/brittle_steps.py
@@ -3,6 +3,7 @@
 import collections
 import concurrent.futures
 import itertools
+import random
 import threading
 import time
 
@@ -11,6 +12,7 @@
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
 from bilberryturn.platform import wire
+from soak import testbed as testbed_module
 from support import brittle_fleet
 from support import gateway_rig
 from support import scripted
@@ -252,3 +254,132 @@
     found = {server for server, _ in shared.availability.brittle()}
     expected = set() if names == "none" else set(names.split(", "))
     assert found == expected, found
+
+
+# Node processes
+
+WIDE_ROOM = 16
+NARROW_ROOM = 9
+NARROW_AFTER_S = 4.0
+DOWN_S = 3.0
+# Time after the first answer at which a server ends, if one is to.
+PROCESS_ENDS_AT_S = 7.0
+PROCESS_PER_S = 60.0
+
+
+class _FallingServer(_BrittleServer):
+    """Lets fewer requests wait after some seconds, and may fall over."""
+
+    def __init__(self):
+        super().__init__(WIDE_ROOM)
+        self.falls = 0
+        self.backend = None
+        self._is_down = False
+
+    def answer(self, peer, head, body, number):
+        if self._is_down:
+            return "close"
+        super().answer(peer, head, body, number)
+        recent = [
+            t for t in self.rejected_s[-20:] if t > time.monotonic() - 1.0
+        ]
+        if self.room == NARROW_ROOM and len(recent) > MOST_REJECTED:
+            self.falls += not self._is_down
+            self.end()
+        return "close" if self._is_down else None
+
+    def narrow(self):
+        self.rejected_s.clear()
+        self.room = NARROW_ROOM
+
+    def end(self):
+        if self._is_down:
+            return
+        self._is_down = True
+        # New connections are reset.
+        self.backend.most = 0
+        self.backend.end_connections()
+        threading.Timer(DOWN_S, self._start).start()
+
+    def _start(self):
+        self.rejected_s.clear()
+        self.backend.most = None
+        self._is_down = False
+
+
+@behave.given("{count:d} node processes before {servers:d} brittle servers")
+def given_processes(context, count, servers):
+    context.falling = {}
+
+    def answer(peer, head, body, number):
+        server = scripted.header(head, "X-Bilberryturn-Expect-Instance")
+        return context.falling[server].answer(peer, head, body, number)
+
+    testbed = testbed_module.start(context, count, answer)
+    context.testbed = testbed
+    # The testbed has two servers of this service.
+    for number in range(servers - 2):
+        testbed.add_backend(f"app{number}", "app")
+    for name, (backend, _, service) in testbed.backends.items():
+        if service == "app":
+            falling = context.falling[name] = _FallingServer()
+            falling.backend = backend
+            entry = {**testbed.entry(name, 2), "slots": SLOTS}
+            testbed.store.put("servers", name, entry)
+    assert len(context.falling) == servers
+    for node in testbed.nodes:
+        node.wait_ready()
+    # All nodes have read the entries by then.
+    time.sleep(2.0)
+
+
+@behave.when("callers of all nodes send a load of {load} for {duration_s:d} s")
+def when_process_load(context, load, duration_s):
+    rng = random.Random(59)
+    began_s = time.monotonic()
+    servers = list(context.falling.values())
+    timers = [threading.Timer(NARROW_AFTER_S, s.narrow) for s in servers]
+    if load.endswith("a server ends"):
+        timers.append(threading.Timer(PROCESS_ENDS_AT_S, servers[0].end))
+    for timer in timers:
+        timer.start()
+    at_s, calls = 0.0, []
+    with concurrent.futures.ThreadPoolExecutor(150) as pool:
+        while at_s < duration_s:
+            time.sleep(max(0.0, began_s + at_s - time.monotonic()))
+            calls.append((at_s, pool.submit(_call_nodes, context, rng)))
+            at_s += rng.expovariate(LOADS[load](at_s) * PROCESS_PER_S)
+    counted = [call.result() for at_s, call in calls if at_s >= NARROW_AFTER_S]
+    context.sent, context.served = len(counted), sum(counted)
+    context.possible = min(
+        context.sent, PROCESS_PER_S * (duration_s - NARROW_AFTER_S)
+    )
+
+
+def _call_nodes(context, rng):
+    """Return whether a caller is served, who tries twice."""
+    for _ in range(2):
+        node = rng.choice(context.testbed.nodes)
+        data = gateway_rig.request_text("safe", f"p{next(_ids)}", key="key-a")
+        try:
+            with gateway_rig.connect(node.port, node.ip) as connection:
+                answer = gateway_rig.send_request(node.port, data, connection)
+        except OSError:
+            continue
+        if answer.status == 200:
+            return True
+        time.sleep(float(answer.header("Retry-After") or RETRY_S))
+    return False
+
+
+@behave.then("the servers fall over at most {most:d} times")
+def then_process_falls(context, most):
+    falls = {name: s.falls for name, s in context.falling.items()}
+    print("falls", falls, "served", context.served, "of", context.sent)
+    assert sum(falls.values()) <= most, (falls, context.served, context.sent)
+
+
+@behave.then("callers get at least {percent:d}% of what the servers can serve")
+def then_process_served(context, percent):
+    share = context.served / context.possible
+    assert share >= percent / 100, (share, context.served, context.sent)
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -30,6 +30,7 @@
 from bilberryturn.gateway import internal_server
 from bilberryturn.gateway import issuer_checks
 from bilberryturn.gateway import permits
+from bilberryturn.gateway import places
 from bilberryturn.gateway import server as caller_server
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
@@ -375,13 +376,19 @@
     ) -> internal_server.Reply:
         if path == config_transfer.PATH:
             return self._config_server.reply(body)
-        if path not in (permits.PATH, issuer_checks.PATH):
+        availability = self.shared.availability
+        issuing = {
+            permits.PATH: availability.permits.issue,
+            places.PATH: availability.places.issue,
+            places.END_PATH: availability.places.end,
+        }
+        if path not in (*issuing, issuer_checks.PATH):
             return self._handle_state_request(body)
-        if not self.shared.availability.permits.can_issue():
+        if not availability.permits.can_issue():
             return internal_server.Reply(issuer_checks.NO_ISSUER_STATUS)
         if path == issuer_checks.PATH:
             return internal_server.Reply(200)
-        reply = self.shared.availability.permits.issue(body)
+        reply = issuing[path](body)
         if reply is None:
             return internal_server.Reply(400)
         return internal_server.Reply(200, reply, "application/json")
--- a/src/bilberryturn/gateway/attempt_types.py
+++ b/src/bilberryturn/gateway/attempt_types.py
@@ -43,7 +43,13 @@
 
 
 class NotRun(NamedTuple):
-    """Result of an attempt that the server reports as not run."""
+    """Result of an attempt that the server reports as not run.
+
+    Attributes:
+        status: Status of the server's answer.
+    """
+
+    status: int
 
 
 class AttemptFailed(NamedTuple):
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -234,7 +234,7 @@
         if self._is_own(head):
             self._shared.availability.observe(self._chosen.server, head)
         if head.is_not_run and self._is_own_refusal(head):
-            return attempt_types.NotRun()
+            return attempt_types.NotRun(head.status)
         if not self._is_own(head):
             raise upstream.UpstreamError("answer to another request", True)
         if head.is_encoded or not head.is_sealed and head.status < 300:
--- a/src/bilberryturn/gateway/availability.py
+++ b/src/bilberryturn/gateway/availability.py
@@ -1,8 +1,8 @@
 """Track which backend servers take a request of this node now.
 
 Handles what servers say in their answers: that they leave, for how long they
-take no request of this node, and how many they take of all nodes together.
-Cold servers have a limit too.
+take no request of this node, how many they take of all nodes together, and that
+they are brittle. Cold servers have a limit too.
 """
 
 import asyncio
@@ -10,10 +10,12 @@
 import math
 import random
 import time
+from typing import NamedTuple
 
 from bilberryturn import events
 from bilberryturn import metrics
 from bilberryturn.gateway import permits
+from bilberryturn.gateway import places
 from bilberryturn.gateway import upstream
 from bilberryturn.platform import wire
 from bilberryturn.routing import directory
@@ -23,13 +25,28 @@
 
 # Statuses of a server that takes no request for the time of its Retry-After.
 TURNED_AWAY = frozenset({429, 503})
-# Time for which the list of cold servers is kept; for 70 servers it takes
-# 0.1 ms to make. Whether a chosen server needs a permit is checked each time.
+# Time for which the lists of cold and brittle servers are kept; for 70 servers
+# one takes 0.1 ms to make. Whether a chosen server needs a permit is checked
+# each time.
 COLD_CACHE_S = 0.05
 # A shorter wait would be told to callers as a Retry-After of 0.00.
 MIN_COLD_WAIT_S = 0.01
 # Limited servers that are tried for one request before it goes to others.
 MAX_PERMITS_ASKED = 3
+# A caller that is refused for want of a place has waited for one already.
+MIN_PLACE_RETRY_S = 0.3
+# Mean time between two tries of all requests that wait for a place.
+PLACE_TRY_S = 0.005
+
+
+class Admission(NamedTuple):
+    """Permission to send one request to a server.
+
+    Attributes:
+        place: Its place if the server is brittle.
+    """
+
+    place: places.Place | None
 
 
 class Availability:
@@ -38,6 +55,7 @@
     Attributes:
         limits: The limits of the servers.
         permits: Gets and issues permits for requests to limited servers.
+        places: Gets and grants places at brittle servers.
     """
 
     def __init__(
@@ -47,6 +65,7 @@
         peers: permits.Peers,
         time_of_day: Callable[[], float],
         services: Callable[[], dict[str, types.Service]],
+        in_flight: Callable[[types.Lifetime], int],
     ):
         """Initialize without restrictions.
 
@@ -57,6 +76,8 @@
             time_of_day: Returns the time of day that all nodes share, in Unix
                 seconds.
             services: Returns the configured services by name.
+            in_flight: Returns the requests that this node has in flight at a
+                server.
         """
         self._servers = servers
         self._time_of_day = time_of_day
@@ -65,6 +86,18 @@
         self.permits = permits.Permits(
             servers, self.limit, pool, peers, time_of_day
         )
+        self.places = places.Places(
+            servers, self.permits, pool, peers, time_of_day, in_flight
+        )
+        self._brittleness = server_limits.brittleness()
+        # Cached brittle servers and the rejections in a second that they
+        # withstand, and when they were listed.
+        self._found_brittle: dict[types.Lifetime, float] = {}
+        self._brittle_found_s = -math.inf
+        # Requests that wait for a place.
+        self._waiting_count = 0
+        # The servers among which they were found.
+        self._listed: set[types.Lifetime] = set()
         # Time of day until which a server is cold, as its answers said or as
         # follows from a connection that ended.
         self._cold_until_s: dict[types.Lifetime, float] = {}
@@ -81,6 +114,7 @@
     ) -> None:
         """Apply what an answer says of its server."""
         self._observe_limit(server, head.limit_per_s)
+        self._observe_brittleness(server, head.brittle_per_s)
         if head.cold_left_s is not None:
             self._cold_until_s[server.lifetime] = (
                 self._time_of_day() + head.cold_left_s
@@ -105,6 +139,80 @@
                 limit_per_s=limit_per_s,
             )
 
+    def _observe_brittleness(
+        self, server: types.BackendServer, brittle_per_s: float | None
+    ) -> None:
+        has_changed = self._brittleness.observe(
+            server.lifetime, brittle_per_s, self._time_of_day()
+        )
+        if has_changed:
+            self._brittle_found_s = -math.inf
+            events.log(
+                events.SERVER_BRITTLE_CHANGED,
+                server=server.server_id,
+                server_started_ms=server.started_ms,
+                brittle_per_s=brittle_per_s,
+            )
+
+    def merge_reports(self, reports: dict[str, int]) -> None:
+        """Merge another node's reports on limits and brittleness."""
+        self.limits.merge(reports)
+        self._brittleness.merge(reports)
+
+    def own_reports(self) -> dict[str, int]:
+        """Return this node's reports, for other nodes."""
+        return {
+            **self.limits.own_reports(),
+            **self._brittleness.own_reports(),
+        }
+
+    def brittle(self) -> dict[types.Lifetime, float]:
+        """Return the rejections in a second that brittle servers withstand.
+
+        All servers of a service are brittle at the same times.
+        """
+        now_s = self._time_of_day()
+        if abs(now_s - self._brittle_found_s) >= COLD_CACHE_S:
+            self._found_brittle = self._find_brittle()
+            self._brittle_found_s = now_s
+        return self._found_brittle
+
+    def _find_brittle(self) -> dict[types.Lifetime, float]:
+        told = self._brittleness
+        if not told.limited():
+            return {}
+        servers = self._servers.all_servers()
+        self._listed = {server.lifetime for server in servers}
+        lowest_per_s: dict[str, float] = {}
+        newest_s: dict[str, float] = {}
+        for server in servers:
+            per_s, service = told.limit_per_s(server.lifetime), server.service
+            if per_s is None:
+                continue
+            at_s = told.observed_s(server.lifetime)
+            lowest_per_s[service] = min(lowest_per_s.get(service, per_s), per_s)
+            newest_s[service] = max(newest_s.get(service, at_s), at_s)
+        return {
+            server.lifetime: lowest_per_s[server.service]
+            for server in servers
+            if told.limit_per_s(server.lifetime) is not None
+            or told.observed_s(server.lifetime)
+            < newest_s.get(server.service, -math.inf)
+        }
+
+    def _withstood_per_s(self, lifetime: types.Lifetime) -> float | None:
+        """Return the rejections in a second that a brittle server withstands.
+
+        None if it isn't brittle.
+        """
+        if self.brittle() and lifetime not in self._listed:
+            # It has started since they were listed.
+            self._brittle_found_s = -math.inf
+        return self.brittle().get(lifetime)
+
+    def _brittle_ids(self) -> set[str]:
+        return {server_id for server_id, _ in self.brittle()}
+
     def _record_leaving(self, server: types.BackendServer) -> None:
         change = self._servers.mark_leaving(server, time.monotonic())
         if change is not None:
@@ -181,18 +289,18 @@
     def limited(self) -> set[str]:
         """Return the servers that take a limited number of requests."""
         named = {server_id for server_id, _ in self.limits.limited()}
-        return named | self.cold()
+        return named | self.cold() | self._brittle_ids()
 
     def spread(
         self, servers: list[types.BackendServer]
     ) -> list[types.BackendServer]:
         """Return servers in an order in which equal ones are chosen.
 
-        It varies if some are cold, as all nodes would ask for the permits of
-        the same idle server otherwise.
+        It varies if some are cold or brittle, as all nodes would ask for the
+        permits of the same idle server otherwise.
         """
-        cold = self.cold()
-        if not cold or not any(s.server_id in cold for s in servers):
+        asked = self.cold() | self._brittle_ids()
+        if not asked or not any(s.server_id in asked for s in servers):
             return servers
         return random.sample(servers, len(servers))
 
@@ -217,6 +325,90 @@
         spared = self.cold()
         return [excluded | spared, excluded] if spared else [excluded]
 
+    async def admit(
+        self, server: types.BackendServer, priority: int, lasts_s: float
+    ) -> Admission | None:
+        """Return an admission if a request may be sent to a server now.
+
+        Args:
+            server: The server.
+            priority: Priority of the request; 0 is the highest.
+            lasts_s: Time for which the request may be in flight.
+        """
+        admission = Admission(None)
+        withstood_per_s = self._withstood_per_s(server.lifetime)
+        if withstood_per_s is not None:
+            place = await self.places.acquire(
+                server, withstood_per_s, priority, lasts_s
+            )
+            if place is None:
+                return None
+            admission = Admission(place)
+        is_permitted = False
+        try:
+            is_permitted = await self.permits.acquire(server, priority)
+        finally:
+            if not is_permitted:
+                self.release(admission)
+        return admission if is_permitted else None
+
+    def release(
+        self,
+        admission: Admission,
+        was_accepted: bool = False,
+        status: int | None = None,
+    ) -> None:
+        """Record that the request of an admission isn't in flight any more.
+
+        Args:
+            admission: The admission.
+            was_accepted: Whether the server ran the request.
+            status: Status of its answer, if there is one.
+        """
+        if admission.place is not None:
+            self.places.release(
+                admission.place, was_accepted, status in TURNED_AWAY
+            )
+
+    def has_brittle(self, servers: list[types.BackendServer]) -> bool:
+        """Return whether some servers are brittle."""
+        brittle = self.brittle()
+        return any(server.lifetime in brittle for server in servers)
+
+    async def wait_for_place(
+        self,
+        servers: list[types.BackendServer],
+        priority: int,
+        until_s: float,
+    ) -> bool:
+        """Wait until a request may find a place at a brittle server.
+
+        Args:
+            servers: The servers that may take the request.
+            priority: Priority of the request; 0 is the highest.
+            until_s: Monotonic time until which to wait.
+
+        Returns:
+            Whether to try it; False at once if the time is too short.
+        """
+        now_s, brittle = time.monotonic(), self.brittle()
+        waits_s = [
+            self._wait_s(server.lifetime, priority, now_s)
+            for server in servers
+            if server.lifetime in brittle
+        ]
+        wait_s = max(
+            min(waits_s, default=0.0), PLACE_TRY_S * (self._waiting_count + 1)
+        )
+        if now_s + wait_s > until_s:
+            return False
+        self._waiting_count += 1
+        try:
+            await asyncio.sleep(wait_s)
+        finally:
+            self._waiting_count -= 1
+        return True
+
     async def wait_for_permit(
         self, server: types.BackendServer, priority: int, deadline_s: float
     ) -> bool:
@@ -254,6 +446,7 @@
             *self._paused_until_s,
             *self.limits.limited(),
             *self._cold(),
+            *self.brittle(),
         ]
         return {
             lifetime[0]
@@ -271,9 +464,13 @@
 
         None if one takes requests now, or there is none.
         """
-        waits_s = [
-            self._wait_s(server.lifetime, priority, now_s) for server in servers
-        ]
+        brittle = self.brittle()
+        waits_s = []
+        for server in servers:
+            wait_s = self._wait_s(server.lifetime, priority, now_s)
+            if server.lifetime in brittle:
+                wait_s = max(wait_s, MIN_PLACE_RETRY_S)
+            waits_s.append(wait_s)
         return min(waits_s, default=0.0) or None
 
     def _wait_s(
@@ -287,7 +484,10 @@
             permit_s = self.permits.wait_s(lifetime, priority, now_s)
             if permit_s and limit.is_cold:
                 permit_s = max(permit_s, MIN_COLD_WAIT_S)
-        return max(0.0, paused_s, permit_s)
+        place_s = 0.0
+        if lifetime in self.brittle():
+            place_s = self.places.wait_s(lifetime, priority, now_s)
+        return max(0.0, paused_s, permit_s, place_s)
 
     def _limit_of(self, lifetime: types.Lifetime) -> slow_start.Limit | None:
         server = self._servers.find(lifetime[0])
@@ -299,6 +499,8 @@
         """Drop what is known of server lifetimes that have ended."""
         self.limits.retain(live)
         self.permits.retain(live)
+        self.places.retain(live)
+        self._brittleness.retain(live)
         for lifetime in self._cold_until_s.keys() - live:
             del self._cold_until_s[lifetime]
         now_s = time.monotonic()
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -7,6 +7,7 @@
 from bilberryturn import leases
 from bilberryturn.gateway import attempt_types
 from bilberryturn.gateway import attempts
+from bilberryturn.gateway import availability
 from bilberryturn.gateway import delivery
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import outcomes
@@ -44,6 +45,8 @@
         self._delivery: delivery.Delivery | None = None
         self._chosen: choice.Choice | None = None
         self._attempt_in_progress = False
+        # Admission of the request to the chosen server.
+        self._admission: availability.Admission | None = None
         self._last_attempt: attempts.Attempt | None = None
         self._sent_count = 0
         # Status of the response that the end of a shutdown sent.
@@ -382,6 +385,41 @@
         return self._sent_count < self._request.route.attempts
 
     async def _choose(self) -> choice.Choice | None:
+        """Return a server that takes the request, if any.
+
+        A request waits for a place at a brittle server for as long as its
+        answer can be in time.
+        """
+        while True:
+            chosen = await self._choose_now()
+            if chosen is not None:
+                return chosen
+            if not await self._wait_for_place():
+                return None
+
+    async def _wait_for_place(self) -> bool:
+        """Return whether there may be a place at a brittle server now."""
+        available, servers = self._shared.availability, self._untried_servers()
+        if not available.has_brittle(servers):
+            return False
+        return await available.wait_for_place(
+            servers, self._request.priority, self._place_limit_s()
+        )
+
+    def _place_limit_s(self) -> float:
+        """Return until when the request waits for a place."""
+        return min(
+            self._incoming.arrived_s + self._request.route.target_s,
+            self._request.deadline_s - MIN_ATTEMPT_S,
+        )
+
+    def _untried_servers(self) -> list[types.BackendServer]:
+        servers = self._of_version(
+            self._shared.candidates(self._request.requirements)
+        )
+        return [s for s in servers if s.server_id not in self._excluded]
+
+    async def _choose_now(self) -> choice.Choice | None:
         """Return a server that takes the request now, if any."""
         shared, request = self._shared, self._request
         not_permitted: set[str] = set()
@@ -403,12 +441,15 @@
                     break
             if chosen is None:
                 return None
-            is_permitted = await shared.availability.permits.acquire(
-                chosen.server, request.priority
+            admission = await shared.availability.admit(
+                chosen.server, request.priority, self._remaining_s()
             )
             # The failure domain may have been drained in the meantime.
-            if is_permitted and self._may_send(chosen):
+            if admission is not None and self._may_send(chosen):
+                self._admission = admission
                 return chosen
+            if admission is not None:
+                shared.availability.release(admission)
             not_permitted.add(chosen.server.server_id)
 
     def _may_send(self, chosen: choice.Choice) -> bool:
@@ -446,10 +487,13 @@
         self._last_attempt = attempt
         may_try_another = self._sent_count + 1 < self._request.route.attempts
         self._attempt_in_progress = True
+        result = None
         try:
-            return await attempt.run(may_try_another)
+            result = await attempt.run(may_try_another)
+            return result
         finally:
             self._attempt_in_progress = False
+            self._end_admission(result)
             if self._delivery.event_count:
                 # Another attempt goes on where this one stopped.
                 self._version = chosen.server.software_version
@@ -457,6 +501,26 @@
             if moved and not attempt.was_sent:
                 shared.unused_copies.release(moved)
 
+    def _end_admission(
+        self, result: attempt_types.AttemptResult | None
+    ) -> None:
+        admission, self._admission = self._admission, None
+        if admission is None:
+            return
+        status = None
+        if isinstance(result, attempt_types.NotRun):
+            status = result.status
+        elif isinstance(result, attempt_types.Response):
+            status = result.head.status
+        was_accepted = isinstance(
+            result, attempt_types.Response | attempt_types.StreamCompleted
+        )
+        self._shared.availability.release(
+            admission,
+            was_accepted and status not in availability.TURNED_AWAY,
+            status,
+        )
+
     def _is_final(self, response: attempt_types.Response) -> bool:
         """Return whether a response is sent to the caller without a retry."""
         if response.head.status < 500 or self._delivery.has_started:
--- a/src/bilberryturn/gateway/permits.py
+++ b/src/bilberryturn/gateway/permits.py
@@ -147,11 +147,11 @@
         ask, now_s = self._as_known(ask), time.monotonic()
         if ask.cold_rank is not None:
             return self._issuer.grant(ask, now_s)
-        rank, is_certain = self._rank(ask.lifetime, now_s)
+        rank, is_certain = self.rank(ask.lifetime, now_s)
         wait_s = self._issuer.grant(ask, now_s, rank)
         return wait_s if is_certain else min(wait_s, NO_ISSUER_WAIT_S)
 
-    def _rank(self, lifetime: types.Lifetime, now_s: float) -> tuple[int, bool]:
+    def rank(self, lifetime: types.Lifetime, now_s: float) -> tuple[int, bool]:
         """Return how many nodes may issue a server's permits before this one.
 
         Also returns whether that will not change soon.
@@ -160,7 +160,7 @@
         if server is None:
             # It is not known yet which nodes rank before this one.
             return 1, False
-        issuers, own = self._issuers(server), self._peers.own_address
+        issuers, own = self.issuers(server), self._peers.own_address
         earlier = issuers[: issuers.index(own)] if own in issuers else issuers
         rank, is_certain = 0, True
         for node in earlier:
@@ -185,7 +185,7 @@
         limit = self._limit(server)
         if limit is None or not limit.is_cold:
             return ask
-        issuers = self._issuers(server)
+        issuers = self.issuers(server)
         own = self._peers.own_address
         own_rank = issuers.index(own) if own in issuers else len(issuers)
         return ask._replace(
@@ -224,7 +224,7 @@
         now_s = time.monotonic()
         nodes = (
             node
-            for node in self._issuers(server)
+            for node in self.issuers(server)
             if self._unreachable_until_s.get(node, 0.0) <= now_s
         )
         for node in itertools.islice(nodes, MAX_ASKED):
@@ -248,7 +248,7 @@
         now_s, own = time.monotonic(), self._peers.own_address
         if not self.can_issue():
             return NO_ISSUER_WAIT_S
-        issuers = self._issuers(server)[: slow_start.MAX_ISSUERS]
+        issuers = self.issuers(server)[: slow_start.MAX_ISSUERS]
         for rank, node in enumerate(issuers):
             if self._unreachable_until_s.get(node, 0.0) > now_s:
                 continue
@@ -268,7 +268,8 @@
             self._time_of_day(),
         )
 
-    def _issuers(self, server: types.BackendServer) -> list[str]:
+    def issuers(self, server: types.BackendServer) -> list[str]:
+        """Return the nodes that issue for a server, in order."""
         domain_nodes = self._peers.in_domain(server.failure_domain)
         all_nodes = self._peers.in_domain("")
         known = self._rankings.get(server.server_id)
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -180,6 +180,7 @@
             peers,
             time_of_day,
             lambda: self.table.services if self.table else {},
+            self.load_balancer.in_flight,
         )
         self.time_of_day = time_of_day
         self.usage = UsageCounts(usage_window_s, time_of_day)
@@ -374,14 +375,14 @@
     def merge_reports(self, node: str, reports: dict[str, int]) -> None:
         """Merge the reports of another node on crashes and limits."""
         self.part_crashes.merge(node, reports)
-        self.availability.limits.merge(reports)
+        self.availability.merge_reports(reports)
         self.software_versions.merge(reports)
 
     def own_reports(self) -> dict[str, int]:
         """Return the reports of this node, for other nodes."""
         return {
             **self.part_crashes.own_reports(self.time_of_day()),
-            **self.availability.limits.own_reports(),
+            **self.availability.own_reports(),
             **self.software_versions.own_reports(),
         }
 
--- a/src/bilberryturn/platform/wire.py
+++ b/src/bilberryturn/platform/wire.py
@@ -20,6 +20,8 @@
 EXPECTED_SERVER = b"x-bilberryturn-expect-instance"
 # Requests a second that a server in need takes from all nodes together.
 SERVER_LIMIT = b"server-limit"
+# Rejections in a second that a brittle server withstands.
+SERVER_BRITTLE = b"server-brittle"
 SERVER_LEAVING = b"server-leaving"
 # Milliseconds for which the server stays cold.
 COLD_LEFT = b"x-bilberryturn-cold-ms"
@@ -194,6 +196,8 @@
             say.
         is_event_stream: Whether the body consists of server-sent events.
         headers: Headers to forward to the caller.
+        brittle_per_s: Rejections in a second that the server withstands; it
+            falls over at more. None if it does not say that it is brittle.
     """
 
     status: int
@@ -210,6 +214,7 @@
     is_event_stream: bool
     headers: Headers
     cold_left_s: float | None = None
+    brittle_per_s: float | None = None
 
 
 def read_server_response(status: int, headers: Headers) -> ServerResponse:
@@ -234,6 +239,7 @@
         is_event_stream=media_type.strip().lower() == b"text/event-stream",
         headers=[pair for pair in headers if pair[0] not in _HOP_BY_HOP],
         cold_left_s=_cold_left_s(values.get(COLD_LEFT)),
+        brittle_per_s=_bounded_float(values.get(SERVER_BRITTLE)),
     )
 
 
--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -196,6 +196,11 @@
             self._record_cached_parts(load, requirements)
         return InFlightRequest(choice.server, choice.uncached_tokens)
 
+    def in_flight(self, lifetime: types.Lifetime) -> int:
+        """Return the requests of this node that are in flight at a server."""
+        load = self._loads.get(lifetime)
+        return 0 if load is None else load.running
+
     def record_first_token(self, request: InFlightRequest) -> None:
         """Record that the prompt has been prefilled."""
         self._load(request.server).prefill_tokens -= request.prefill_tokens
--- a/src/bilberryturn/routing/server_limits.py
+++ b/src/bilberryturn/routing/server_limits.py
@@ -1,8 +1,10 @@
 """Track the limits that backend servers in need name in their answers.
 
-A limit holds for all nodes together, for as long as answers name it. Each node
-reports to the others what differs from what they know, so that all of them know
-a limit, or its end, after one answer to any of them.
+A limit is how many requests a second a server takes, or how many rejections in
+a second a brittle one withstands. It holds for all nodes together, for as long
+as answers name it. Each node reports to the others what differs from what they
+know, so that all of them know a limit, or its end, after one answer to any of
+them.
 """
 
 from typing import NamedTuple
@@ -11,11 +13,15 @@
 
 # Most limits that a node reports to the others; its row stays under 10 KB.
 MAX_REPORTS = 100
+# What a brittle server says holds for those of its service that have not been
+# heard, so that few reports are enough.
+MAX_BRITTLE_REPORTS = 20
 # Some requests are sent to a server that takes none, to see whether it does
 # again.
 MIN_LIMIT_PER_S = 0.1
 
 _PREFIX = "limit:"
+_BRITTLE_PREFIX = "brittle:"
 
 
 class _Observation(NamedTuple):
@@ -36,7 +42,22 @@
     Times are on the clock that all nodes share, in Unix seconds.
     """
 
-    def __init__(self):
+    def __init__(
+        self,
+        prefix: str = _PREFIX,
+        min_per_s: float = MIN_LIMIT_PER_S,
+        max_reports: int = MAX_REPORTS,
+    ):
+        """Initialize without observations.
+
+        Args:
+            prefix: Begins the names of the reports.
+            min_per_s: Lower limits count as this one.
+            max_reports: Most limits that a node reports to the others.
+        """
+        self._prefix = prefix
+        self._min_per_s = min_per_s
+        self._max_reports = max_reports
         self._newest: dict[types.Lifetime, _Observation] = {}
         self._own: dict[types.Lifetime, _Observation] = {}
 
@@ -58,7 +79,7 @@
     ) -> bool:
         """Record an answer; returns whether it changed the server's limit."""
         if limit_per_s is not None:
-            limit_per_s = max(MIN_LIMIT_PER_S, round(limit_per_s, 3))
+            limit_per_s = max(self._min_per_s, round(limit_per_s, 3))
         known = self._newest.get(lifetime)
         if known is None and limit_per_s is None:
             return False
@@ -76,7 +97,7 @@
             reports: As from own_reports; other names are ignored.
         """
         for name, at_ms in reports.items():
-            decoded = _decode(name)
+            decoded = self._decode(name)
             if decoded is None:
                 continue
             lifetime, limit_per_s = decoded
@@ -91,10 +112,10 @@
         """Return this node's observations, for other nodes."""
         newest = sorted(self._own.items(), key=lambda item: item[1].at_s)
         return {
-            _encode(lifetime, observation.limit_per_s): int(
+            self._encode(lifetime, observation.limit_per_s): int(
                 observation.at_s * 1000
             )
-            for lifetime, observation in newest[-MAX_REPORTS:]
+            for lifetime, observation in newest[-self._max_reports :]
         }
 
     def retain(self, live: set[types.Lifetime]) -> None:
@@ -103,25 +124,32 @@
             for lifetime in observations.keys() - live:
                 del observations[lifetime]
 
-
-def is_report(name: str) -> bool:
-    """Return whether the name of a report stands for a limit."""
-    return name.startswith(_PREFIX)
-
-
-def _encode(lifetime: types.Lifetime, limit_per_s: float | None) -> str:
-    limit = "none" if limit_per_s is None else str(round(limit_per_s * 1000))
-    return f"{_PREFIX}{limit}:{lifetime[1]}:{lifetime[0]}"
-
-
-def _decode(name: str) -> tuple[types.Lifetime, float | None] | None:
-    """Return the server and its limit; None for another kind of report."""
-    if not is_report(name):
-        return None
-    limit, _, rest = name.removeprefix(_PREFIX).partition(":")
-    started_ms, _, server_id = rest.partition(":")
-    try:
-        limit_per_s = None if limit == "none" else int(limit) / 1000
-        return (server_id, int(started_ms)), limit_per_s
-    except ValueError:
-        return None
+    def observed_s(self, lifetime: types.Lifetime) -> float:
+        """Return when a server's limit or its end was last observed."""
+        observation = self._newest.get(lifetime)
+        return 0.0 if observation is None else observation.at_s
+
+    def _encode(
+        self, lifetime: types.Lifetime, limit_per_s: float | None
+    ) -> str:
+        limit = (
+            "none" if limit_per_s is None else str(round(limit_per_s * 1000))
+        )
+        return f"{self._prefix}{limit}:{lifetime[1]}:{lifetime[0]}"
+
+    def _decode(self, name: str) -> tuple[types.Lifetime, float | None] | None:
+        """Return the server and its limit; None for another kind of report."""
+        if not name.startswith(self._prefix):
+            return None
+        limit, _, rest = name.removeprefix(self._prefix).partition(":")
+        started_ms, _, server_id = rest.partition(":")
+        try:
+            limit_per_s = None if limit == "none" else int(limit) / 1000
+            return (server_id, int(started_ms)), limit_per_s
+        except ValueError:
+            return None
+
+
+def brittleness() -> ServerLimits:
+    """Return the rejections in a second that brittle servers withstand."""
+    return ServerLimits(_BRITTLE_PREFIX, 0.0, MAX_BRITTLE_REPORTS)
