Reach servers through a peer while a node is cut off from all of them

Cause: a node connects to servers directly only, and takes failures of its own path for failures of servers: breakers open, servers count as cold and as crashed.

Ruled out: saying that the node is not ready (open connections stay, and a failure domain of which under half is ready is used all the same) and passing requests on as HTTP (permits, retries, versions, usage and crash marks would be decided twice).

Change: a node that may be cut off asks servers itself, in the background. While none answers, it connects to them through a peer that passes bytes on (CONNECT on the internal port, known servers only, at most 256, with an explicit end of the direction from the server). It goes on to decide everything. Failures of the path are withdrawn once a peer reached a server and a later check of the node's own did not. Nodes without peers and nodes that are not in doubt connect as before.

A connection that is reset before its options are set now fails as one that cannot be established, instead of with an OSError in the exchange.

starting_node.feature built a SharedState without a pool (None); it gets a real one, as the state now hands the pool its ways to servers. The checks of that scenario are unchanged.

--- a/features/steps/starting_node_steps.py
+++ b/features/steps/starting_node_steps.py
@@ -23,6 +23,7 @@
 from bilberryturn.gateway import memory
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import state_arrival
+from bilberryturn.gateway import upstream
 from bilberryturn.platform import rows
 from bilberryturn.platform import store_era
 from bilberryturn_standins import proxy
@@ -310,7 +311,10 @@
 @behave.when("the node reads its configuration and one server")
 def when_reads(context):
     shared = shared_state.SharedState(
-        "here", shared_state.RetryLimits(0.2, 90.0, 10.0), 5.0, None
+        "here",
+        shared_state.RetryLimits(0.2, 90.0, 10.0),
+        5.0,
+        upstream.ConnectionPool(),
     )
     context.node.shared = shared
     context.applier = feeds.Applier(shared, peer_state.RawState(), "n@1")
--- a/features/support/gateway_rig.py
+++ b/features/support/gateway_rig.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+from bilberryturn.gateway import permits
 from bilberryturn.gateway import server
 from bilberryturn.gateway import shared_state
 from bilberryturn.gateway import upstream
@@ -71,8 +72,17 @@
         port: The port that callers connect to.
     """
 
-    def __init__(self, servers, route_table=None, regions=None):
+    def __init__(
+        self,
+        servers,
+        route_table=None,
+        regions=None,
+        pool=None,
+        peers=permits.NO_PEERS,
+    ):
         self._regions = regions
+        self._pool = pool or upstream.ConnectionPool()
+        self._peers = peers
         self.loop = asyncio.new_event_loop()
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
         self.call(self._start, servers, route_table or make_table())
@@ -88,7 +98,8 @@
             "here",
             shared_state.RetryLimits(0.2, 90.0, 10.0),
             5.0,
-            upstream.ConnectionPool(),
+            self._pool,
+            peers=self._peers,
             regions=self._regions,
         )
         self.shared.table = route_table
--- a/src/bilberryturn/edge/node.py
+++ b/src/bilberryturn/edge/node.py
@@ -33,6 +33,7 @@
 from bilberryturn.gateway import places
 from bilberryturn.gateway import server as caller_server
 from bilberryturn.gateway import shared_state
+from bilberryturn.gateway import tunnel_server
 from bilberryturn.gateway import upstream
 from bilberryturn.platform import decoding
 from bilberryturn.platform import duty_calls
@@ -106,6 +107,13 @@
         )
         self._config_server = config_transfer.ConfigServer(self._raw)
         self._callers = caller_server.CallerServer(self.shared)
+        self._tunnels = tunnel_server.TunnelServer(
+            self.shared.directory,
+            self.shared.reachability,
+            self.shared.memory,
+            lambda: self.shared.is_stopping,
+            settings.ip,
+        )
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._request_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -337,7 +345,7 @@
         )
         await self._metrics_server.start(settings.ip, METRICS_PORT)
         self._peer_server = internal_server.InternalServer(
-            self._handle_peer_request
+            self._handle_peer_request, self._tunnels.serve
         )
         if settings.peers is not None:
             await self._peer_server.start(
@@ -539,7 +547,7 @@
             # Connections that were just accepted are set up meanwhile.
             await asyncio.sleep(STOP_POLL_INTERVAL_S)
             self._callers.close_idle()
-            if not self._callers.busy_count():
+            if not self._callers.busy_count() and not self._tunnels.count:
                 break
         self.shared.usage.close()
         self._stopping.set()
--- a/src/bilberryturn/events.py
+++ b/src/bilberryturn/events.py
@@ -85,6 +85,8 @@
 SERVER_LIMIT_CHANGED = Event(1407, "server_limit_changed", logging.INFO)
 SERVER_COLD_CHANGED = Event(1408, "server_cold_changed", logging.INFO)
 SERVER_BRITTLE_CHANGED = Event(1409, "server_brittle_changed", logging.INFO)
+SERVERS_UNREACHABLE = Event(1410, "servers_unreachable", logging.WARNING)
+SERVERS_REACHABLE = Event(1411, "servers_reachable", logging.INFO)
 
 LEASE_ACQUIRED = Event(1501, "lease_acquired", logging.INFO)
 LEASE_LOST = Event(1502, "lease_lost", logging.WARNING)
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -24,6 +24,8 @@
 
 # Connecting takes milliseconds unless the server is unreachable.
 CONNECT_TIMEOUT_S = 0.35
+# Several peers may have to be asked for a connection.
+DETOUR_TIMEOUT_S = 0.7
 # Time after the deadline in which a server may still respond that it timed out.
 DEADLINE_GRACE_S = 0.1
 # Share of the remaining time after which an attempt of an idempotent request
@@ -36,6 +38,7 @@
 
     Attributes:
         was_sent: Whether the request was written.
+        via: Address of the peer that passed it on; None for a direct one.
         is_framed: Whether the response has a length or chunks; None before its
             head.
     """
@@ -78,6 +81,7 @@
         # Whether the failure counted as a crash of the server.
         self._is_crash = False
         self.was_sent = False
+        self.via: str | None = None
         self.is_framed: bool | None = None
 
     async def run(self, may_try_another: bool) -> attempt_types.AttemptResult:
@@ -115,18 +119,22 @@
 
     async def _run(self, may_try_another: bool) -> attempt_types.AttemptResult:
         request = self._request
+        timeout_s = CONNECT_TIMEOUT_S
+        if self._shared.reachability.is_doubtful:
+            timeout_s = DETOUR_TIMEOUT_S
         try:
             self._connection = await self._shared.pool.acquire(
                 self._chosen.server,
-                min(CONNECT_TIMEOUT_S, request.deadline_s - time.monotonic()),
+                min(timeout_s, request.deadline_s - time.monotonic()),
                 request.route.is_retryable,
             )
         except upstream.UpstreamError as error:
-            self._end_attempt(False)
-            if error.is_disconnect:
+            self._end_attempt(None if error.is_path_failure else False)
+            if error.is_disconnect and not error.is_path_failure:
                 self._shared.availability.record_end(self._chosen.server)
             return attempt_types.AttemptFailed(error.reason, False)
         self._was_reused = self._connection.is_reused
+        self.via = self._connection.via
         if self._shared.witnesses.is_expected(self._chosen.server.service):
             self._hold_witness()
         remaining_s = request.deadline_s - time.monotonic()
@@ -152,7 +160,7 @@
             self._handle_failure(error)
             return attempt_types.AttemptFailed(error.reason, error.was_sent)
         except TimeoutError:
-            self._end_attempt(False)
+            self._end_attempt(None if self._is_path_failure else False)
             return attempt_types.AttemptFailed("no answer in time", True)
 
     def _timeout_s(self, remaining_s: float, may_try_another: bool) -> float:
@@ -395,12 +403,18 @@
                 # The request runs from its first event on.
                 self._shared.evacuation.add(self)
 
+    @property
+    def _is_path_failure(self) -> bool:
+        connection = self._connection
+        return connection is not None and connection.is_path_failure
+
     def _handle_failure(self, error: upstream.UpstreamError) -> None:
         """Release the server, and count a crash if it ended."""
         was_reused = bool(self._was_reused)
-        is_failure = error.was_sent and not was_reused
+        is_path_failure = self._is_path_failure
+        is_failure = error.was_sent and not (was_reused or is_path_failure)
         self._end_attempt(False if is_failure else None)
-        if not error.was_sent or not error.may_be_crash:
+        if not error.was_sent or not error.may_be_crash or is_path_failure:
             return
         self._is_crash = crash_records.record(
             self._shared,
@@ -481,6 +495,7 @@
             move=self.move_state(),
             prompt_parts=types.shared_parts(self._prompt),
             connection_reused=self._was_reused,
+            via=self.via,
             is_crash=self._is_crash,
             crash_name=self._request.crash_name,
             known_crashes=evidence.crashes,
--- a/src/bilberryturn/gateway/availability.py
+++ b/src/bilberryturn/gateway/availability.py
@@ -101,6 +101,8 @@
         # Time of day until which a server is cold, as its answers said or as
         # follows from a connection that ended.
         self._cold_until_s: dict[types.Lifetime, float] = {}
+        # Monotonic time of the last such end.
+        self._ended_s: dict[types.Lifetime, float] = {}
         # Cached cold servers and their limits, and when they were listed.
         self._found_cold: dict[types.Lifetime, float] = {}
         self._cold_found_s = -math.inf
@@ -230,10 +232,22 @@
         """
         service = self._services().get(server.service)
         if service is not None and service.cold_s > 0:
+            self._ended_s[server.lifetime] = time.monotonic()
             self._cold_until_s[server.lifetime] = (
                 self._time_of_day() + service.cold_s
             )
 
+    def withdraw_ends(self, since_s: float) -> None:
+        """Forget the ends of servers that were recorded from a time on.
+
+        Args:
+            since_s: Monotonic time.
+        """
+        for lifetime, ended_s in list(self._ended_s.items()):
+            if ended_s >= since_s:
+                del self._ended_s[lifetime]
+                self._cold_until_s.pop(lifetime, None)
+
     def limit(self, server: types.BackendServer) -> slow_start.Limit | None:
         """Return the limit of a server, if it has one."""
         return slow_start.combined(
@@ -503,6 +517,8 @@
         self._brittleness.retain(live)
         for lifetime in self._cold_until_s.keys() - live:
             del self._cold_until_s[lifetime]
+        for lifetime in self._ended_s.keys() - live:
+            del self._ended_s[lifetime]
         now_s = time.monotonic()
         self._paused_until_s = {
             lifetime: until_s
--- a/src/bilberryturn/gateway/crash_checks.py
+++ b/src/bilberryturn/gateway/crash_checks.py
@@ -65,8 +65,8 @@
                 server, CHECK_TIMEOUT_S, may_reuse=False
             )
             connection.close()
-        except upstream.UpstreamError:
-            has_ended = True
+        except upstream.UpstreamError as error:
+            has_ended = not error.is_path_failure
         finally:
             waiting = self._waiting.pop(server.lifetime)
         if has_ended:
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -602,6 +602,7 @@
             running=chosen.running if chosen else None,
             unread_tokens=chosen.uncached_tokens if chosen else None,
             sends=self._sent_count,
+            via=attempt.via if attempt else None,
             delivered_events=(
                 caller_delivery.event_count if caller_delivery else None
             ),
--- a/src/bilberryturn/gateway/internal_server.py
+++ b/src/bilberryturn/gateway/internal_server.py
@@ -1,6 +1,7 @@
 """Serve internal HTTP requests: readiness, metrics and peers' requests."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -8,6 +9,12 @@
 
 REQUEST_TIMEOUT_S = 5.0
 MAX_REQUEST_BYTES = 65536
+# Reading pauses at twice as many bytes that wait.
+READ_BYTES = 16 * 1024
+
+TunnelHandler = Callable[
+    [str, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+]
 
 
 class Reply(NamedTuple):
@@ -26,20 +33,29 @@
 class InternalServer:
     """Serves short requests, whose handler replies without waiting."""
 
-    def __init__(self, handler: Callable[[str, bytes], Reply]):
-        """Set the handler.
+    def __init__(
+        self,
+        handler: Callable[[str, bytes], Reply],
+        tunnel_handler: TunnelHandler | None = None,
+    ):
+        """Set the handlers.
 
         Args:
             handler: Returns the reply to a path and a body; runs on the event
                 loop.
+            tunnel_handler: Serves a CONNECT to an address on its connection
+                until that can be closed.
         """
         self._handler = handler
+        self._tunnel_handler = tunnel_handler
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self, host: str, port: int) -> None:
         """Start listening."""
-        self._server = await asyncio.start_server(self._accept, host, port)
+        self._server = await asyncio.start_server(
+            self._accept, host, port, limit=READ_BYTES
+        )
 
     def stop(self) -> None:
         """Stop listening."""
@@ -76,6 +92,7 @@
     async def _serve_one(self, reader, writer, parser) -> bool:
         path = ""
         body = b""
+        is_tunnel = False
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
@@ -85,6 +102,7 @@
                 parser.receive_data(data)
             elif isinstance(event, h11.Request):
                 path = event.target.decode("latin-1")
+                is_tunnel = event.method == b"CONNECT"
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > MAX_REQUEST_BYTES:
@@ -93,6 +111,9 @@
                 break
             elif isinstance(event, h11.ConnectionClosed):
                 return False
+        if is_tunnel and self._tunnel_handler is not None:
+            await self._tunnel_handler(path, reader, writer)
+            return False
         reply = self._handler(path, body)
         headers = [
             ("content-length", str(len(reply.body))),
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -17,8 +17,10 @@
 from bilberryturn.gateway import memory
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import permits
+from bilberryturn.gateway import reachability
 from bilberryturn.gateway import state_arrival
 from bilberryturn.gateway import stream_origins
+from bilberryturn.gateway import tunnels
 from bilberryturn.gateway import upstream
 from bilberryturn.gateway import witnesses
 from bilberryturn.routing import budget
@@ -33,6 +35,9 @@
 
 # Time for which leaving servers go on, unless the deployment states another.
 DEFAULT_DRAIN_S = 2.5
+# Connections in use may have been reset so long before the first sign that the
+# node is cut off from servers.
+CUT_MARGIN_S = 1.0
 # Ended windows that a node keeps publishing, in case a write of them is lost.
 KEPT_WINDOWS = 2
 
@@ -144,6 +149,7 @@
             seconds.
         drain_s: Time for which leaving servers go on at least, in seconds.
         memory: Account of the bytes that requests hold.
+        reachability: Whether this node is cut off from all servers.
         placement: In which failure domains requests may be served.
         arrival: Lets requests wait for the state of a node that starts.
         list_waits: Lets requests wait for a newer list of servers.
@@ -182,6 +188,18 @@
             lambda: self.table.services if self.table else {},
             self.load_balancer.in_flight,
         )
+        through_peers = tunnels.Tunnels(
+            pool.open, peers.own_address, failure_domain, peers.in_domain
+        )
+        self.reachability = reachability.Reachability(
+            reachability.Links(
+                self.directory.all_servers,
+                self._is_reached,
+                through_peers.has_peers,
+                self._withdraw_failures,
+            )
+        )
+        pool.use_peers(self.reachability, through_peers)
         self.time_of_day = time_of_day
         self.usage = UsageCounts(usage_window_s, time_of_day)
         self.pool = pool
@@ -204,6 +222,26 @@
         """Return whether the node is shutting down."""
         return self.drain is not None
 
+    async def _is_reached(
+        self, server: types.BackendServer, timeout_s: float
+    ) -> bool:
+        """Return whether a server answers its health check directly."""
+        services = self.table.services if self.table else {}
+        service = services.get(server.service)
+        path = service.health_path if service is not None else ""
+        return await self.pool.answers(server, path, timeout_s)
+
+    def _withdraw_failures(self, age_s: float) -> None:
+        """Forget failures of the path that were taken for those of servers.
+
+        Args:
+            age_s: Time in seconds for which the path has been failing.
+        """
+        age_s += CUT_MARGIN_S
+        self.load_balancer.forget_failures()
+        self.availability.withdraw_ends(time.monotonic() - age_s)
+        self.part_crashes.withdraw(self.time_of_day() - age_s)
+
     def record_arrival(self) -> None:
         """Wake the requests that wait for what the node now knows.
 
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import collections
-import os
+from collections.abc import Callable
 import socket
 import time
 from typing import NamedTuple
@@ -14,12 +14,12 @@
 import h11
 
 from bilberryturn.gateway import loop_time
+from bilberryturn.gateway import reachability
+from bilberryturn.gateway import receivers
 from bilberryturn.gateway import response_limits
+from bilberryturn.gateway import tunnels
 from bilberryturn.routing import types
 
-# Most bytes that are read at once, or that wait to be parsed before a
-# connection is not read any more.
-READ_BYTES = 16 * 1024
 # The kernel holds what isn't read; it would let the buffer grow to megabytes.
 RECEIVE_BUFFER_BYTES = 32 * 1024
 # An idle connection is reused only for this share of the server's idle timeout,
@@ -30,6 +30,11 @@
 MAX_IDLE_PER_SERVER = 8
 # Time after which unacknowledged data ends a connection, as its path is down.
 TCP_USER_TIMEOUT_MS = 5000
+# Part of the time for a connection that a direct one gets while the node may be
+# cut off; the rest is for one through a peer.
+DIRECT_SHARE = 0.4
+# A connection that was not established within less is no sign of a cut.
+MIN_SIGN_S = 0.1
 
 
 class UpstreamError(Exception):
@@ -41,6 +46,8 @@
         is_disconnect: Whether the server closed, reset or refused the
             connection.
         may_be_crash: Whether the server may have crashed under the request.
+        is_path_failure: Whether only the path to the server failed, which says
+            nothing on the server.
     """
 
     def __init__(
@@ -49,8 +56,10 @@
         was_sent: bool,
         is_disconnect: bool = False,
         may_be_crash: bool = True,
+        is_path_failure: bool = False,
     ):
         super().__init__(reason)
+        self.is_path_failure = is_path_failure
         self.may_be_crash = may_be_crash
         self.reason = reason
         self.was_sent = was_sent
@@ -77,112 +86,6 @@
     body: bytes
 
 
-class _Receiver(asyncio.BufferedProtocol):
-    """Receives into the buffer of the pool, so that little waits to be parsed.
-
-    Attributes:
-        transport: Set as the connection is established.
-        is_at_eof: Whether the server has closed the connection.
-        ended_s: Monotonic time at which it did; 0 before.
-    """
-
-    def __init__(self, buffer: bytearray):
-        self.transport: asyncio.Transport | None = None
-        self.is_at_eof = False
-        self.ended_s = 0.0
-        self._buffer = buffer
-        self._received: list[bytes] = []
-        self._received_bytes = 0
-        self._error: Exception | None = None
-        self._waiter: asyncio.Future | None = None
-
-    @property
-    def is_exhausted(self) -> bool:
-        """Return whether the server has closed and all bytes were read."""
-        return self.is_at_eof and not self._received
-
-    @property
-    def is_reset(self) -> bool:
-        """Return whether the connection ended with an error.
-
-        One that comes after the server has closed its side, such as a reset,
-        is not reported to the protocol.
-        """
-        raw_socket = self.transport.get_extra_info("socket")
-        if self._error is None and raw_socket.fileno() >= 0:
-            code = raw_socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            if code:
-                self._error = OSError(code, os.strerror(code))
-        return self._error is not None
-
-    @property
-    def has_data(self) -> bool:
-        """Return whether received bytes wait to be parsed."""
-        return bool(self._received)
-
-    async def read(self) -> bytes:
-        """Return received bytes; empty once the server has closed.
-
-        Raises:
-            OSError: The connection was lost.
-        """
-        while not self._received:
-            if self._error is not None:
-                raise self._error
-            if self.is_at_eof:
-                return b""
-            self._waiter = asyncio.get_running_loop().create_future()
-            try:
-                await self._waiter
-            finally:
-                self._waiter = None
-        data = b"".join(self._received)
-        self._received.clear()
-        if self._received_bytes >= READ_BYTES:
-            self.transport.resume_reading()
-        self._received_bytes = 0
-        return data
-
-    # Callbacks of asyncio.BufferedProtocol.
-
-    def connection_made(self, transport) -> None:
-        """Keep the transport."""
-        self.transport = transport
-
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Return where to receive to."""
-        return self._buffer
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Keep received bytes until they are read."""
-        self._received.append(bytes(memoryview(self._buffer)[:nbytes]))
-        self._received_bytes += nbytes
-        if self._received_bytes >= READ_BYTES:
-            self.transport.pause_reading()
-        self._wake()
-
-    def eof_received(self) -> bool:
-        """Keep the connection, whose other direction is still open."""
-        self._record_end()
-        self._wake()
-        return True
-
-    def connection_lost(self, error: Exception | None) -> None:
-        """End the reading."""
-        self._error = error
-        self._record_end()
-        self._wake()
-
-    def _record_end(self) -> None:
-        if not self.is_at_eof:
-            self.is_at_eof = True
-            self.ended_s = time.monotonic()
-
-    def _wake(self) -> None:
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
-
 class Connection:
     """A connection to a backend server.
 
@@ -190,15 +93,29 @@
         key: Identifies the lifetime of the server that it is connected to.
         is_reused: Whether it has carried an earlier request.
         reuse_until_s: Monotonic time until which it may be reused while idle.
+        via: Address of the peer that passes it on; None for a direct one.
     """
 
     def __init__(
         self,
         key: tuple[str, int],
-        receiver: _Receiver,
+        receiver: receivers.Receiver,
         time_of_loop: loop_time.LoopTime,
+        reach: reachability.Reachability | None = None,
+        via: str | None = None,
     ):
+        """Initialize an established connection.
+
+        Args:
+            key: As the attribute.
+            receiver: Receives on it.
+            time_of_loop: Divides the time of the event loop.
+            reach: Learns from a direct connection to a server.
+            via: As the attribute.
+        """
         self.key = key
+        self.via = via
+        self._reach = reach
         self.is_reused = False
         self._receiver = receiver
         self._turns = loop_time.Turns(time_of_loop)
@@ -236,6 +153,8 @@
         except h11.LocalProtocolError as error:
             raise UpstreamError(f"invalid request: {error}", False) from error
         self._receiver.transport.write(b"".join(encoded))
+        if self._reach is not None:
+            self._reach.begin_wait(self, self.key)
 
     async def next_event(self):
         """Return the next event of the response.
@@ -270,14 +189,35 @@
                     )
                 self._parser.receive_data(data)
         except h11.RemoteProtocolError as error:
+            self._record_failure()
             raise UpstreamError(
                 f"not an answer: {error}", True, self._receiver.is_exhausted
             ) from error
+        except receivers.TunnelLostError as error:
+            raise UpstreamError(str(error), True, may_be_crash=False) from error
         except OSError as error:
+            self._record_failure()
             raise UpstreamError(
                 f"connection lost: {error}", True, True
             ) from error
 
+    def _record_failure(self) -> None:
+        """Record that it failed, if the server never answered on it."""
+        if self._reach is not None and not self._receiver.has_received:
+            self._reach.record_failure(self.key)
+
+    @property
+    def is_path_failure(self) -> bool:
+        """Return whether its failure says nothing on the server."""
+        if self._reach is not None:
+            return self._reach.excuses(self._receiver.opened_s)
+        return self._receiver.is_path_lost
+
+    def end_wait(self) -> None:
+        """Record that the server owes nothing on it any more."""
+        if self._reach is not None:
+            self._reach.end_wait(self)
+
     async def skip_response(self) -> None:
         """Read on behind a response that belongs to an earlier request.
 
@@ -307,7 +247,8 @@
     def is_reusable(self) -> bool:
         """Return whether the response ended cleanly and nothing followed."""
         return (
-            self._parser.our_state is h11.DONE
+            self.via is None
+            and self._parser.our_state is h11.DONE
             and self._parser.their_state is h11.DONE
             and self._parser.trailing_data == (b"", False)
             and self._receiver.transport.get_write_buffer_size() == 0
@@ -318,10 +259,18 @@
         # Bytes on an idle connection belong to no request.
         return (
             not self._receiver.is_at_eof
+            and not self._is_from_before_cut()
             and not self._receiver.has_data
             and not self._receiver.transport.is_closing()
         )
 
+    def _is_from_before_cut(self) -> bool:
+        """Return whether the path may have failed since it was opened."""
+        reach = self._reach
+        return reach is not None and (
+            reach.is_cut or self._receiver.opened_s < reach.cut_ended_s
+        )
+
     @property
     def ended_s(self) -> float:
         """Return the monotonic time at which it was closed; 0 before."""
@@ -339,6 +288,7 @@
 
     def close(self) -> None:
         """Abort the connection, so that the server cancels the request."""
+        self.end_wait()
         self._receiver.transport.abort()
 
     def give_way(self) -> None:
@@ -361,7 +311,9 @@
     def __init__(self, source_ip: str = ""):
         self._idle: dict[tuple[str, int], collections.deque[Connection]] = {}
         self._source = (source_ip, 0) if source_ip else None
-        self._buffer = bytearray(READ_BYTES)
+        self._reach: reachability.Reachability | None = None
+        self._tunnels: tunnels.Tunnels | None = None
+        self._buffer = bytearray(receivers.READ_BYTES)
         self.loop_time = loop_time.LoopTime()
 
     async def acquire(
@@ -386,7 +338,7 @@
             kept = self._take_idle(key)
             if kept is not None:
                 return kept
-        return await self._connect(key, server.host, server.port, timeout_s)
+        return await self._connect_to_server(server, timeout_s)
 
     async def call(
         self, address: str, call: Call, timeout_s: float, max_body_bytes: int
@@ -417,25 +369,152 @@
         except TimeoutError as error:
             raise UpstreamError("no answer in time", True) from error
 
-    async def _connect(
-        self, key: tuple[str, int], host: str, port: int, timeout_s: float
+    def use_peers(
+        self,
+        reach: reachability.Reachability,
+        through_peers: tunnels.Tunnels,
+    ) -> None:
+        """Connect to servers through peers while the node is cut off.
+
+        Args:
+            reach: Finds out whether it is.
+            through_peers: Connects through peers.
+        """
+        self._reach = reach
+        self._tunnels = through_peers
+
+    async def answers(
+        self, server: types.BackendServer, path: str, timeout_s: float
+    ) -> bool:
+        """Return whether a server answers anything on a direct connection.
+
+        Args:
+            server: The server.
+            path: Path of its health check; "" if it has none, so that it need
+                only keep a connection for a moment.
+            timeout_s: Timeout of the whole.
+        """
+        transport = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                transport, receiver = await self.open(
+                    server.host, server.port, timeout_s, self._new_receiver
+                )
+                if path:
+                    transport.write(
+                        f"GET {path} HTTP/1.1\r\nHost: {server.address}\r\n"
+                        "Connection: close\r\n\r\n".encode("latin-1")
+                    )
+                    return bool(await receiver.read())
+                await asyncio.sleep(MIN_SIGN_S)
+                return not receiver.is_at_eof
+        except (OSError, TimeoutError):
+            return False
+        finally:
+            if transport is not None:
+                transport.abort()
+
+    def _new_receiver(self) -> receivers.Receiver:
+        return receivers.Receiver(self._buffer)
+
+    async def _connect_to_server(
+        self, server: types.BackendServer, timeout_s: float
     ) -> Connection:
+        """Connect directly, or through a peer if the node may be cut off."""
+        reach = self._reach
+        if reach is None:
+            return await self._connect(
+                server.lifetime, server.host, server.port, timeout_s
+            )
+        end_s = time.monotonic() + timeout_s
+        may_help = reach.is_doubtful and self._tunnels.has_candidate(server)
+        if reach.is_cut and may_help:
+            return await self._connect_through_peer(server, timeout_s)
+        if may_help:
+            timeout_s *= DIRECT_SHARE
         try:
-            transport, receiver = await asyncio.wait_for(
-                asyncio.get_running_loop().create_connection(
-                    lambda: _Receiver(self._buffer),
-                    host,
-                    port,
-                    local_addr=self._source,
-                ),
+            return await self._connect_directly(server, timeout_s)
+        except UpstreamError:
+            left_s = end_s - time.monotonic()
+            if (
+                left_s < MIN_SIGN_S
+                or not reach.is_doubtful
+                or not self._tunnels.has_candidate(server)
+            ):
+                raise
+        return await self._connect_through_peer(server, left_s)
+
+    async def _connect_directly(
+        self, server: types.BackendServer, timeout_s: float
+    ) -> Connection:
+        reach = self._reach
+        try:
+            _, receiver = await self.open(
+                server.host,
+                server.port,
                 timeout_s,
+                lambda: receivers.Receiver(self._buffer, reach.record_bytes),
             )
         except (OSError, TimeoutError) as error:
+            is_timeout = isinstance(error, TimeoutError)
+            if timeout_s >= MIN_SIGN_S or not is_timeout:
+                reach.record_failure(server.lifetime)
+            raise _cannot_connect(error, reach.is_confirmed) from error
+        return Connection(server.lifetime, receiver, self.loop_time, reach)
+
+    async def _connect_through_peer(
+        self, server: types.BackendServer, timeout_s: float
+    ) -> Connection:
+        reach = self._reach
+        try:
+            tunnel = await self._tunnels.connect(
+                server,
+                timeout_s,
+                lambda: receivers.TunnelReceiver(
+                    self._buffer, reach.record_help
+                ),
+            )
+        except tunnels.TunnelError as error:
             raise UpstreamError(
-                f"cannot connect: {type(error).__name__}",
+                f"cannot connect through a peer: {error}",
                 False,
-                isinstance(error, ConnectionRefusedError),
+                error.is_refused,
+                is_path_failure=not error.is_reached,
             ) from error
+        return Connection(
+            server.lifetime, tunnel.receiver, self.loop_time, via=tunnel.peer
+        )
+
+    async def _connect(
+        self, key: tuple[str, int], host: str, port: int, timeout_s: float
+    ) -> Connection:
+        try:
+            _, receiver = await self.open(
+                host, port, timeout_s, self._new_receiver
+            )
+        except (OSError, TimeoutError) as error:
+            raise _cannot_connect(error) from error
+        return Connection(key, receiver, self.loop_time)
+
+    async def open(
+        self,
+        host: str,
+        port: int,
+        timeout_s: float,
+        new_protocol: Callable[[], asyncio.BaseProtocol],
+    ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
+        """Open a connection with a protocol.
+
+        Raises:
+            OSError: It was not established.
+            TimeoutError: It was not established in time.
+        """
+        transport, protocol = await asyncio.wait_for(
+            asyncio.get_running_loop().create_connection(
+                new_protocol, host, port, local_addr=self._source
+            ),
+            timeout_s,
+        )
         raw_socket = transport.get_extra_info("socket")
         if raw_socket is not None:
             raw_socket.setsockopt(
@@ -446,7 +525,7 @@
                 socket.TCP_USER_TIMEOUT,
                 TCP_USER_TIMEOUT_MS,
             )
-        return Connection(key, receiver, self.loop_time)
+        return transport, protocol
 
     def _take_idle(self, key: tuple[str, int]) -> Connection | None:
         idle = self._idle.get(key)
@@ -469,6 +548,7 @@
             connection: A connection whose response has ended.
             idle_timeout_s: The server's idle timeout, or None if not stated.
         """
+        connection.end_wait()
         reuse_s = DEFAULT_REUSE_S
         if idle_timeout_s is not None:
             reuse_s = idle_timeout_s * REUSE_SHARE
@@ -505,6 +585,17 @@
                 del self._idle[key]
 
 
+def _cannot_connect(
+    error: Exception, is_path_failure: bool = False
+) -> UpstreamError:
+    return UpstreamError(
+        f"cannot connect: {type(error).__name__}",
+        False,
+        isinstance(error, ConnectionRefusedError),
+        is_path_failure=is_path_failure,
+    )
+
+
 async def _exchange(
     connection: Connection, address: str, call: Call, max_body_bytes: int
 ) -> Reply:
--- a/src/bilberryturn/gateway/witnesses.py
+++ b/src/bilberryturn/gateway/witnesses.py
@@ -123,6 +123,8 @@
             return None
         if self.is_alive:
             return True
+        if self._connection.is_path_failure:
+            return None
         # One that ended earlier had been idle for too long.
         is_same_end = ended_s - self._connection.ended_s < wait_s
         return False if is_same_end and not self.is_rejected else None
--- a/src/bilberryturn/metrics.py
+++ b/src/bilberryturn/metrics.py
@@ -119,6 +119,18 @@
         "bilberryturn_cold_servers", "Servers that this node takes for cold."
     )
 )
+CUT_FROM_SERVERS = _register(
+    aioprometheus.Gauge(
+        "bilberryturn_cut_from_servers",
+        "1 while this node reaches no server, so that peers connect to them.",
+    )
+)
+TUNNELS = _register(
+    aioprometheus.Gauge(
+        "bilberryturn_tunnels",
+        "Connections to servers that this node passes on for peers.",
+    )
+)
 LEASE_HELD = _register(
     aioprometheus.Gauge("bilberryturn_lease_held", "1 while a lease is held.")
 )
--- a/src/bilberryturn/platform/operator_config.py
+++ b/src/bilberryturn/platform/operator_config.py
@@ -62,6 +62,7 @@
     # that it takes then; absent or 0 means no limit.
     cold_s: float | None = None
     cold_per_s: float | None = None
+    health_path: str = ""
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -178,4 +179,5 @@
         scaling,
         max(0.0, service.cold_s or 0.0),
         max(0.0, service.cold_per_s or 0.0),
+        service.health_path,
     )
--- a/src/bilberryturn/routing/choice.py
+++ b/src/bilberryturn/routing/choice.py
@@ -237,6 +237,12 @@
             return False
         return load.breaker.record_failure(now_s)
 
+    def forget_failures(self) -> None:
+        """Forget the failures of all servers, which were none of theirs."""
+        for load in self._loads.values():
+            load.failure_rate = 0.0
+            load.breaker.record_success()
+
     def retain(self, live: set[tuple[str, int]]) -> None:
         """Drop the load of server lifetimes that have ended."""
         for key, load in list(self._loads.items()):
--- a/src/bilberryturn/routing/part_crashes.py
+++ b/src/bilberryturn/routing/part_crashes.py
@@ -136,6 +136,19 @@
             # A retry may follow at once.
             self._updated_s = 0.0
 
+    def withdraw(self, since_s: float) -> None:
+        """Forget the crashes that this node recorded from a time on.
+
+        Args:
+            since_s: Time from which on it took failures of its own path to
+                servers for crashes.
+        """
+        for key, crash in list(self._own.items()):
+            if crash.at_s >= since_s:
+                del self._own[key]
+                self._index = None
+                self._is_changed = True
+
     def _drop_oldest(self) -> None:
         """Keep the crashes of this node within their bounds."""
         size_bytes = sum(map(_size_bytes, self._own.values()))
--- a/src/bilberryturn/routing/types.py
+++ b/src/bilberryturn/routing/types.py
@@ -94,6 +94,7 @@
             servers are never cold.
         cold_rate_per_s: Requests a second that a cold server takes from all
             nodes together; 0 for no limit.
+        health_path: Path of the health check of its servers; "" if unknown.
     """
 
     name: str
@@ -102,6 +103,7 @@
     scaling: Scaling | None
     cold_s: float = 0.0
     cold_rate_per_s: float = 0.0
+    health_path: str = ""
 
 
 class ClientAccount(NamedTuple):
