--- a/features/soak/testbed.py
+++ b/features/soak/testbed.py
@@ -26,6 +26,7 @@
 MIN_BACKENDS = 5
 NODES_PER_BACKEND = 2
 EVENTS = 6
+HEALTH_PATH = "/healthz"
 ROUTES = {
     "safe": {"type": "safe", "attempts": 2, "service": "app"},
     "unsafe": {"type": "unsafe", "attempts": 1, "service": "app"},
@@ -250,7 +251,7 @@
 
     def add_backend(self, name, service, **fields):
         """Start a server and write its entry, with further fields."""
-        server = scripted.ScriptedServer(self._script)
+        server = scripted.ScriptedServer(self._serve)
         address = self.proxy.listen(f"127.0.0.1:{server.port}")
         self.backends[name] = (server, address, service)
         self.store.put("servers", name, {**self.entry(name, 1), **fields})
@@ -297,10 +298,16 @@
                     for kind, route in routes.items()
                 ],
                 "services": [
-                    {"name": "app", "maxConns": 50, **self._app_options},
+                    {
+                        "name": "app",
+                        "maxConns": 50,
+                        "healthPath": HEALTH_PATH,
+                        **self._app_options,
+                    },
                     {
                         "name": "llm",
                         "maxConns": 50,
+                        "healthPath": HEALTH_PATH,
                         "engine": {
                             "slots": 16,
                             "kvCapacity": 100000,
@@ -312,6 +319,13 @@
             },
         )
 
+    def _serve(self, peer, head, body, number):
+        """Answer health checks; the rest is up to the script."""
+        if not head.startswith(f"GET {HEALTH_PATH} "):
+            return self._script(peer, head, body, number)
+        peer.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        return "close"
+
     def _answer(self, peer, head, body, number):
         """Answer after the milliseconds that end the path of a request."""
         self.record.record_run(head, ("key-a", "key-b"))
