Show three ways to join the events of two versions or services in one stream

What callers see: a stream that broke off and is taken up goes on with events of another software version, or of another service, than the ones they have. Found in review; nothing of the product is changed, so that none of it is fixed.

While two versions serve, an attempt at v1 is recorded in the store and ends without an event, and the stream begins at v2. Until the next write (up to 0.2 s later) the store holds v1, and another node goes on at v1. 2. A server has started again under its identifier at v2, of which the node has not heard. The node records v1 for the streams that v2 begins. Once it hears of v2, it goes on with them at another server of v1. 3. A configuration sends the route to another service while streams run. Another node goes on with them there: while that service has one version, it doesn't look up where a stream began.

In the first scenario the server ends its attempt when the store has the row, so that nearly the whole interval is left for the take-up. ScriptedServer.script is public, for servers that start again. The loop that reads the first events now fails at a closed connection, where it did not end.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -134,6 +134,36 @@
       | a cut of 4 s           |
       | a restore of the store |
 
+  # Guards against streams that another node goes on with at the version of an
+  # attempt that ended without an event.
+  Scenario: A stream is taken up just after its first attempt ended at another version
+    Given a store, a node and servers of versions v1, v2
+    And another node that knows them
+    When callers begin streams until an attempt at v1 ends without an event once it is recorded
+    And the streams are taken up at the other node
+    Then no stream has events of two versions
+
+  # Guards against streams that are recorded at the version that their server
+  # had before it started again.
+  Scenario: A stream of a server that started again at another version is taken up
+    Given a store, a node and servers of versions v1, v1
+    When the first server starts again at version v2, of which the node does not hear
+    And 20 callers each have 2 events of a stream
+    And the node hears of it
+    And they take their streams up at the same node
+    Then no stream has events of two versions
+
+  # Guards against streams that another service goes on with once a
+  # configuration sends their route there.
+  Scenario: A stream is taken up after its route has moved to another service
+    Given a store, a node and servers of versions v1, v1
+    And another node that knows them
+    And a server of another service at version v2
+    When 20 callers each have 2 events of a stream
+    And the configuration moves the route to the other service
+    And the streams are taken up at the other node
+    Then no stream has events of two versions
+
   # Guards against callers that wait for one another's lookups.
   Scenario: Many streams are taken up at a node whose store does not answer
     Given a store, a node and servers of versions v1, v1
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -341,15 +341,22 @@
 def when_begin(context, count):
     context.callers = []
     for number in range(count):
-        connection = gateway_rig.connect(context.node.rig.port)
-        connection.sendall(gateway_rig.request_text("resumable", f"a{number}"))
-        received = b""
-        while received.count(b"data: ") < EVENTS_BEFORE_BREAK:
-            received += connection.recv(65536)
-        context.callers.append((connection, _versions(received)))
+        context.callers.append(_begin(context, number))
     _wait_for_write()
 
 
+def _begin(context, number):
+    """Return a caller's connection and the versions of its first events."""
+    connection = gateway_rig.connect(context.node.rig.port)
+    connection.sendall(gateway_rig.request_text("resumable", f"a{number}"))
+    received = b""
+    while received.count(b"data: ") < EVENTS_BEFORE_BREAK:
+        data = connection.recv(65536)
+        assert data, received
+        received += data
+    return connection, _versions(received)
+
+
 @behave.when(
     "the store is restored from a copy after {count:d} callers each have 2"
     " events"
@@ -412,6 +419,91 @@
     context.closers.append(patch.stop)
 
 
+def _recorded_end_script(context, version):
+    """Return the script of a server that ends first attempts once recorded."""
+    go_on = _stream_script(version)
+
+    def answer(peer, head, body, number):
+        if scripted.header(head, "Last-Event-Id"):
+            return go_on(peer, head, body, number)
+        end_s = time.monotonic() + 1.0
+        while time.monotonic() < end_s and not any(
+            json.loads(value)["version"] == version
+            for _, _, value in _stored(context)
+        ):
+            time.sleep(0.005)
+        return "close"
+
+    return answer
+
+
+@behave.when(
+    "callers begin streams until an attempt at {version} ends without an event"
+    " once it is recorded"
+)
+def when_attempt_ends(context, version):
+    first = context.servers[0]
+    first.script = _recorded_end_script(context, version)
+    context.callers = []
+    while not first.requests:
+        context.callers.append(_begin(context, len(context.callers)))
+    _, versions = context.callers[-1]
+    assert version not in versions, versions
+
+
+@behave.when("the streams are taken up at the other node")
+def when_take_up_at_other(context):
+    context.taking = context.other
+    _take_up(context)
+
+
+@behave.when(
+    "the first server starts again at version {version}, of which the node does"
+    " not hear"
+)
+def when_restarts(context, version):
+    context.servers[0].script = _stream_script(version)
+    context.restarted = context.backend_servers[0]._replace(
+        software_version=version, started_ms=int(time.time() * 1000)
+    )
+
+
+@behave.when("the node hears of it")
+def when_hears(context):
+    version = context.restarted.software_version
+    assert any(version in found for _, found in context.callers)
+    context.node.add([context.restarted])
+
+
+def _configure(node, config_version, service):
+    """Let a configuration send all routes to a service."""
+
+    async def configure():
+        route_table = gateway_rig.make_table(
+            config_version, targets=(types.Target(service, 1.0),)
+        )
+        route_table.services["other"] = types.Service("other", 100, None, None)
+        node.rig.shared.table = route_table
+
+    node.rig.call(configure)
+
+
+@behave.given("a server of another service at version {version}")
+def given_other_service(context, version):
+    (server,) = _start_servers(context, [version], [_stream_script(version)])
+    server = server._replace(server_id="o0", service="other")
+    for node in (context.node, context.other):
+        _configure(node, 1, "app")
+        node.add([server])
+
+
+@behave.when("the configuration moves the route to the other service")
+def when_moves(context):
+    for node in (context.node, context.other):
+        _configure(node, 2, "other")
+        node.add([])
+
+
 @behave.when("the node has heard of nothing for {time_s:g} s")
 def when_unheard(context, time_s):
     _hear_of_nothing(context.node, time_s)
--- a/features/support/scripted.py
+++ b/features/support/scripted.py
@@ -15,13 +15,14 @@
         requests: Head and body of each request received, in order.
         most: Connections that it takes at once; further ones are reset.
         idle_s: Time after which it closes a connection without a request.
+        script: The function; another one may take its place.
     """
 
     def __init__(self, script):
         self.requests = []
         self.most = None
         self.idle_s = None
-        self._script = script
+        self.script = script
         self._connections = set()
         self._socket = socket.create_server(("127.0.0.1", 0))
         self.port = self._socket.getsockname()[1]
@@ -77,7 +78,7 @@
                 with self._lock:
                     self.requests.append((head, body))
                     number = len(self.requests)
-                if self._script(peer, head, body, number) == "close":
+                if self.script(peer, head, body, number) == "close":
                     break
         except OSError:
             pass
