Give the simulated nodes of two features the pool that nodes have

SharedState takes `open` and `use_peers` of its pool since the tunnels, which the stand-ins did not have, and the log names the peer of an attempt (`via`).

The stand-ins now extend ConnectionPool and replace its calls only; attempts are direct. Nothing that is checked has changed.

--- a/features/steps/slow_start_steps.py
+++ b/features/steps/slow_start_steps.py
@@ -98,10 +98,11 @@
         return found or list(nodes)
 
 
-class _Pool:
+class _Pool(upstream.ConnectionPool):
     """Calls other nodes of the fleet at once, unless the path is cut."""
 
     def __init__(self, fleet, own):
+        super().__init__()
         self._fleet = fleet
         self._own = own
 
--- a/features/support/brittle_fleet.py
+++ b/features/support/brittle_fleet.py
@@ -165,6 +165,7 @@
         self._shared = shared
         self.was_sent = False
         self.is_framed = True
+        self.via = None
 
     def move_state(self):
         return None
@@ -213,10 +214,11 @@
         self.status = 0
 
 
-class _Pool:
+class _Pool(upstream.ConnectionPool):
     """Calls other nodes, unless the path is cut."""
 
     def __init__(self, fleet, own):
+        super().__init__()
         self._fleet = fleet
         self._own = own
 
