Begin a stream at another version only once its earlier record is removed

Cause: the record of an attempt stays in the store until the next write, 0.2 s later and 3.5 s with 350 nodes, while the events of the next attempt are delivered.

Change: between two attempts of a stream without an event nothing is written on it. If other nodes may read a version as its origin, confirmed or not, the next attempt takes a server of this version; if none takes it, the record is removed first, by a write that is hastened, and the stream begins where it can. Without the store's answer within 0.5 s the request ends as without a server.

The script of the first scenario now waits for the record of its own stream instead of any record of the version, which is stricter once several streams have one.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -143,6 +143,19 @@
     And the streams are taken up at the other node
     Then no stream has events of two versions
 
+  # Guards against a wait for the store that another attempt spares.
+  Scenario: A stream begins at the version that is recorded if any server has it
+    Given a store, a node and servers of versions v1, v1, v2, v2
+    When callers begin streams until 6 attempts at v1 end without an event once they are recorded
+    Then these streams have begun at version v1
+
+  # Guards against a stream that begins at another version than the one that
+  # other nodes read in the store.
+  Scenario: A stream begins at no other version while its record can't be removed
+    Given a store, a node and servers of versions v1, v2
+    When callers begin streams until an attempt at v1 ends without an event once it is recorded, and the store rejects all writes from then on
+    Then this stream has not begun
+
   # Guards against streams that are recorded at the version that their server
   # had before it started again.
   Scenario: A stream of a server that started again at another version is taken up
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -346,7 +346,10 @@
 
 
 def _begin(context, number):
-    """Return a caller's connection and the versions of its first events."""
+    """Return a caller's connection and the versions of its first events.
+
+    There is none if the stream is refused.
+    """
     connection = gateway_rig.connect(context.node.rig.port)
     connection.sendall(gateway_rig.request_text("resumable", f"a{number}"))
     received = b""
@@ -354,6 +357,8 @@
         data = connection.recv(65536)
         assert data, received
         received += data
+        if not received.startswith(b"HTTP/1.1 200 "):
+            break
     return connection, _versions(received)
 
 
@@ -419,36 +424,90 @@
     context.closers.append(patch.stop)
 
 
-def _recorded_end_script(context, version):
-    """Return the script of a server that ends first attempts once recorded."""
+def _recorded_end_script(context, version, on_end=lambda: None):
+    """Return the script of a server that ends first attempts once recorded.
+
+    Args:
+        on_end: Called before it ends one.
+    """
     go_on = _stream_script(version)
 
     def answer(peer, head, body, number):
         if scripted.header(head, "Last-Event-Id"):
             return go_on(peer, head, body, number)
+        name = scripted.header(head, "X-Bilberryturn-Attempt-Id")
         end_s = time.monotonic() + 1.0
         while time.monotonic() < end_s and not any(
-            json.loads(value)["version"] == version
-            for _, _, value in _stored(context)
+            key.rpartition("/")[2] == name
+            and json.loads(value)["version"] == version
+            for key, _, value in _stored(context)
         ):
             time.sleep(0.005)
+        on_end()
         return "close"
 
     return answer
 
 
+def _begin_until_ended(context, count):
+    """Begin streams until the first server has ended some attempts.
+
+    Returns:
+        For each of them, the versions of the events that its caller has.
+    """
+    first = context.servers[0]
+    ended = []
+    while len(first.requests) < count:
+        before = len(first.requests)
+        context.callers.append(_begin(context, len(context.callers)))
+        if len(first.requests) > before:
+            ended.append(context.callers[-1][1])
+    return ended
+
+
 @behave.when(
     "callers begin streams until an attempt at {version} ends without an event"
     " once it is recorded"
 )
 def when_attempt_ends(context, version):
-    first = context.servers[0]
-    first.script = _recorded_end_script(context, version)
+    context.servers[0].script = _recorded_end_script(context, version)
     context.callers = []
-    while not first.requests:
-        context.callers.append(_begin(context, len(context.callers)))
-    _, versions = context.callers[-1]
-    assert version not in versions, versions
+    (versions,) = _begin_until_ended(context, 1)
+    assert versions and version not in versions, versions
+
+
+@behave.when(
+    "callers begin streams until {count:d} attempts at {version} end without an"
+    " event once they are recorded"
+)
+def when_attempts_end(context, count, version):
+    context.servers[0].script = _recorded_end_script(context, version)
+    context.callers = []
+    context.ended = _begin_until_ended(context, count)
+
+
+@behave.when(
+    "callers begin streams until an attempt at {version} ends without an event"
+    " once it is recorded, and the store rejects all writes from then on"
+)
+def when_attempt_ends_without_store(context, version):
+    context.servers[0].script = _recorded_end_script(
+        context, version, lambda: when_rejects(context)
+    )
+    context.callers = []
+    context.ended = _begin_until_ended(context, 1)
+
+
+@behave.then("these streams have begun at version {version}")
+def then_begun_at(context, version):
+    assert context.ended
+    for versions in context.ended:
+        assert set(versions) == {version}, context.ended
+
+
+@behave.then("this stream has not begun")
+def then_not_begun(context):
+    assert context.ended == [[]], context.ended
 
 
 @behave.when("the streams are taken up at the other node")
--- a/src/bilberryturn/edge/stream_records.py
+++ b/src/bilberryturn/edge/stream_records.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bilberryturn import events
+from bilberryturn.edge import intervals
 from bilberryturn.gateway import stream_origins
 from bilberryturn.platform import rows
 
@@ -64,11 +65,13 @@
         self._era = store.era
         self._waited_s = 0.0
         self._failures = 0
+        self._pause = intervals.Pause()
         self._has_rows = True
         self._readers = concurrent.futures.ThreadPoolExecutor(
             READERS, thread_name_prefix="streams"
         )
         origins.read_stored = self.read
+        origins.hasten = self._pause.hasten
 
     def run(self, stopping: threading.Event) -> None:
         """Write until the node stops."""
@@ -82,7 +85,10 @@
                     job="stream records",
                     error=f"{type(error).__name__}: {error}",
                 )
-            stopping.wait(self.interval_s())
+            if self._failures:
+                stopping.wait(self.interval_s())
+            else:
+                self._pause.wait(self.interval_s(), stopping)
         self._readers.shutdown(wait=False)
 
     def interval_s(self) -> float:
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -384,6 +384,31 @@
     def _has_attempts_left(self) -> bool:
         return self._sent_count < self._request.route.attempts
 
+    async def _choose_recorded(self) -> choice.Choice | None:
+        """Return a server of the version that the store names, if it does.
+
+        An earlier attempt was recorded and ended without an event. Another node
+        may read its record as soon as this one sends events, so that the stream
+        begins at another version only once the record is removed.
+        """
+        origins, name = self._shared.stream_origins, self._stream_name
+        if not self._is_resumable or self._version is not None:
+            return await self._choose()
+        recorded = origins.pause(name)
+        if recorded is None:
+            return await self._choose()
+        self._version = recorded.version
+        try:
+            chosen = await self._choose()
+        finally:
+            self._version = None
+        if chosen is not None:
+            return chosen
+        limit_s = self._remaining_s() - MIN_ATTEMPT_S
+        if limit_s <= 0 or not await origins.withdraw(name, limit_s):
+            return None
+        return await self._choose()
+
     async def _choose(self) -> choice.Choice | None:
         """Return a server that takes the request, if any.
 
@@ -464,7 +489,7 @@
             moved: The moved run to go on with, if any.
         """
         shared = self._shared
-        chosen = moved.chosen if moved else await self._choose()
+        chosen = moved.chosen if moved else await self._choose_recorded()
         if chosen is None:
             return None
         if moved and not await shared.availability.wait_for_permit(
--- a/src/bilberryturn/gateway/stream_origins.py
+++ b/src/bilberryturn/gateway/stream_origins.py
@@ -7,9 +7,11 @@
 have lost power.
 """
 
+import asyncio
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import concurrent.futures
 import threading
 from typing import NamedTuple
 
@@ -17,6 +19,8 @@
 MAX_BROKEN = 5000
 # Longest name that a row's key may have.
 MAX_NAME_BYTES = 100
+# Time for a write that removes a row; requests wait for it.
+REMOVAL_TIMEOUT_S = 0.5
 
 
 class Origin(NamedTuple):
@@ -53,6 +57,7 @@
     Attributes:
         read_stored: Returns the origin of a stream as the store holds it; None
             if it holds none or cannot be reached.
+        hasten: Called as a request waits for a write.
     """
 
     def __init__(self, is_recorded: Callable[[str], bool]):
@@ -63,15 +68,22 @@
                 service, as several versions serve.
         """
         self.read_stored: Callable[[str], Awaitable[Origin | None]] = _find_none
+        self.hasten: Callable[[], None] = lambda: None
         self._is_recorded = is_recorded
         self._lock = threading.Lock()
         self._running: dict[str, Origin] = {}
+        # Those between two attempts, without an event yet.
+        self._pausing: set[str] = set()
         # Streams that broke off, with the time until which they are kept.
         self._broken: collections.OrderedDict[str, tuple[Origin, float]] = (
             collections.OrderedDict()
         )
         self._stored: dict[str, Origin] = {}
         self._removed: set[str] = set()
+        # What writes without a confirmation may have stored.
+        self._unconfirmed: dict[str, Origin] = {}
+        # Requests that wait until the row of their stream is removed.
+        self._removals: dict[str, concurrent.futures.Future] = {}
 
     def begin(self, name: str, origin: Origin) -> None:
         """Record a stream that is sent to a server."""
@@ -79,6 +91,7 @@
             return
         with self._lock:
             self._broken.pop(name, None)
+            self._pausing.discard(name)
             self._running[name] = origin
 
     def end(self, name: str) -> None:
@@ -89,6 +102,7 @@
     def break_off(self, name: str, until_s: float) -> None:
         """Keep a stream that its caller may take up until a time."""
         with self._lock:
+            self._pausing.discard(name)
             origin = self._running.pop(name, None)
             if origin is not None:
                 self._keep(name, origin, until_s)
@@ -99,6 +113,45 @@
             known = self._running.get(name)
             return known or self._broken.get(name, (None, 0.0))[0]
 
+    def pause(self, name: str) -> Origin | None:
+        """Write nothing on a stream without an event until its next attempt.
+
+        Returns:
+            What other nodes may read as its origin.
+        """
+        with self._lock:
+            if name in self._running:
+                self._pausing.add(name)
+            return self._unconfirmed.get(name) or self._stored.get(name)
+
+    async def withdraw(self, name: str, timeout_s: float) -> bool:
+        """Remove the row of a stream that has no event yet.
+
+        Args:
+            name: Name of the stream.
+            timeout_s: Longest time to wait, up to REMOVAL_TIMEOUT_S, in
+                seconds.
+
+        Returns:
+            Whether the store has confirmed it.
+        """
+        removal: concurrent.futures.Future = concurrent.futures.Future()
+        with self._lock:
+            self._pausing.discard(name)
+            self._running.pop(name, None)
+            self._removed.add(name)
+            self._removals[name] = removal
+        self.hasten()
+        try:
+            async with asyncio.timeout(min(timeout_s, REMOVAL_TIMEOUT_S)):
+                await asyncio.wrap_future(removal)
+        except TimeoutError:
+            return False
+        finally:
+            with self._lock:
+                self._removals.pop(name, None)
+        return True
+
     async def find(self, name: str, until_s: float) -> Origin | None:
         """Return the origin of a stream; None if it is not known.
 
@@ -131,8 +184,10 @@
             self._forget(next(iter(self._broken)))
 
     def _forget(self, name: str) -> None:
+        self._pausing.discard(name)
         self._running.pop(name, None)
         self._broken.pop(name, None)
+        self._unconfirmed.pop(name, None)
         if self._stored.pop(name, None) is not None:
             self._removed.add(name)
 
@@ -146,15 +201,26 @@
                 if len(writes) + len(removes) >= max_rows:
                     break
                 is_new = self._stored.get(name) != origin
+                if name in removes or name in self._pausing:
+                    continue
                 if is_new and self._is_recorded(origin.service):
                     writes[name] = origin
+            self._unconfirmed.update(writes)
             return Changes(writes, removes)
 
     def confirm(self, changes: Changes) -> None:
         """Record that the store holds changes that were taken."""
         with self._lock:
             self._removed.difference_update(changes.removes)
+            for name in changes.removes:
+                self._stored.pop(name, None)
+                self._unconfirmed.pop(name, None)
+                removal = self._removals.pop(name, None)
+                # It is cancelled if its request waits no longer.
+                if removal and removal.set_running_or_notify_cancel():
+                    removal.set_result(None)
             for name, origin in changes.writes.items():
+                self._unconfirmed.pop(name, None)
                 if name in self._running or name in self._broken:
                     self._stored[name] = origin
                 else:
@@ -166,6 +232,7 @@
         with self._lock:
             self._stored.clear()
             self._removed.clear()
+            self._unconfirmed.clear()
 
 
 def is_name(text: str) -> bool:
