Take streams for mixed once a configuration sends them to another service

What callers see: a configuration moves a route, in whole or in part, to another service while streams run; a stream that breaks off is taken up at another node and goes on there with the events of the other service (ORDER).

Cause: a node asks for the origin of a stream only while its service has several versions. That "one version serves" takes for granted that the stream began at this service.

Change: as a configuration replaces another, each prefix of both is looked up in both; the services of resumable routes that differ count as mixed for as long as their streams may be taken up. This is kept and reported like a version that has left, so that the streams are recorded from then on and nodes that start later know it too.

Not mended: a node that has not read the new configuration yet and gets a stream that began under it.

--- a/features/software_versions.feature
+++ b/features/software_versions.feature
@@ -177,6 +177,38 @@
     And the streams are taken up at the other node
     Then no stream has events of two versions
 
+  # Guards against a node that has only seen the configuration after the move.
+  Scenario: A stream is taken up at a node that starts after its route has moved
+    Given a store, a node and servers of versions v1, v1
+    And another node that knows them
+    And a server of another service at version v2
+    When 20 callers each have 2 events of a stream
+    And the configuration moves the route to the other service
+    And the streams are taken up at a node that starts then
+    Then no stream has events of two versions
+
+  Scenario Outline: A configuration <changes>
+    Given a route of h.example/a/ to service app
+    When a configuration <changes>
+    Then streams of the services <services> may have begun elsewhere
+
+    Examples:
+      | changes                                                     | services   |
+      | sends h.example/a/ to other                                 | app, other |
+      | sends h.example/a/ to app, other                            | app, other |
+      | sends h.example/a/ to app and h.example/a/b/ to other       | app, other |
+      | sends h.example/ to other                                   | app, other |
+      | sends h.example/a/ to app                                   | none       |
+      | sends h.example/a/ to app and h.example/c/ to other         | none       |
+      | sends h.example/a/ to app and another.example/a/ to other   | none       |
+
+  Scenario: A configuration sends what a shorter prefix matches elsewhere
+    Given a route of h.example/a/ to service app
+    When a configuration sends h.example/ to app and h.example/a/ to other
+    Then streams of the services app, other may have begun elsewhere
+    When a configuration sends h.example/ to app
+    Then streams of the services app, other may have begun elsewhere
+
   # Guards against callers that wait for one another's lookups.
   Scenario: Many streams are taken up at a node whose store does not answer
     Given a store, a node and servers of versions v1, v1
--- a/features/steps/software_version_steps.py
+++ b/features/steps/software_version_steps.py
@@ -16,6 +16,7 @@
 from bilberryturn.platform import exceptions
 from bilberryturn.platform import rows
 from bilberryturn.routing import software_versions
+from bilberryturn.routing import table
 from bilberryturn.routing import types
 from support import gateway_rig
 from support import peer_nodes
@@ -551,6 +552,7 @@
 def given_other_service(context, version):
     (server,) = _start_servers(context, [version], [_stream_script(version)])
     server = server._replace(server_id="o0", service="other")
+    context.other_service_server = server
     for node in (context.node, context.other):
         _configure(node, 1, "app")
         node.add([server])
@@ -563,6 +565,56 @@
         node.add([])
 
 
+@behave.when("the streams are taken up at a node that starts then")
+def when_take_up_at_new(context):
+    servers = [s for s in context.backend_servers if s.service == "app"] + [
+        context.other_service_server
+    ]
+    context.taking = _start_node(context, servers, context.node.reports())
+    _configure(context.taking, 2, "other")
+    context.taking.add([])
+    _take_up(context)
+
+
+def _routing(changes):
+    """Return a route table with routes of resumable streams.
+
+    Args:
+        changes: Such as "h/a/ to app, other and h/b/ to app".
+    """
+    routes = []
+    for text in changes.split(" and "):
+        place, _, services = text.partition(" to ")
+        host, _, prefix = place.partition("/")
+        targets = tuple(
+            types.Target(service, 1.0) for service in services.split(", ")
+        )
+        routes.append(
+            gateway_rig.make_route("resumable", targets=targets)._replace(
+                host=host, prefix=f"/{prefix}"
+            )
+        )
+    return table.RouteTable(1, routes, [], types.Limits(body_bytes=1), None)
+
+
+@behave.given("a route of {place} to service {service}")
+def given_route(context, place, service):
+    context.routing = _routing(f"{place} to {service}")
+
+
+@behave.when("a configuration sends {changes}")
+def when_sends(context, changes):
+    routing = _routing(changes)
+    context.moved = routing.moved_services(context.routing)
+    context.routing = routing
+
+
+@behave.then("streams of the services {services} may have begun elsewhere")
+def then_moved(context, services):
+    expected = set() if services == "none" else set(services.split(", "))
+    assert context.moved == expected, context.moved
+
+
 @behave.when("the node has heard of nothing for {time_s:g} s")
 def when_unheard(context, time_s):
     _hear_of_nothing(context.node, time_s)
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -277,8 +277,7 @@
 
     @property
     def _is_resumable(self) -> bool:
-        route = self._request.route
-        return route.is_stream and route.is_retryable
+        return self._request.route.is_resumable
 
     def _of_version(
         self, servers: list[types.BackendServer]
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -207,6 +207,8 @@
         self.arrival = state_arrival.StateArrival(self.memory)
         self.list_waits = list_waits.ListWaits(drain_s)
         self.software_versions = software_versions.SoftwareVersions()
+        # The table for which versions were last looked at.
+        self._versions_table: route_tables.RouteTable | None = None
         # Services none of whose streams can have begun at another version.
         self._uniform_services: frozenset[str] = frozenset()
         self.stream_origins = stream_origins.StreamOrigins(self.is_mixed)
@@ -325,10 +327,14 @@
         )
 
     def update_versions(self) -> None:
-        """Find out which services have servers of several versions."""
+        """Find out which services may have streams of several versions."""
         if self.table is None:
             return
         now_s = self.time_of_day()
+        earlier, self._versions_table = self._versions_table, self.table
+        if earlier is not None and earlier is not self.table:
+            moved = self.table.moved_services(earlier)
+            self.software_versions.record_moves(moved, now_s)
         servers: dict[str, list[types.BackendServer]] = {
             name: [] for name in self.table.services
         }
--- a/src/bilberryturn/routing/software_versions.py
+++ b/src/bilberryturn/routing/software_versions.py
@@ -18,6 +18,11 @@
 MARGIN_S = 5.0
 
 _PREFIX = "version:"
+# Stands for the versions of services whose streams a service may be sent.
+_OTHER_SERVICE = ":other-service"
+# Nodes put a configuration in force at about the same time; one report is
+# enough.
+MIN_MOVE_INTERVAL_MS = 1000
 
 
 class _Version(NamedTuple):
@@ -71,6 +76,20 @@
             if is_gone and known.is_present:
                 self._record(version, _Sighting(at_ms, False))
 
+    def record_moves(self, services: set[str], now_s: float) -> None:
+        """Record that routes now send streams to or from other services.
+
+        Args:
+            services: Services at which such streams began or may be taken up.
+            now_s: Present time.
+        """
+        at_ms = int(now_s * 1000)
+        for service in services:
+            moved = _Version(service, _OTHER_SERVICE)
+            known = self._newest.get(moved)
+            if known is None or at_ms - known.at_ms >= MIN_MOVE_INTERVAL_MS:
+                self._record(moved, _Sighting(at_ms, False))
+
     def _record(self, version: _Version, sighting: _Sighting) -> None:
         known = self._newest.get(version)
         if known is not None and sighting.at_ms <= known.at_ms:
@@ -119,7 +138,7 @@
             and (sighting.is_present or sighting.at_ms > since_ms)
         }
         versions.update(server.software_version for server in servers)
-        return len(versions) > 1
+        return len(versions) > 1 or _OTHER_SERVICE in versions
 
     def merge(self, reports: dict[str, int]) -> None:
         """Merge another node's reports; older sightings are ignored.
--- a/src/bilberryturn/routing/table.py
+++ b/src/bilberryturn/routing/table.py
@@ -46,7 +46,7 @@
         self.limits = limits
         self.services = {service.name: service for service in services}
         self.longest_stream_s = max(
-            (r.timeout_s for r in routes if r.is_stream and r.is_retryable),
+            (r.timeout_s for r in routes if r.is_resumable),
             default=0.0,
         )
         self._accounts = accounts
@@ -62,6 +62,33 @@
                 return route
         return None
 
+    def moved_services(self, earlier: "RouteTable") -> set[str]:
+        """Return the services of streams that an earlier table sends elsewhere.
+
+        Args:
+            earlier: The table before this one.
+
+        Returns:
+            Services that such streams began at, and that this table sends them
+            to.
+        """
+        prefixes = {
+            (host, route.prefix)
+            for table in (earlier, self)
+            for host, routes in table._by_host.items()
+            for route in routes
+        }
+        moved: set[str] = set()
+        for host, prefix in prefixes:
+            before = earlier.find_route(host, prefix)
+            after = self.find_route(host, prefix)
+            if before is None or after is None or not after.is_resumable:
+                continue
+            if before.targets != after.targets:
+                targets = (*before.targets, *after.targets)
+                moved.update(target.service for target in targets)
+        return moved
+
     @property
     def uses_keys(self) -> bool:
         """Return whether requests are authenticated by API key."""
--- a/src/bilberryturn/routing/types.py
+++ b/src/bilberryturn/routing/types.py
@@ -55,6 +55,11 @@
         """Return whether a request that may have run can be retried."""
         return self.retry_policy is not RetryPolicy.AT_MOST_ONCE
 
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether callers may take up streams that broke off."""
+        return self.is_stream and self.is_retryable
+
 
 class Engine(NamedTuple):
     """Properties of the model engines of a service.
