Pass requests with home regions only through peers that may have their body

A node that is cut off from all servers chose a peer by failure domain alone. The body of a request whose home region is that of the node went through a node in another region (HOME), found in review.

Cause: a tunnel was taken for a path, while the peer that passes the bytes on is a node that has the body. Change: for a request with home regions only peers of these, or of the node's own region, are asked; without one the request is refused as not run, like without any peer. Connections on which no request is sent (spare ones and checks) have no such limit.

--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -31,7 +31,7 @@
     peer.chunk(b"")
 
 
-def _start(context, servers, peers, script):
+def _start(context, servers, peers, script, domains=(), home_regions=()):
     context.logged = []
 
     def record(event, **fields):
@@ -46,7 +46,11 @@
         return context.script(peer, head, body, number)
 
     context.deployment = tunnel_rig.Deployment(
-        context, answer, servers, 1 + peers
+        context,
+        answer,
+        servers,
+        ["here", *(domains or ["here"] * peers)],
+        home_regions,
     )
     context.node, *context.peers = context.deployment.nodes
 
@@ -79,6 +83,21 @@
     _start(context, servers, peers, _work)
 
 
+@behave.given(
+    "{servers:d} servers, a node and peers in the failure domains {domains},"
+    " and requests at home in the region eu"
+)
+def given_home_regions(context, servers, domains):
+    domains = domains.split(", ")
+    _start(context, servers, len(domains), _work, domains, ["eu"])
+
+
+@behave.then("none of them went through a peer in the failure domain far")
+def then_not_far(context):
+    far = {peer.address for peer in context.peers if peer.domain == "far"}
+    assert far and not far & _ways(context), _ways(context)
+
+
 @behave.given(
     "{servers:d} servers that answer without length, a node and {peers:d} peer"
 )
@@ -240,6 +259,7 @@
 
 
 @behave.then("the peer has had no tunnel")
+@behave.then("the peers have had no tunnel")
 def then_no_tunnel(context):
     used = [
         fields for _, fields in context.logged if fields.get("via") is not None
--- a/features/support/tunnel_rig.py
+++ b/features/support/tunnel_rig.py
@@ -12,6 +12,8 @@
 from support import scripted
 
 HEALTH_PATH = "/healthz"
+# Nodes and servers are in the failure domain "here" unless a test says else.
+REGIONS = {"here": "eu", "near": "eu", "far": "asia"}
 
 
 class CuttablePool(upstream.ConnectionPool):
@@ -37,27 +39,35 @@
 
     Attributes:
         ip: Address that it connects from.
+        domain: Its failure domain, as others know it.
         address: Address at which peers reach it.
         is_stopping: Whether it takes no new tunnels.
     """
 
-    def __init__(self, ip, servers, addresses):
+    def __init__(self, ip, servers, domains, domain, home_regions):
         self.ip = ip
+        self.domain = domain
         self.is_stopping = False
         self.pool = CuttablePool(ip)
         with partial_link.socket.create_server((ip, 0)) as probe:
             port = probe.getsockname()[1]
         self.address = f"{ip}:{port}"
-        addresses.append(self.address)
-        table = gateway_rig.make_table()
+        domains[self.address] = domain
+        table = gateway_rig.make_table(home_regions=frozenset(home_regions))
         table.services["app"] = types.Service(
             "app", 100, None, None, health_path=HEALTH_PATH
         )
+
+        def in_domain(domain):
+            found = [a for a, known in domains.items() if known == domain]
+            return found or list(domains)
+
         self.rig = gateway_rig.GatewayRig(
             servers,
             table,
+            REGIONS,
             pool=self.pool,
-            peers=permits.Peers(self.address, lambda domain: list(addresses)),
+            peers=permits.Peers(self.address, in_domain),
         )
         self.shared = self.rig.shared
         self.rig.call(self._listen, ip, port)
@@ -106,7 +116,8 @@
         checks: Number of health checks that the servers received.
     """
 
-    def __init__(self, context, script, server_count, node_count):
+    def __init__(self, context, script, server_count, domains, home_regions=()):
+        """Start the servers and a node in each of some failure domains."""
         self.checks = 0
         self._script = script
         self.servers = [
@@ -117,10 +128,10 @@
             gateway_rig.make_server(f"s{number}", link.port)
             for number, link in enumerate(self.links)
         ]
-        addresses = []
+        known = {}
         self.nodes = [
-            Node(f"127.0.0.{number}", self.entries, addresses)
-            for number in range(11, 11 + node_count)
+            Node(f"127.0.0.{number}", self.entries, known, domain, home_regions)
+            for number, domain in enumerate(domains, 11)
         ]
         closers = (*self.servers, *self.links, *self.nodes)
         context.closers.extend(part.close for part in closers)
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -125,6 +125,21 @@
     Then the caller has the whole stream
     And the peer replies 503 to a tunnel to a server
 
+  # Guards against the body of a request at a node outside of its home regions.
+  Scenario: Requests stay in their home regions
+    Given 3 servers, a node and peers in the failure domains far, near, far, far, and requests at home in the region eu
+    When the node is cut off and knows it
+    And a caller sends 10 unsafe requests to the node
+    Then each request is answered and was run once
+    And none of them went through a peer in the failure domain far
+
+  Scenario: A request is refused if no node in its home regions can help
+    Given 3 servers, a node and peers in the failure domains far, far, and requests at home in the region eu
+    When the connections of the node to all servers hang
+    And callers send requests to the node for 2.5 s
+    Then an unsafe request to the node is refused as not run within 2.5 s
+    And the peers have had no tunnel
+
   Scenario: A large answer to a caller that reads slowly does not fill the peer
     Given 3 servers, a node and 1 peer
     When the node is cut off and knows it
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -127,6 +127,7 @@
                 self._chosen.server,
                 min(timeout_s, request.deadline_s - time.monotonic()),
                 request.route.is_retryable,
+                request.requirements.home_regions,
             )
         except upstream.UpstreamError as error:
             self._end_attempt(None if error.is_path_failure else False)
--- a/src/bilberryturn/gateway/shared_state.py
+++ b/src/bilberryturn/gateway/shared_state.py
@@ -189,7 +189,11 @@
             self.load_balancer.in_flight,
         )
         through_peers = tunnels.Tunnels(
-            pool.open, peers.own_address, failure_domain, peers.in_domain
+            pool.open,
+            peers.own_address,
+            failure_domain,
+            peers.in_domain,
+            self.placement.domains_that_may_forward,
         )
         self.reachability = reachability.Reachability(
             reachability.Links(
--- a/src/bilberryturn/gateway/tunnels.py
+++ b/src/bilberryturn/gateway/tunnels.py
@@ -31,6 +31,8 @@
 SKIP_S = 2.0
 # No failure domain has this name.
 ALL_DOMAINS = ""
+# Any node may pass on what has no home regions.
+ANYWHERE: frozenset[str] | None = None
 
 Opener = Callable[
     [str, int, float, Callable[[], asyncio.BaseProtocol]],
@@ -68,6 +70,7 @@
         own_address: str,
         failure_domain: str,
         nodes_in: Callable[[str], list[str]],
+        domains_near: Callable[[str, frozenset[str]], set[str]],
     ):
         """Initialize without knowledge of the peers.
 
@@ -78,7 +81,11 @@
             failure_domain: Failure domain of this node.
             nodes_in: Returns the addresses of the nodes of a failure domain; of
                 all nodes if it has none.
+            domains_near: Returns the failure domains whose nodes may have the
+                body of a request that is at a node of a failure domain and has
+                home regions.
         """
+        self._domains_near = domains_near
         self._open = open_
         self._own_address = own_address
         self._failure_domain = failure_domain
@@ -89,13 +96,20 @@
         """Return whether any other node is known."""
         return bool(self._peers(ALL_DOMAINS))
 
-    def has_candidate(self, server: types.BackendServer) -> bool:
+    def has_candidate(
+        self,
+        server: types.BackendServer,
+        home_regions: frozenset[str] | None = ANYWHERE,
+    ) -> bool:
         """Return whether any peer may help to reach a server."""
-        return bool(self._candidates(server))
+        return bool(self._candidates(server, home_regions))
 
-    def _candidates(self, server: types.BackendServer) -> list[str]:
+    def _candidates(
+        self, server: types.BackendServer, home_regions: frozenset[str] | None
+    ) -> list[str]:
         """Return the peers to ask, nearest first."""
         now_s = time.monotonic()
+        allowed = self._allowed_peers(home_regions)
         found: list[str] = []
         for failure_domain, most in (
             (self._failure_domain, MAX_ASKED_IN_DOMAIN),
@@ -104,7 +118,8 @@
         ):
             usable = [
                 address
-                for address in self._peers(failure_domain) - set(found)
+                for address in (self._peers(failure_domain) & allowed)
+                - set(found)
                 if self._skip_until_s.get(address, 0.0) <= now_s
             ]
             random.shuffle(usable)
@@ -114,11 +129,24 @@
     def _peers(self, failure_domain: str) -> set[str]:
         return set(self._nodes_in(failure_domain)) - {self._own_address, ""}
 
+    def _allowed_peers(self, home_regions: frozenset[str] | None) -> set[str]:
+        """Return the peers that may have the body of a request."""
+        if home_regions is ANYWHERE:
+            return self._peers(ALL_DOMAINS)
+        allowed: set[str] = set()
+        for domain in self._domains_near(self._failure_domain, home_regions):
+            nodes = set(self._nodes_in(domain))
+            # All nodes are returned for a domain that has none.
+            if domain == self._failure_domain or self._own_address not in nodes:
+                allowed |= nodes
+        return allowed
+
     async def connect(
         self,
         server: types.BackendServer,
         timeout_s: float,
         new_receiver: Callable[[], receivers.TunnelReceiver],
+        home_regions: frozenset[str] | None = ANYWHERE,
     ) -> Tunnel:
         """Connect to a server through one of the peers.
 
@@ -126,6 +154,7 @@
             server: The server.
             timeout_s: Timeout of the whole.
             new_receiver: Creates the protocol of a connection.
+            home_regions: Those of the request that is to be sent.
 
         Raises:
             TunnelError: None of the peers that were asked connected to it.
@@ -133,7 +162,7 @@
         end_s = time.monotonic() + timeout_s
         is_reached = False
         refusals = 0
-        for peer in self._candidates(server):
+        for peer in self._candidates(server, home_regions):
             left_s = end_s - time.monotonic()
             if left_s <= 0:
                 break
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -321,6 +321,7 @@
         server: types.BackendServer,
         timeout_s: float,
         may_reuse: bool,
+        home_regions: frozenset[str] | None = None,
     ) -> Connection:
         """Return a connection to a server.
 
@@ -329,6 +330,8 @@
             timeout_s: Timeout for establishing a new connection.
             may_reuse: Whether an idle connection may be returned, as the
                 request can be retried if it turns out to be closed.
+            home_regions: Regions in which the request may be served; None if
+                it may be served in all of them, or none is sent.
 
         Raises:
             UpstreamError: No connection was established; nothing was sent.
@@ -338,7 +341,7 @@
             kept = self._take_idle(key)
             if kept is not None:
                 return kept
-        return await self._connect_to_server(server, timeout_s)
+        return await self._connect_to_server(server, timeout_s, home_regions)
 
     async def call(
         self, address: str, call: Call, timeout_s: float, max_body_bytes: int
@@ -418,7 +421,10 @@
         return receivers.Receiver(self._buffer)
 
     async def _connect_to_server(
-        self, server: types.BackendServer, timeout_s: float
+        self,
+        server: types.BackendServer,
+        timeout_s: float,
+        home_regions: frozenset[str] | None,
     ) -> Connection:
         """Connect directly, or through a peer if the node may be cut off."""
         reach = self._reach
@@ -427,22 +433,25 @@
                 server.lifetime, server.host, server.port, timeout_s
             )
         end_s = time.monotonic() + timeout_s
-        may_help = reach.is_doubtful and self._tunnels.has_candidate(server)
-        if reach.is_cut and may_help:
-            return await self._connect_through_peer(server, timeout_s)
-        if may_help:
+
+        def may_help() -> bool:
+            return reach.is_doubtful and self._tunnels.has_candidate(
+                server, home_regions
+            )
+
+        if reach.is_cut and may_help():
+            return await self._connect_through_peer(
+                server, timeout_s, home_regions
+            )
+        if may_help():
             timeout_s *= DIRECT_SHARE
         try:
             return await self._connect_directly(server, timeout_s)
         except UpstreamError:
             left_s = end_s - time.monotonic()
-            if (
-                left_s < MIN_SIGN_S
-                or not reach.is_doubtful
-                or not self._tunnels.has_candidate(server)
-            ):
+            if left_s < MIN_SIGN_S or not may_help():
                 raise
-        return await self._connect_through_peer(server, left_s)
+        return await self._connect_through_peer(server, left_s, home_regions)
 
     async def _connect_directly(
         self, server: types.BackendServer, timeout_s: float
@@ -463,7 +472,10 @@
         return Connection(server.lifetime, receiver, self.loop_time, reach)
 
     async def _connect_through_peer(
-        self, server: types.BackendServer, timeout_s: float
+        self,
+        server: types.BackendServer,
+        timeout_s: float,
+        home_regions: frozenset[str] | None,
     ) -> Connection:
         reach = self._reach
         try:
@@ -473,6 +485,7 @@
                 lambda: receivers.TunnelReceiver(
                     self._buffer, reach.record_help
                 ),
+                home_regions,
             )
         except tunnels.TunnelError as error:
             raise UpstreamError(
--- a/src/bilberryturn/routing/placement.py
+++ b/src/bilberryturn/routing/placement.py
@@ -75,6 +75,22 @@
         """Return whether a server is in a home region, drained or not."""
         return any(self._is_home(s, home_regions) for s in servers)
 
+    def domains_that_may_forward(
+        self, failure_domain: str, home_regions: frozenset[str]
+    ) -> set[str]:
+        """Return the failure domains whose nodes may have a request's body.
+
+        Args:
+            failure_domain: The one of the node that has the request.
+            home_regions: Regions in which the request may be served.
+        """
+        regions = {*home_regions, self._regions.get(failure_domain)}
+        return {
+            domain
+            for domain, region in self._regions.items()
+            if region in regions
+        }
+
     def _is_home(
         self, server: types.BackendServer, home_regions: frozenset[str] | None
     ) -> bool:
