Let the spare connection take the same way to the server as the answer

A node that is cut off gets an answer without length through one peer, and opened the spare connection that tells whether the server goes on through any peer.

Cause: that the ends of a process's connections arrive together holds on one way only. Change: spare connections are kept by server and way, and opened directly or through the peer of the answer.

--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -9,6 +9,7 @@
 import behave
 
 from bilberryturn import events
+from bilberryturn.gateway import answer_ends
 from bilberryturn.gateway import internal_server
 from bilberryturn.gateway import tunnel_server
 from bilberryturn.gateway import upstream
@@ -101,6 +102,9 @@
 @behave.given(
     "{servers:d} servers that answer without length, a node and {peers:d} peer"
 )
+@behave.given(
+    "{servers:d} servers that answer without length, a node and {peers:d} peers"
+)
 def given_unframed(context, servers, peers):
     def answer(peer, head, body, number):
         request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
@@ -120,9 +124,28 @@
         return "close"
 
     context.end = ""
+    context.judged = []
+    check = answer_ends.check
+
+    async def record(shared, answer, is_empty):
+        witness = answer.witness._connection
+        ways = answer.connection.via, witness.via if witness else None
+        context.judged.append(ways)
+        await check(shared, answer, is_empty)
+
+    patch = mock.patch.object(answer_ends, "check", record)
+    patch.start()
+    context.closers.append(patch.stop)
     _start(context, servers, peers, answer)
 
 
+@behave.then("each answer was judged by a connection through its own peer")
+def then_same_way(context):
+    judged = context.judged[-len(context.answers) :]
+    for via, witness_via in judged:
+        assert via is not None and via == witness_via, judged
+
+
 @behave.when("the connections of the node to all servers {kind}")
 def when_cut(context, kind):
     context.deployment.cut(context.node, kind)
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -91,6 +91,15 @@
       | server resets | no whole answer  | a crash  |
       | peer ends     | no whole answer  | no crash |
 
+  # Guards against a cut answer that looks whole, as the spare connection that
+  # would tell goes through another peer, where the end comes later.
+  Scenario: The spare connection takes the way of the answer
+    Given 3 servers that answer without length, a node and 4 peers
+    When the node is cut off and knows it
+    And a caller sends 10 unsafe requests to the node
+    Then each request is answered and was run once
+    And each answer was judged by a connection through its own peer
+
   Scenario: A server that crashes under a request through a tunnel counts as crashed
     Given 3 servers, a node and 1 peer
     When the node is cut off and knows it
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -278,7 +278,9 @@
 
     def _hold_witness(self) -> None:
         if self._witness is None:
-            self._witness = self._shared.witnesses.hold(self._chosen.server)
+            self._witness = self._shared.witnesses.hold(
+                self._chosen.server, self.via
+            )
 
     async def _read_own_head(self) -> wire.ServerResponse:
         """Read a head, behind the copies of answers to earlier requests."""
@@ -378,7 +380,7 @@
         events_before = self._delivery.event_count
         if self._witness is not None:
             self._witness = self._shared.witnesses.renew(
-                self._chosen.server, self._witness
+                self._chosen.server, self.via, self._witness
             )
         try:
             for piece in server_sent_events.split_work(
--- a/src/bilberryturn/gateway/tunnels.py
+++ b/src/bilberryturn/gateway/tunnels.py
@@ -96,18 +96,17 @@
         """Return whether any other node is known."""
         return bool(self._peers(ALL_DOMAINS))
 
-    def has_candidate(
+    def candidates(
         self,
         server: types.BackendServer,
         home_regions: frozenset[str] | None = ANYWHERE,
-    ) -> bool:
-        """Return whether any peer may help to reach a server."""
-        return bool(self._candidates(server, home_regions))
-
-    def _candidates(
-        self, server: types.BackendServer, home_regions: frozenset[str] | None
     ) -> list[str]:
-        """Return the peers to ask, nearest first."""
+        """Return the peers that may help to reach a server, nearest first.
+
+        Args:
+            server: The server.
+            home_regions: Those of the request that is to be sent.
+        """
         now_s = time.monotonic()
         allowed = self._allowed_peers(home_regions)
         found: list[str] = []
@@ -144,17 +143,17 @@
     async def connect(
         self,
         server: types.BackendServer,
+        peers: list[str],
         timeout_s: float,
         new_receiver: Callable[[], receivers.TunnelReceiver],
-        home_regions: frozenset[str] | None = ANYWHERE,
     ) -> Tunnel:
-        """Connect to a server through one of the peers.
+        """Connect to a server through one of some peers.
 
         Args:
             server: The server.
+            peers: Addresses of the peers, in the order in which they are asked.
             timeout_s: Timeout of the whole.
             new_receiver: Creates the protocol of a connection.
-            home_regions: Those of the request that is to be sent.
 
         Raises:
             TunnelError: None of the peers that were asked connected to it.
@@ -162,7 +161,7 @@
         end_s = time.monotonic() + timeout_s
         is_reached = False
         refusals = 0
-        for peer in self._candidates(server, home_regions):
+        for peer in peers:
             left_s = end_s - time.monotonic()
             if left_s <= 0:
                 break
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -343,6 +343,27 @@
                 return kept
         return await self._connect_to_server(server, timeout_s, home_regions)
 
+    async def acquire_along(
+        self, server: types.BackendServer, via: str | None, timeout_s: float
+    ) -> Connection:
+        """Return a new connection that takes the same way as another one.
+
+        Args:
+            server: The server to connect to.
+            via: Address of the peer that passes it on; None for a direct one.
+            timeout_s: Timeout for establishing it.
+
+        Raises:
+            UpstreamError: No connection was established.
+        """
+        if via is not None:
+            return await self._connect_through_peer(server, [via], timeout_s)
+        if self._reach is not None:
+            return await self._connect_directly(server, timeout_s)
+        return await self._connect(
+            server.lifetime, server.host, server.port, timeout_s
+        )
+
     async def call(
         self, address: str, call: Call, timeout_s: float, max_body_bytes: int
     ) -> Reply:
@@ -434,24 +455,24 @@
             )
         end_s = time.monotonic() + timeout_s
 
-        def may_help() -> bool:
-            return reach.is_doubtful and self._tunnels.has_candidate(
-                server, home_regions
-            )
+        def peers() -> list[str]:
+            if not reach.is_doubtful:
+                return []
+            return self._tunnels.candidates(server, home_regions)
 
-        if reach.is_cut and may_help():
-            return await self._connect_through_peer(
-                server, timeout_s, home_regions
-            )
-        if may_help():
+        found = peers()
+        if reach.is_cut and found:
+            return await self._connect_through_peer(server, found, timeout_s)
+        if found:
             timeout_s *= DIRECT_SHARE
         try:
             return await self._connect_directly(server, timeout_s)
         except UpstreamError:
             left_s = end_s - time.monotonic()
-            if left_s < MIN_SIGN_S or not may_help():
+            found = peers()
+            if left_s < MIN_SIGN_S or not found:
                 raise
-        return await self._connect_through_peer(server, left_s, home_regions)
+        return await self._connect_through_peer(server, found, left_s)
 
     async def _connect_directly(
         self, server: types.BackendServer, timeout_s: float
@@ -474,18 +495,18 @@
     async def _connect_through_peer(
         self,
         server: types.BackendServer,
+        peers: list[str],
         timeout_s: float,
-        home_regions: frozenset[str] | None,
     ) -> Connection:
         reach = self._reach
         try:
             tunnel = await self._tunnels.connect(
                 server,
+                peers,
                 timeout_s,
                 lambda: receivers.TunnelReceiver(
                     self._buffer, reach.record_help
                 ),
-                home_regions,
             )
         except tunnels.TunnelError as error:
             raise UpstreamError(
--- a/src/bilberryturn/gateway/witnesses.py
+++ b/src/bilberryturn/gateway/witnesses.py
@@ -58,19 +58,25 @@
         self._task: asyncio.Task | None = None
 
     def begin_open(
-        self, pool: upstream.ConnectionPool, server: types.BackendServer
+        self,
+        pool: upstream.ConnectionPool,
+        server: types.BackendServer,
+        via: str | None,
     ) -> None:
         """Open the connection in the background."""
         self._task = asyncio.get_running_loop().create_task(
-            self._open(pool, server)
+            self._open(pool, server, via)
         )
 
     async def _open(
-        self, pool: upstream.ConnectionPool, server: types.BackendServer
+        self,
+        pool: upstream.ConnectionPool,
+        server: types.BackendServer,
+        via: str | None,
     ) -> None:
         try:
-            self._connection = await pool.acquire(
-                server, CONNECT_TIMEOUT_S, may_reuse=False
+            self._connection = await pool.acquire_along(
+                server, via, CONNECT_TIMEOUT_S
             )
         except upstream.UpstreamError:
             # The answer is judged without it.
@@ -135,7 +141,9 @@
 
     def __init__(self, pool: upstream.ConnectionPool):
         self._pool = pool
-        self._current: dict[types.Lifetime, Witness] = {}
+        # By server and by the peer that passes it on, if any: on two ways the
+        # ends of two connections may arrive apart.
+        self._current: dict[tuple[types.Lifetime, str | None], Witness] = {}
         # When an answer of a service last had neither length nor chunks.
         self._unframed_s: dict[str, float] = {}
 
@@ -148,16 +156,27 @@
         """Record that an answer of a service has no length or chunks."""
         self._unframed_s[service] = time.monotonic()
 
-    def hold(self, server: types.BackendServer) -> Witness:
-        """Return a spare connection to a server, which must be released."""
-        witness = self._current.get(server.lifetime)
+    def hold(
+        self, server: types.BackendServer, via: str | None = None
+    ) -> Witness:
+        """Return a spare connection to a server, which must be released.
+
+        Args:
+            server: The server.
+            via: Address of the peer that passes the answer on; None for a
+                direct one.
+        """
+        witness = self._current.get((server.lifetime, via))
         if witness is None or witness.is_due(time.monotonic()):
-            witness = self._replace(server, witness)
+            witness = self._replace(server, via, witness)
         witness.holders += 1
         return witness
 
     def _replace(
-        self, server: types.BackendServer, earlier: Witness | None
+        self,
+        server: types.BackendServer,
+        via: str | None,
+        earlier: Witness | None,
     ) -> Witness:
         retry_s = RETRY_S
         if earlier is not None:
@@ -165,8 +184,8 @@
                 retry_s = min(MAX_RETRY_S, 2 * earlier.retry_s)
             if not earlier.holders:
                 earlier.close()
-        witness = self._current[server.lifetime] = Witness(retry_s)
-        witness.begin_open(self._pool, server)
+        witness = self._current[server.lifetime, via] = Witness(retry_s)
+        witness.begin_open(self._pool, server, via)
         return witness
 
     def release(self, witness: Witness) -> None:
@@ -176,20 +195,22 @@
         if not witness.holders and witness.has_ended_for(0.0):
             witness.close()
 
-    def renew(self, server: types.BackendServer, witness: Witness) -> Witness:
+    def renew(
+        self, server: types.BackendServer, via: str | None, witness: Witness
+    ) -> Witness:
         """Return the held connection, or another if it ended some time ago."""
         if not witness.has_ended_for(JUDGED_S):
             return witness
         self.release(witness)
-        return self.hold(server)
+        return self.hold(server, via)
 
     def close_unused(self) -> None:
         """Close the connections that no answer has needed for some time."""
         now_s = time.monotonic()
-        for lifetime, witness in list(self._current.items()):
+        for key, witness in list(self._current.items()):
             if not witness.holders and now_s - witness.released_s >= UNUSED_S:
                 witness.close()
-                del self._current[lifetime]
+                del self._current[key]
         self._unframed_s = {
             service: seen_s
             for service, seen_s in self._unframed_s.items()
