Go on asking a peer that does not know one server

A peer answered 503 both if it can't help at all and if it does not know the server.

Change: 404 for a server that is not known, after which the next peer is asked and none is passed over.

Two rows of "A tunnel leads to known servers only" now expect 404 instead of 503; that no tunnel is opened is checked as before.

--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -160,10 +160,12 @@
 def _traffic(context, time_s, node=None):
     """Send requests of several callers to a node for some time."""
     end_s = time.monotonic() + time_s
+    context.statuses = []
 
     def call(kind):
         while time.monotonic() < end_s:
-            _send(context, kind, f"t{next(_ids)}", node)
+            answer = _send(context, kind, f"t{next(_ids)}", node)
+            context.statuses.append(answer.status)
             time.sleep(0.15)
 
     callers = [
@@ -181,6 +183,11 @@
     _traffic(context, time_s)
 
 
+@behave.then("all of these were served")
+def then_all_served(context):
+    assert set(context.statuses) == {200}, context.statuses
+
+
 @behave.then("the node has found that it is cut off")
 def then_cut(context):
     assert context.node.is_cut
@@ -549,6 +556,17 @@
     context.node.rig.call(close)
 
 
+@behave.given("a server that only the node knows")
+def given_unknown(context):
+    entry = gateway_rig.make_server("s9", context.deployment.servers[0].port)
+
+    async def report():
+        context.node.shared.directory.report(entry, time.monotonic())
+
+    context.node.rig.call(report)
+    context.node.pool.hidden = {entry.port}
+
+
 @behave.when("the first peer answers 400 to all its calls")
 def when_old_peer(context):
     peer = context.peers[0]
--- a/features/support/tunnel_rig.py
+++ b/features/support/tunnel_rig.py
@@ -21,11 +21,13 @@
 
     Attributes:
         hanging: Ports at which no connection is established.
+        hidden: Ports of servers behind no link, which hang in any cut.
     """
 
     def __init__(self, source_ip):
         super().__init__(source_ip)
         self.hanging = set()
+        self.hidden = set()
 
     async def open(self, host, port, timeout_s, new_protocol):
         if port in self.hanging:
@@ -154,7 +156,9 @@
     def cut(self, node, kind):
         """Cut a node off from all servers, or heal it if the kind is None."""
         node.pool.hanging = (
-            {link.port for link in self.links} if kind == "hang" else set()
+            {link.port for link in self.links} | node.pool.hidden
+            if kind == "hang"
+            else set()
         )
         for link in self.links:
             link.cut(node.ip, None if kind == "hang" else kind)
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -156,10 +156,19 @@
 
   Scenario: A tunnel leads to known servers only
     Given 3 servers, a node and 1 peer
-    Then the peer replies 503 to a tunnel to its own address
-    And the peer replies 503 to a tunnel to a port where nothing is known
+    Then the peer replies 404 to a tunnel to its own address
+    And the peer replies 404 to a tunnel to a port where nothing is known
     And the peer replies 200 to a tunnel to a server
 
+  # Guards against a peer that is not asked for any server, as it did not know
+  # one of them.
+  Scenario: A server that the peers don't know yet
+    Given 3 servers, a node and 2 peers
+    And a server that only the node knows
+    When the node is cut off and knows it
+    And callers send requests to the node for 4 s
+    Then all of these were served
+
   Scenario: The number of tunnels is bounded
     Given 3 servers, a node and 1 peer
     When the peer has as many tunnels as it takes
--- a/src/bilberryturn/gateway/tunnel_server.py
+++ b/src/bilberryturn/gateway/tunnel_server.py
@@ -73,10 +73,13 @@
             reader: Reads from the peer.
             writer: Writes to the peer; the caller closes it.
         """
-        server = self._find(address)
-        if server is None or not self._may_help():
+        if not self._may_help():
             await _reply(writer, tunnels.CANNOT_HELP)
             return
+        server = self._find(address)
+        if server is None:
+            await _reply(writer, tunnels.UNKNOWN_SERVER)
+            return
         self._count(1)
         self._account.fix(TUNNEL_BYTES)
         try:
--- a/src/bilberryturn/gateway/tunnels.py
+++ b/src/bilberryturn/gateway/tunnels.py
@@ -16,6 +16,7 @@
 # Replies of a peer. Any other, as one of an earlier release, means that it
 # can't help.
 ESTABLISHED = 200
+UNKNOWN_SERVER = 404
 REFUSED = 502
 CANNOT_HELP = 503
 NOT_REACHED = 504
@@ -177,7 +178,7 @@
                     break
             elif status == NOT_REACHED:
                 is_reached = True
-            else:
+            elif status != UNKNOWN_SERVER:
                 self._skip_until_s[peer] = time.monotonic() + SKIP_S
         raise TunnelError(refusals > 0, is_reached)
 
