Let a node that checks whether it is cut off still help others

A node refused tunnels from the first doubt on, also if the doubt ended after milliseconds, and was then not asked for 2 s.

Change: only a node that is cut off refuses. One that can't connect says so, as before.

Measured: "A peer that may be cut off helps if it can" failed without the change (503) and passes, 1 run each.

--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -1,5 +1,6 @@
 """Steps of tunnels.feature: nodes that reach servers through a peer."""
 
+import asyncio
 import itertools
 import socket
 import threading
@@ -501,6 +502,19 @@
     assert _ask_tunnel(context, context.deployment.entries[0].address) == status
 
 
+@behave.when("the peer checks whether it is cut off")
+def when_peer_checks(context):
+    peer = context.peers[0]
+
+    async def check():
+        peer.shared.reachability._check_task = asyncio.create_task(
+            asyncio.sleep(3)
+        )
+        assert peer.shared.reachability.is_doubtful
+
+    peer.rig.call(check)
+
+
 @behave.when("the peer has as many tunnels as it takes")
 def when_full(context):
     patch = mock.patch.object(tunnel_server, "MAX_TUNNELS", 3)
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -169,6 +169,13 @@
     And callers send requests to the node for 4 s
     Then all of these were served
 
+  # Guards against peers that refuse all as they wonder for a moment whether
+  # they are cut off.
+  Scenario: A peer that may be cut off helps if it can
+    Given 3 servers, a node and 1 peer
+    When the peer checks whether it is cut off
+    Then the peer replies 200 to a tunnel to a server
+
   Scenario: The number of tunnels is bounded
     Given 3 servers, a node and 1 peer
     When the peer has as many tunnels as it takes
--- a/src/bilberryturn/gateway/tunnel_server.py
+++ b/src/bilberryturn/gateway/tunnel_server.py
@@ -101,7 +101,7 @@
 
     def _may_help(self) -> bool:
         return not (
-            self._reach.is_doubtful
+            self._reach.is_cut
             or self._is_stopping()
             or self.count >= MAX_TUNNELS
         )
