Keep tunnels whose caller pauses, and whole keep-alive times

Cause: TCP_USER_TIMEOUT also counts data for which the other side has no room, and the peer set 5 s on both of its connections. On both it also ended keep-alive probes after 5 s instead of the 11 s that their count says.

Change: the connection to the node that asked has a user timeout of 60 s; the one to the server has 5 s as each connection to a server, and no keep-alive, as the node ends the tunnel with its request.

--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -16,6 +16,7 @@
 from bilberryturn.gateway import upstream
 from support import gateway_rig
 from support import scripted
+from support import tcp_options
 from support import tunnel_rig
 
 WHOLE = b"answer"
@@ -468,6 +469,48 @@
     assert b"token-2" in context.stream.body
 
 
+@behave.when(
+    "a caller reads nothing for {time_s:g} s of a stream of {size_mb:d} MB"
+)
+def when_reads_nothing(context, time_s, size_mb):
+    event = b"data: " + b"x" * 16_000 + b"\n\n"
+    table = gateway_rig.make_table(2, timeout_s=time_s + 10)
+    table.services = context.node.shared.table.services
+
+    async def configure():
+        context.node.shared.table = table
+
+    context.node.rig.call(configure)
+
+    def flood(peer):
+        for _ in range(size_mb * 1_000_000 // len(event)):
+            peer.chunk(event)
+
+    connection, received = _begin_stream(context, flood)
+    connection.settimeout(10)
+    time.sleep(time_s)
+    context.stream = gateway_rig.read_answer(connection, received)
+
+
+@behave.when("a caller has begun a stream through the peer")
+def when_begun(context):
+    goes_on = threading.Event()
+    context.closers.append(goes_on.set)
+    _begin_stream(context, lambda peer: goes_on.wait(5))
+
+
+@behave.then(
+    "no keep-alive probe of its connections gives up earlier than its count"
+)
+def then_not_shortened(context):
+    tunnel = int(context.peers[0].address.rpartition(":")[2])
+    found = tcp_options.find(local_port=tunnel)
+    for link in context.deployment.links:
+        found += tcp_options.find(remote_port=link.port)
+    assert any(options.is_probed for options in found), found
+    assert not any(options.is_shortened for options in found), found
+
+
 def _ask_tunnel(context, address):
     host, _, port = context.peers[0].address.rpartition(":")
     connection = gateway_rig.connect(int(port), host)
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -154,6 +154,20 @@
     When the node is cut off and knows it
     Then a connection through the peer that is not read takes less than 1 MB from its server
 
+  # Guards against a stream that is lost as its caller pauses, and the window of
+  # the connection to the peer is closed for longer than the user timeout.
+  Scenario: A caller that reads nothing for 7 s
+    Given 3 servers, a node and 1 peer
+    When the node is cut off and knows it
+    And a caller reads nothing for 7 s of a stream of 8 MB
+    Then the caller has the whole stream
+
+  Scenario: No user timeout shortens keep-alive on the connections of a tunnel
+    Given 3 servers, a node and 1 peer
+    When the node is cut off and knows it
+    And a caller has begun a stream through the peer
+    Then no keep-alive probe of its connections gives up earlier than its count
+
   Scenario: A tunnel leads to known servers only
     Given 3 servers, a node and 1 peer
     Then the peer replies 404 to a tunnel to its own address
--- a/src/bilberryturn/gateway/tunnel_server.py
+++ b/src/bilberryturn/gateway/tunnel_server.py
@@ -20,18 +20,24 @@
 READ_BYTES = 16 * 1024
 # What both directions of a tunnel hold, including copies.
 TUNNEL_BYTES = 64 * 1024
-# Unacknowledged data ends a connection after this time.
-USER_TIMEOUT_MS = 5000
-# The kernel would let its buffers grow to megabytes. An idle connection ends if
-# its other side is gone for some seconds.
-SOCKET_OPTIONS = (
+# The kernel would let its buffers grow to megabytes.
+BUFFER_OPTIONS = (
     (socket.SOL_SOCKET, socket.SO_RCVBUF, 32 * 1024),
     (socket.SOL_SOCKET, socket.SO_SNDBUF, 32 * 1024),
+)
+SERVER_OPTIONS = (
+    *BUFFER_OPTIONS,
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 5000),
+)
+# Ends a connection whose other side is gone. That of a caller that reads
+# nothing is full, which counts as unacknowledged data too.
+PEER_OPTIONS = (
+    *BUFFER_OPTIONS,
     (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 5),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 2),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 3),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 60_000),
 )
 # A reset may follow within this time after a server has closed its side.
 LATE_RESET_S = 0.5
@@ -120,7 +126,7 @@
                     local_addr=self._source,
                     limit=READ_BYTES,
                 )
-            _set_options(to_server)
+            _set_options(to_server, SERVER_OPTIONS)
         except (OSError, TimeoutError) as error:
             self._reach.record_failure(server.lifetime)
             status = tunnels.NOT_REACHED
@@ -131,7 +137,7 @@
             await _reply(writer, status)
             return
         try:
-            _set_options(writer)
+            _set_options(writer, PEER_OPTIONS)
             await _reply(writer, tunnels.ESTABLISHED)
             await self._relay(server, (from_server, to_server), reader, writer)
         finally:
@@ -200,14 +206,16 @@
                 continue
 
 
-def _set_options(stream: asyncio.StreamWriter) -> None:
+def _set_options(
+    stream: asyncio.StreamWriter, options: tuple[tuple[int, int, int], ...]
+) -> None:
     """Set the options of a connection.
 
     Raises:
         OSError: It has been reset.
     """
     raw_socket = stream.get_extra_info("socket")
-    for option in SOCKET_OPTIONS:
+    for option in options:
         raw_socket.setsockopt(*option)
 
 
