Take a server for ended only if two peers say that it refuses

A connection through peers counted as refused, and the server as ended, once one peer said so, also if the others could not help (found in review).

--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -13,6 +13,7 @@
 from bilberryturn.gateway import answer_ends
 from bilberryturn.gateway import internal_server
 from bilberryturn.gateway import tunnel_server
+from bilberryturn.gateway import tunnels
 from bilberryturn.gateway import upstream
 from support import gateway_rig
 from support import scripted
@@ -331,8 +332,21 @@
     _cut_known(context, [context.node, *context.peers[:count]])
 
 
-@behave.then("a connection of the node to that server is refused")
-def then_connection_refused(context):
+@behave.when(
+    "{count:d} of the peers say that a server refuses, and the others that they"
+    " can't help"
+)
+def when_replies(context, count):
+    for number, peer in enumerate(context.peers):
+        status = tunnels.REFUSED if number < count else tunnels.CANNOT_HELP
+
+        async def serve(address, reader, writer, status=status):
+            await tunnel_server._reply(writer, status)
+
+        peer.server._tunnel_handler = serve
+
+
+def _connection_error(context):
     entry = context.deployment.entries[0]
 
     async def acquire():
@@ -341,7 +355,19 @@
         except upstream.UpstreamError as error:
             return error
 
-    error = context.node.rig.call(acquire)
+    return context.node.rig.call(acquire)
+
+
+@behave.then("a connection of the node to that server has no verdict")
+def then_no_verdict(context):
+    error = _connection_error(context)
+    assert error is not None
+    assert not error.is_refused, error
+
+
+@behave.then("a connection of the node to that server is refused")
+def then_connection_refused(context):
+    error = _connection_error(context)
     assert error is not None
     assert error.is_refused, error
     assert not error.is_path_failure
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -65,6 +65,20 @@
     And one server has ended
     Then a connection of the node to that server is refused
 
+  # Guards against a server that is taken for ended on the word of one peer,
+  # which may have been cut off just before.
+  Scenario Outline: <replies> of <peers> peers say that a server refuses
+    Given 3 servers, a node and <peers> peers
+    When the node is cut off and knows it
+    And <replies> of the peers say that a server refuses, and the others that they can't help
+    Then a connection of the node to that server <outcome>
+
+    Examples:
+      | peers | replies | outcome        |
+      | 3     | 1       | has no verdict |
+      | 3     | 2       | is refused     |
+      | 1     | 1       | is refused     |
+
   Scenario: Peers that are cut off too are passed over
     Given 3 servers, a node and 4 peers
     When the node and 3 peers are cut off and know it
--- a/src/bilberryturn/gateway/tunnels.py
+++ b/src/bilberryturn/gateway/tunnels.py
@@ -180,7 +180,9 @@
                 is_reached = True
             elif status != UNKNOWN_SERVER:
                 self._skip_until_s[peer] = time.monotonic() + SKIP_S
-        raise TunnelError(refusals > 0, is_reached)
+        known = len(self._peers(ALL_DOMAINS))
+        is_refused = 0 < refusals >= min(MIN_REFUSALS, known)
+        raise TunnelError(is_refused, is_reached)
 
     async def _ask(
         self,
