Find a cut also if one request at a time waits for an answer

At a node whose callers send one request after the other, no request was served for as long as the servers' connections stayed silent: 0 of 5 in 15 s (found in review). Only several servers that owe answers at the same time, or connections that fail, raised a doubt.

Change: a request whose time, at least 1 s, is over without a byte raises one too, unless any server has sent something in it. As with the other signs, a check of servers decides.

--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -23,6 +23,21 @@
       | silent    | unsafe |
       | silent    | stream |
 
+  # Guards against a cut that is never found, as only one request at a time waits
+  # for an answer.
+  Scenario Outline: One caller of a node whose connections to all servers are silent
+    Given 3 servers, a node and 1 peer
+    When the connections of the node to all servers silent
+    And a caller sends 2 <kind> requests to the node
+    Then the node has found that it is cut off
+    When a caller sends 5 <kind> requests to the node
+    Then each request is answered and was run once
+
+    Examples:
+      | kind   |
+      | safe   |
+      | unsafe |
+
   # Guards against requests that are refused, or opened breakers that remain, as
   # failures of the path are taken for those of servers.
   Scenario: What the cut looked like at first is not held against servers and requests
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -161,6 +161,8 @@
             self._handle_failure(error)
             return attempt_types.AttemptFailed(error.reason, error.was_sent)
         except TimeoutError:
+            if not self._has_response:
+                self._connection.record_silence()
             self._end_attempt(None if self._is_path_failure else False)
             return attempt_types.AttemptFailed("no answer in time", True)
 
--- a/src/bilberryturn/gateway/reachability.py
+++ b/src/bilberryturn/gateway/reachability.py
@@ -126,6 +126,17 @@
         if self._check_task and opened_s > self._counts_from_s:
             self._is_answered = True
 
+    def record_silence(self, since_s: float) -> None:
+        """Record that a request got no byte until its time was over.
+
+        Args:
+            since_s: Monotonic time at which it was sent.
+        """
+        is_long = time.monotonic() - since_s >= SILENCE_S
+        if is_long and self._received_s < since_s:
+            # No other server sent anything either.
+            self._doubt("silence", since_s, 0.0)
+
     def begin_wait(self, connection: object, lifetime: types.Lifetime) -> None:
         """Record that a server owes an answer on a connection."""
         self._waiting[connection] = (lifetime, time.monotonic())
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -116,6 +116,7 @@
         self.key = key
         self.via = via
         self._reach = reach
+        self._sent_s = 0.0
         self.is_reused = False
         self._receiver = receiver
         self._turns = loop_time.Turns(time_of_loop)
@@ -153,6 +154,7 @@
         except h11.LocalProtocolError as error:
             raise UpstreamError(f"invalid request: {error}", False) from error
         self._receiver.transport.write(b"".join(encoded))
+        self._sent_s = time.monotonic()
         if self._reach is not None:
             self._reach.begin_wait(self, self.key)
 
@@ -206,6 +208,11 @@
         if self._reach is not None and not self._receiver.has_received:
             self._reach.record_failure(self.key)
 
+    def record_silence(self) -> None:
+        """Record that the time of its request is over without an answer."""
+        if self._reach is not None:
+            self._reach.record_silence(self._sent_s)
+
     @property
     def is_path_failure(self) -> bool:
         """Return whether its failure says nothing on the server."""
