Check servers also where the health path has other characters than Latin-1

The check of a node that may be cut off ended with an error at such a path, and the node went on taking itself for cut off (found in review by reading).

Measured: "A health path with any characters" failed without the change (UnicodeEncodeError) and passes, 1 run each.

--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -402,6 +402,12 @@
     assert len(_crashes(context)) == count, _crashes(context)
 
 
+@behave.then('a check of a server with the health path "{path}" gets an answer')
+def then_answers(context, path):
+    entry = context.deployment.entries[0]
+    assert context.node.rig.call(context.node.pool.answers, entry, path, 1.0)
+
+
 @behave.when("a peer ends during a resumable stream through it")
 def when_peer_ends(context):
     def stream(peer, head, body, number):
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -94,6 +94,12 @@
       | 3     | 2       | is refused     |
       | 1     | 1       | is refused     |
 
+  # Guards against a check that ends with an error, so that the end of the cut is
+  # never found.
+  Scenario: A health path with any characters
+    Given 3 servers, a node and 1 peer
+    Then a check of a server with the health path "/zdravá→" gets an answer
+
   Scenario: Peers that are cut off too are passed over
     Given 3 servers, a node and 4 peers
     When the node and 3 peers are cut off and know it
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -434,7 +434,7 @@
                 if path:
                     transport.write(
                         f"GET {path} HTTP/1.1\r\nHost: {server.address}\r\n"
-                        "Connection: close\r\n\r\n".encode("latin-1")
+                        "Connection: close\r\n\r\n".encode()
                     )
                     return bool(await receiver.read())
                 await asyncio.sleep(MIN_SIGN_S)
