--- a/features/steps/tunnel_steps.py
+++ b/features/steps/tunnel_steps.py
@@ -263,6 +263,16 @@
     _traffic(context, 2.5)
 
 
+@behave.when(
+    "all servers are silent for 1 s while callers send requests to the node"
+)
+def when_all_silent(context):
+    context.deployment.cut(context.node, "silent")
+    timer = threading.Timer(1.0, context.deployment.cut, (context.node, None))
+    timer.start()
+    _traffic(context, 2.5)
+
+
 def _end_server(context, number):
     context.deployment.links[number].close()
     context.deployment.servers[number].close()
--- a/features/tunnels.feature
+++ b/features/tunnels.feature
@@ -63,9 +63,10 @@
     And the peer has had no tunnel
 
     Examples:
-      | what                          |
+      | what                           |
       | one server is silent for 1.2 s |
-      | one server has ended          |
+      | all servers are silent for 1 s |
+      | one server has ended           |
 
   Scenario: Servers that are gone for all nodes
     Given 2 servers, a node and 1 peer
