--- a/review/standins-3/lab.py
+++ b/review/standins-3/lab.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import socket
 import subprocess
@@ -19,6 +20,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 HOST = "h.example"
+# Of a whole script, in seconds.
+TIME_LIMIT_S = 100
 
 
 def free_port(ip="127.0.0.1"):
@@ -212,16 +215,36 @@
 class Runner:
     """A runner that serves one request at a time on a channel."""
 
-    def __init__(self, lab, service, zone, answer=None, slots=16):
+    def __init__(
+        self,
+        lab,
+        service,
+        zone,
+        answer=None,
+        slots=16,
+        version="v1",
+        earlier=None,
+    ):
+        """Start a runner.
+
+        Args:
+            earlier: The ended runner whose id and address it has, if any.
+        """
         self.lab = lab
         self.service = service
         self.runner_id = f"i-{os.urandom(5).hex()}"
+        port = 0
+        if earlier is not None:
+            self.runner_id = earlier.runner_id
+            port = int(earlier.address.rpartition(":")[2])
         self.born = int(time.time() * 1000)
         self.zone = zone
         self.slots = slots
+        self.version = version
         self.answer = answer or self._answer
         self._sequence = 0
-        self._socket = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self._connections = set()
+        self._socket = socket.create_server(("127.0.0.1", port), backlog=256)
         self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
         self._is_closed = False
         threading.Thread(target=self._accept, daemon=True).start()
@@ -233,7 +256,7 @@
             "service": self.service,
             "addr": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "coldLeftMs": 0,
@@ -252,6 +275,7 @@
                 connection, _ = self._socket.accept()
             except OSError:
                 return
+            self._connections.add(connection)
             threading.Thread(
                 target=self._serve, args=(connection,), daemon=True
             ).start()
@@ -281,6 +305,7 @@
         except OSError:
             pass
         finally:
+            self._connections.discard(connection)
             connection.close()
 
     def _refuses(self, connection, head):
@@ -340,6 +365,15 @@
             pass
         self._socket.close()
 
+    def crash(self):
+        """End as a process does: all channels close at the same time."""
+        self.close()
+        for connection in list(self._connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
 
 class Node:
     """A node of the system, started as the deploy file says."""
@@ -442,6 +476,12 @@
     """The case could not be played."""
 
 
+def _give_up(*_):
+    signal.alarm(0)
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    raise CannotRun("its time is over")
+
+
 class Lab:
     """All that a case starts."""
 
@@ -493,6 +533,7 @@
         for runner in self.runners:
             runner.close()
         self.store.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def route(name, kind, service, **changes):
@@ -617,12 +658,18 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     lab = Lab(folder)
     status = 2
+    signal.signal(signal.SIGTERM, _give_up)
+    signal.signal(signal.SIGALRM, _give_up)
+    signal.alarm(TIME_LIMIT_S)
     try:
         held = play(lab, has_trouble)
         status = 0 if held else 1
         lab.record.add("the rule held" if held else "the rule was broken")
     except CannotRun as error:
         lab.record.add(f"cannot run: {error}")
+    except Exception as error:
+        lab.record.add(f"cannot run: {type(error).__name__}: {error}")
     finally:
         lab.close()
-    raise SystemExit(status)
+    # Threads of clients that still wait must not delay the end.
+    os._exit(status)
