Log what was left of the time limit as a server closed the connection

`request_ended` and `attempt_failed` now have `limit_left_s`, on the clock that counts suspensions, since the server's time goes on meanwhile.

--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -6,6 +6,7 @@
 import h11
 
 from bilberryturn import events
+from bilberryturn import leases
 from bilberryturn import server_sent_events
 from bilberryturn.gateway import answer_ends
 from bilberryturn.gateway import attempt_types
@@ -16,6 +17,7 @@
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import shared_state
+from bilberryturn.gateway import time_limits
 from bilberryturn.gateway import upstream
 from bilberryturn.gateway import witnesses
 from bilberryturn.platform import wire
@@ -41,6 +43,8 @@
         via: Address of the peer that passed it on; None for a direct one.
         is_framed: Whether the response has a length or chunks; None before its
             head.
+        limit_left_s: What was left of the time limit that the server was sent
+            as the server closed the connection; None if it did not.
     """
 
     def __init__(
@@ -72,6 +76,7 @@
         self._has_response = False
         self._was_reused: bool | None = None
         self._sent_s = 0.0
+        self._server_limit: time_limits.TimeLimit | None = None
         # Monotonic time of the first event of this attempt.
         self._first_event_s: float | None = None
         # What is buffered of the answer.
@@ -83,6 +88,7 @@
         self.was_sent = False
         self.via: str | None = None
         self.is_framed: bool | None = None
+        self.limit_left_s: float | None = None
 
     async def run(self, may_try_another: bool) -> attempt_types.AttemptResult:
         """Send the request, then release its reservation and connection.
@@ -139,6 +145,9 @@
         if self._shared.witnesses.is_expected(self._chosen.server.service):
             self._hold_witness()
         remaining_s = request.deadline_s - time.monotonic()
+        self._server_limit = time_limits.TimeLimit(
+            leases.boottime_s(), remaining_s
+        )
         try:
             self._connection.send(
                 request.incoming.method,
@@ -455,6 +464,7 @@
         """
         connection, self._connection = self._connection, None
         if connection is not None:
+            self._record_end(connection)
             if head is not None and not head.closes_connection:
                 self._shared.pool.release(connection, head.idle_timeout_s)
             else:
@@ -470,6 +480,12 @@
                 events.SERVER_CIRCUIT_OPEN, server=in_flight.server.server_id
             )
 
+    def _record_end(self, connection: upstream.Connection) -> None:
+        """Record what was left of the time limit as the server closed."""
+        limit, ended_s = self._server_limit, connection.ended_boottime_s
+        if limit is not None and ended_s:
+            self.limit_left_s = round(limit.left_s(ended_s), 3)
+
     def move_state(self) -> str | None:
         """Return the state of the move of the run, for logs; None without."""
         if self._move is None:
@@ -497,6 +513,7 @@
             delivered_events=self._delivery.event_count,
             last_event=self._delivery.last_event_id,
             is_framed=self.is_framed,
+            limit_left_s=self.limit_left_s,
             move=self.move_state(),
             prompt_parts=types.shared_parts(self._prompt),
             connection_reused=self._was_reused,
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -634,6 +634,7 @@
                 caller_delivery.last_event_id if caller_delivery else None
             ),
             is_framed=attempt.is_framed if attempt else None,
+            limit_left_s=attempt.limit_left_s if attempt else None,
             move=attempt.move_state() if attempt else None,
             duration_s=round(duration_s, 4),
             waited_s=self._waited_s,
--- a/src/bilberryturn/gateway/receivers.py
+++ b/src/bilberryturn/gateway/receivers.py
@@ -6,6 +6,7 @@
 import socket
 import time
 
+from bilberryturn import leases
 from bilberryturn.gateway import response_limits
 from bilberryturn.gateway import tunnel_frames
 
@@ -21,6 +22,7 @@
         transport: Set as the connection is established.
         is_at_eof: Whether the server has closed the connection.
         ended_s: Monotonic time at which it did; 0 before.
+        ended_boottime_s: Time since boot at which it did; 0 before.
         opened_s: Monotonic time at which it was created.
         has_received: Whether any byte of the server was received.
         is_path_lost: Whether it ended without a statement on the server.
@@ -45,6 +47,7 @@
         self.transport: asyncio.Transport | None = None
         self.is_at_eof = False
         self.ended_s = 0.0
+        self.ended_boottime_s = 0.0
         self._buffer = buffer
         self._received: list[bytes] = []
         self._received_bytes = 0
@@ -139,6 +142,7 @@
         if not self.is_at_eof:
             self.is_at_eof = True
             self.ended_s = time.monotonic()
+            self.ended_boottime_s = leases.boottime_s()
 
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
--- a/src/bilberryturn/gateway/upstream.py
+++ b/src/bilberryturn/gateway/upstream.py
@@ -283,6 +283,11 @@
         """Return the monotonic time at which it was closed; 0 before."""
         return self._receiver.ended_s
 
+    @property
+    def ended_boottime_s(self) -> float:
+        """Return the time since boot at which it was closed; 0 before."""
+        return self._receiver.ended_boottime_s
+
     @property
     def is_reset(self) -> bool:
         """Return whether it ended with an error."""
