Do not end an answer as complete that its server stopped at the time limit

Change: the judgement begins with the time limit of the attempt, on the clock that counts suspensions, from just before the request was written to the moment at which the node read the close. An end later than 0.1 s before the limit (half of a short limit) is none: a stream breaks off, another answer is 504, and the request is not sent again. This works as the server counts the same duration from its later receipt, so that no close before the limit less the margin can be a stop at it.

The scenario "An answer without length ends just before its time limit" was wrong: its server closed at the limit itself, where a whole answer can't be told from a stopped one. It guards against a ready answer that is dropped as its judgement outlasts the limit. Its replacement ends 0.4 s before the limit and is judged for 0.8 s, 0.4 s beyond it; the mutant that removes the extension of the time limit is noticed as before.

--- a/features/answers.feature
+++ b/features/answers.feature
@@ -108,9 +108,10 @@
 
   # Guards against a ready answer that is dropped as its judgement outlasts the
   # time limit of the request.
-  Scenario Outline: An answer without length to a <kind> request ends just before its time limit
+  Scenario Outline: An answer without length to a <kind> request ends before its time limit and is judged beyond it
     Given a gateway before a server whose answers have no length and that close behind <part> after 1.0 s
-    And routes with a timeout of 1.0 s
+    And routes with a timeout of 1.4 s
+    And other connections are waited for 0.8 s
     When a caller sends a <kind> request
     Then the caller sees <outcome>
 
--- a/features/steps/move_steps.py
+++ b/features/steps/move_steps.py
@@ -384,9 +384,10 @@
 
 @behave.given("other connections are waited for {wait_s:g} s")
 def given_wait(context, wait_s):
-    patch = mock.patch.object(witnesses, "STREAM_WAIT_S", wait_s)
-    patch.start()
-    context.closers.append(patch.stop)
+    for name in ("STREAM_WAIT_S", "ANSWER_WAIT_S"):
+        patch = mock.patch.object(witnesses, name, wait_s)
+        patch.start()
+        context.closers.append(patch.stop)
 
 
 @behave.given("the route allows to resume streams")
--- a/src/bilberryturn/gateway/answer_ends.py
+++ b/src/bilberryturn/gateway/answer_ends.py
@@ -1,8 +1,9 @@
 """Judge whether an answer without length or chunks is complete.
 
 Such an answer ends with its connection. So does one whose run was stopped for a
-move, or whose server ended in the middle of it. A spare connection to the
-server tells the last case, unless there is none.
+move or at the time limit that the server was sent, or whose server ended in the
+middle of it. A spare connection to the server tells the last case, unless there
+is none.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 
 from bilberryturn.gateway import moves
 from bilberryturn.gateway import shared_state
+from bilberryturn.gateway import time_limits
 from bilberryturn.gateway import upstream
 from bilberryturn.gateway import witnesses
 from bilberryturn.platform import wire
@@ -40,12 +42,17 @@
     return head.has_framing or has_no_body
 
 
+class StoppedAtLimitError(upstream.UpstreamError):
+    """The server may have stopped work at the time limit that it was sent."""
+
+
 class EndedAnswer(NamedTuple):
     """An answer without length or chunks whose connection has ended.
 
     Attributes:
         server: The server that closed the connection.
         connection: The connection, of which all was read.
+        limit: The time limit that the server was sent.
         move: The move of the run that was asked for, if any; its response may
             come later than the end of the connection.
         witness: A spare connection to the server.
@@ -54,6 +61,7 @@
 
     server: types.BackendServer
     connection: upstream.Connection
+    limit: time_limits.TimeLimit
     move: asyncio.Task[moves.MoveResult] | None
     witness: witnesses.Witness
     wait_s: float
@@ -70,8 +78,15 @@
         is_empty: Whether the answer has no body.
 
     Raises:
+        StoppedAtLimitError: The run may have been stopped at its time limit.
         UpstreamError: The answer may have been cut.
     """
+    if answer.limit.may_have_stopped(answer.connection.ended_boottime_s):
+        raise StoppedAtLimitError(
+            "answer may be cut: its time limit was over",
+            was_sent=True,
+            may_be_crash=False,
+        )
     if is_empty:
         raise upstream.UpstreamError("answer ended at once", True, True)
     cut = await _find_stop(answer.move)
--- a/src/bilberryturn/gateway/attempt_types.py
+++ b/src/bilberryturn/gateway/attempt_types.py
@@ -58,10 +58,13 @@
     Attributes:
         reason: Short cause for logs.
         was_sent: Whether the server may have run the request.
+        is_time_over: Whether the server may have stopped at the time limit of
+            the request, so that no time is left for another one.
     """
 
     reason: str
     was_sent: bool
+    is_time_over: bool = False
 
 
 class StreamCompleted(NamedTuple):
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -168,7 +168,11 @@
                 if isinstance(moved, moves.MovedRun):
                     return moved
             self._handle_failure(error)
-            return attempt_types.AttemptFailed(error.reason, error.was_sent)
+            return attempt_types.AttemptFailed(
+                error.reason,
+                error.was_sent,
+                isinstance(error, answer_ends.StoppedAtLimitError),
+            )
         except TimeoutError:
             if not self._has_response:
                 self._connection.record_silence()
@@ -352,6 +356,7 @@
         answer = answer_ends.EndedAnswer(
             self._chosen.server,
             self._connection,
+            self._server_limit,
             self._move,
             self._witness,
             wait_s,
--- a/src/bilberryturn/gateway/exchange.py
+++ b/src/bilberryturn/gateway/exchange.py
@@ -57,6 +57,9 @@
         # Response to send if no other server has a better one.
         self._fallback: attempt_types.Response | None = None
         self._last_failure = ""
+        # Whether a server may have stopped at the time limit. The clock of the
+        # deadline stands still while the machine is suspended.
+        self._is_time_over = False
         # Set if the request is refused for its crashes.
         self._crash_cause: crash_causes.Cause | None = None
         # Kept for the log, which covers refused requests too.
@@ -314,7 +317,7 @@
         may_have_run = False
         moved: moves.MovedRun | None = None
         while True:
-            if self._remaining_s() < MIN_ATTEMPT_S:
+            if self._is_time_over or self._remaining_s() < MIN_ATTEMPT_S:
                 break
             may_send = moved or not self._sent_count
             if not may_send and not self._may_retry(may_have_run):
@@ -345,6 +348,7 @@
                 self._last_failure = "server_full"
             else:
                 may_have_run = may_have_run or result.was_sent
+                self._is_time_over = result.is_time_over
                 self._last_failure = result.reason
         if moved is not None:
             self._shared.unused_copies.release(moved)
@@ -559,7 +563,7 @@
         if self._fallback is not None:
             return self._deliver(self._fallback)
         if may_have_run:
-            if self._remaining_s() <= MIN_ATTEMPT_S:
+            if self._is_time_over or self._remaining_s() <= MIN_ATTEMPT_S:
                 return self._refuse(outcomes.TIMED_OUT)
             return self._refuse(
                 outcomes.no_valid_response(self._last_failure or "failed")
