Do not count a server's stop at its time limit as a crash

What callers saw: a request that takes longer than its time limit was refused with 503 crashes_servers after three servers had stopped it at the limit, though none had crashed.

Cause: a connection that ends before its answer does counts as a crash of the server, also at the moment at which the gateway has told it to stop.

Change: such an end is checked like that of a kept connection, and counts only if nothing listens at the address. This works as a server that has only stopped a run accepts a connection, and one that has ended does not for as long as it takes to start again.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -22,6 +22,21 @@
     Then it has crashed 3 servers
     And the caller sees that it has not run
 
+  # Guards against crashes that go uncounted, as they came at the time limit at
+  # which the server was told to stop.
+  Scenario Outline: Crashes at the time limit of a <kind> request, <when>, count
+    Given a server that ends at the time limit of a request, <when>
+    When a caller sends the request 8 times as <kind>
+    Then it has crashed 3 servers
+    And the caller sees that it has not run
+
+    Examples:
+      | kind      | when                          |
+      | safe      | before its answer             |
+      | unsafe    | before its answer             |
+      | resumable | before its answer             |
+      | unsafe    | in an answer without a length |
+
   # Guards against sound requests that are refused as if they crashed servers.
   Scenario Outline: A sound request is not refused as <what>
     Given a server that <fault>
--- a/features/mutants.py
+++ b/features/mutants.py
@@ -169,6 +169,30 @@
         "time_limits",
         "A server stops 0 ms before",
     ),
+    Mutant(
+        "a stop at the time limit counts as a crash of the server",
+        (
+            (
+                "gateway/crash_records.py",
+                "if not is_idle_end and not end.is_at_limit:",
+                "if not is_idle_end:",
+            ),
+        ),
+        "time_limits",
+        "that is sent again and again",
+    ),
+    Mutant(
+        "a crash at the time limit does not count",
+        (
+            (
+                "gateway/answer_ends.py",
+                "            is_disconnect=True,\n        )\n    if is_empty",
+                "            may_be_crash=False,\n        )\n    if is_empty",
+            ),
+        ),
+        "crashes",
+        "in an answer without a length, count",
+    ),
     Mutant(
         "a server stops no earlier than its time limit",
         (
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -25,7 +25,7 @@
         crashes: Servers that ended under it.
     """
 
-    def __init__(self, context, respond):
+    def __init__(self, context, respond, timeout_s=3.0):
         self.received = 0
         self.crashes = 0
         self._context = context
@@ -34,7 +34,7 @@
         self._ids = itertools.count(1)
         self._server = None
         routes = [
-            gateway_rig.make_route(kind, attempts=1)
+            gateway_rig.make_route(kind, attempts=1, timeout_s=timeout_s)
             for kind in ("safe", "unsafe", "resumable")
         ]
         accounts = {
@@ -64,11 +64,12 @@
 
         self._rig.call(report)
 
-    def end(self, peer):
+    def end(self, peer, resets=True):
         """End the server while it answers a request."""
         self.crashes += 1
         self._server.close()
-        peer.reset()
+        if resets:
+            peer.reset()
         return "close"
 
     def _script(self, peer, head, body, number):
@@ -109,6 +110,23 @@
     return service.end(peer)
 
 
+def _end_at_limit(service, peer, head):
+    limit_ms = int(scripted.header(head, "X-Bilberryturn-Deadline-Ms"))
+    time.sleep(limit_ms / 1000)
+    return service.end(peer)
+
+
+def _end_unframed_at_limit(service, peer, head):
+    request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
+    peer.send(
+        f"HTTP/1.1 200 OK\r\nX-Bilberryturn-Attempt-Id: {request}\r\n"
+        f"{scripted.SEAL}\r\nhalf"
+    )
+    limit_ms = int(scripted.header(head, "X-Bilberryturn-Deadline-Ms"))
+    time.sleep(limit_ms / 1000)
+    return service.end(peer, resets=False)
+
+
 def _close_kept(service, peer, head):
     peer.reset()
     return "close"
@@ -130,6 +148,16 @@
     context.keeps_connection = False
 
 
+@behave.given("a server that ends at the time limit of a request, {when}")
+def given_limit(context, when):
+    respond = {
+        "before its answer": _end_at_limit,
+        "in an answer without a length": _end_unframed_at_limit,
+    }[when]
+    context.service = _Service(context, respond, timeout_s=0.2)
+    context.keeps_connection = False
+
+
 @behave.given(
     "a server that ends after the first event of its answer to a request"
 )
--- a/features/steps/time_limit_steps.py
+++ b/features/steps/time_limit_steps.py
@@ -39,34 +39,85 @@
         self.on_half = on_half
 
     def answer(self, peer, head, body, number):
-        began_s = time.monotonic()
-        request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
-        limit_ms = int(scripted.header(head, "X-Bilberryturn-Deadline-Ms"))
-        is_stream = " /stream/" in head or " /resumable/" in head
-        kind = "Content-Type: text/event-stream\r\n" if is_stream else ""
-        peer.send(
-            f"HTTP/1.1 200 OK\r\nX-Bilberryturn-Attempt-Id: {request}\r\n"
-            f"{scripted.SEAL}{kind}\r\n"
-        )
-        pieces = [BODY[:3], BODY[3:]]
-        if is_stream:
-            pieces = [scripted.event(n + 1) for n in range(EVENTS)]
+        end_s = _end_of_limit_s(head) - self.early_s
+        peer.send(_head(head))
+        pieces = _pieces(head)
         half = len(pieces) // 2
         peer.send(b"".join(pieces[:half]))
         self.on_half()
         if self.is_whole:
             peer.send(b"".join(pieces[half:]))
-        end_s = began_s + limit_ms / 1000 - self.early_s
-        time.sleep(max(0.0, end_s - time.monotonic()))
+        _wait_until(end_s)
+        return "close"
+
+
+def _end_of_limit_s(head):
+    """Return the monotonic time at which a request's time limit is over."""
+    limit_ms = int(scripted.header(head, "X-Bilberryturn-Deadline-Ms"))
+    return time.monotonic() + limit_ms / 1000
+
+
+def _wait_until(end_s):
+    time.sleep(max(0.0, end_s - time.monotonic()))
+
+
+def _is_stream(head):
+    return " /stream/" in head or " /resumable/" in head
+
+
+def _head(head, framing=""):
+    """Return the head of the answer to a request."""
+    request = scripted.header(head, "X-Bilberryturn-Attempt-Id")
+    kind = "Content-Type: text/event-stream\r\n" if _is_stream(head) else ""
+    return (
+        f"HTTP/1.1 200 OK\r\nX-Bilberryturn-Attempt-Id: {request}\r\n"
+        f"{scripted.SEAL}{kind}{framing}\r\n"
+    )
+
+
+def _pieces(head):
+    """Return the pieces of the whole answer to a request."""
+    if _is_stream(head):
+        return [scripted.event(n + 1) for n in range(EVENTS)]
+    return [BODY[:3], BODY[3:]]
+
+
+def _stop_in(end):
+    """Return a script that ends an answer in some way at its time limit."""
+
+    def answer(peer, head, body, number):
+        end_s = _end_of_limit_s(head)
+        is_chunked = end == "close inside a chunk"
+        pieces = _pieces(head)
+        half = b"".join(pieces[: len(pieces) // 2])
+        if is_chunked:
+            half = b"%x\r\n%s\r\n5\r\n" % (len(half), half)
+        elif end == "close inside an event":
+            half += scripted.event(EVENTS)[:5]
+        if end != "close without an answer":
+            peer.send(
+                _head(head, "Transfer-Encoding: chunked\r\n" * is_chunked)
+            )
+        if end not in ("close without an answer", "close behind a head"):
+            peer.send(half)
+        _wait_until(end_s)
+        if end == "reset":
+            peer.reset()
         return "close"
 
+    return answer
+
 
 def _start(context, server):
     context.server = server
-    context.script = server.answer
+    _start_gateway(context, server.answer, 2)
+
+
+def _start_gateway(context, script, count):
+    context.script = script
     context.scripted = [
         scripted.ScriptedServer(lambda *request: context.script(*request))
-        for _ in range(2)
+        for _ in range(count)
     ]
     context.closers.extend(found.close for found in context.scripted)
     context.rig = gateway_rig.GatewayRig(
@@ -87,6 +138,21 @@
     _start(context, _Server(sign * offset_ms / 1000))
 
 
+@behave.given(
+    "a gateway before {count:d} servers that {end} at their time limit"
+)
+def given_ends(context, count, end):
+    _start_gateway(context, _stop_in(end), count)
+
+
+@behave.when("a caller sends the same {kind:w} request {count:d} times")
+def when_same(context, kind, count):
+    for _ in range(count):
+        context.answer = gateway_rig.send_request(
+            context.rig.port, _request(kind)
+        )
+
+
 @behave.given(
     "a gateway before a server that ends its answers {early_s:g} s before its"
     " time limit"
@@ -209,8 +275,13 @@
 
 @behave.then("the servers got the request once")
 def then_once(context):
+    then_times(context, 1)
+
+
+@behave.then("the servers got the request {count:d} times")
+def then_times(context, count):
     received = sum(len(found.requests) for found in context.scripted)
-    assert received == 1, received
+    assert received == count, received
 
 
 @behave.given(
--- a/features/time_limits.feature
+++ b/features/time_limits.feature
@@ -99,6 +99,25 @@
       | 2.9   | 3.0   | unsafe    | the whole answer |
       | 2.9   | 3.0   | stream    | the whole stream |
 
+  # Guards against sound requests that are refused as if they crashed servers,
+  # which only stopped at their time limit.
+  Scenario Outline: Servers <end> at the time limit of a <kind> request that is sent again and again
+    Given a gateway before 4 servers that <end> at their time limit
+    And routes with a timeout and a target of 0.2 s
+    When a caller sends the same <kind> request 8 times
+    Then the servers got the request 8 times
+    And the caller sees <outcome>
+
+    Examples:
+      | end                     | kind   | outcome                   |
+      | close without an answer | unsafe | status 504 without a seal |
+      | close behind a head     | unsafe | status 504 without a seal |
+      | close inside a chunk    | safe   | status 504 without a seal |
+      | close inside a chunk    | stream | half of the stream        |
+      | close inside an event   | stream | half of the stream        |
+      | reset                   | unsafe | status 504 without a seal |
+      | reset                   | stream | half of the stream        |
+
   # Guards against a margin that is wider or narrower than documented.
   Scenario Outline: The end of an answer <at> ms after its request, with a time limit of <limit> ms
     Given a time limit of <limit> ms
--- a/src/bilberryturn/gateway/answer_ends.py
+++ b/src/bilberryturn/gateway/answer_ends.py
@@ -85,7 +85,7 @@
         raise StoppedAtLimitError(
             "answer may be cut: its time limit was over",
             was_sent=True,
-            may_be_crash=False,
+            is_disconnect=True,
         )
     if is_empty:
         raise upstream.UpstreamError("answer ended at once", True, True)
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -427,10 +427,17 @@
         connection = self._connection
         return connection is not None and connection.is_path_failure
 
+    @property
+    def _is_at_limit(self) -> bool:
+        """Return whether the server may have stopped at its time limit."""
+        ended_s = self._connection.ended_boottime_s
+        return bool(ended_s) and self._server_limit.may_have_stopped(ended_s)
+
     def _handle_failure(self, error: upstream.UpstreamError) -> None:
         """Release the server, and count a crash if it ended."""
         was_reused = bool(self._was_reused)
         is_path_failure = self._is_path_failure
+        is_at_limit = self._is_at_limit
         is_failure = error.was_sent and not (was_reused or is_path_failure)
         self._end_attempt(False if is_failure else None)
         if not error.was_sent or not error.may_be_crash or is_path_failure:
@@ -445,6 +452,7 @@
                 error.is_disconnect,
                 was_reused,
                 self._has_response,
+                is_at_limit,
             ),
         )
         if self._is_crash:
--- a/src/bilberryturn/gateway/crash_checks.py
+++ b/src/bilberryturn/gateway/crash_checks.py
@@ -1,9 +1,10 @@
-"""Find out whether a server has ended that closed a kept connection.
+"""Find out whether a server has ended that closed a connection.
 
-A server may close a connection that was idle just as a request is sent on it.
-To the node that looks like a server that crashed under the request. A server
-that has only closed the connection accepts a new one; one that has ended does
-not for as long as it takes to start again.
+A server may close a connection that was idle just as a request is sent on it,
+or stop at the time limit of the request. To the node that looks like a server
+that crashed under the request. A server that has only closed the connection
+accepts a new one; one that has ended does not for as long as it takes to start
+again.
 """
 
 import asyncio
@@ -32,7 +33,7 @@
         """Check a server in the background.
 
         Args:
-            server: The server that closed a kept connection.
+            server: The server that closed a connection.
             on_crash: Called if it cannot be connected to.
         """
         waiting = self._waiting.get(server.lifetime)
--- a/src/bilberryturn/gateway/crash_records.py
+++ b/src/bilberryturn/gateway/crash_records.py
@@ -1,4 +1,8 @@
-"""Count the crashes of servers under a request."""
+"""Count the crashes of servers under a request.
+
+A server also closes connections that were idle, and stops at the time limit of
+a request. Such an end is a crash only if nothing listens at its address then.
+"""
 
 import time
 from typing import NamedTuple
@@ -19,6 +23,8 @@
         is_disconnect: Whether the server closed or reset the connection.
         was_reused: Whether the connection had carried a request before.
         has_response: Whether the head of an answer was received.
+        is_at_limit: Whether the server may have stopped at the time limit that
+            it was sent.
     """
 
     request: attempt_types.RoutedRequest
@@ -28,6 +34,7 @@
     is_disconnect: bool
     was_reused: bool
     has_response: bool
+    is_at_limit: bool
 
 
 def record(shared: shared_state.SharedState, end: EarlyEnd) -> bool:
@@ -36,7 +43,8 @@
     Returns:
         Whether a crash under the request was counted at once.
     """
-    if not end.was_reused or end.has_response:
+    is_idle_end = end.was_reused and not end.has_response
+    if not is_idle_end and not end.is_at_limit:
         return _count(shared, end)
     if end.is_disconnect:
         shared.crash_checks.start(end.server, lambda: _count_late(shared, end))
