Do not send a request again after its server stopped at the time limit

What callers would see (shown by a test only): after a suspension of the node's machine, a safe request or a resumable stream whose server stopped at the time limit inside chunks, without an answer or by a reset is sent again, with a time limit that its caller no longer waits for; one that may run once gets 502.

Cause: the deadline of a request stands still during a suspension, and only the end of an answer without a length was compared with the limit that the server was sent.

Change: each failed attempt whose connection ended at that limit ends the request, with 504 or a stream that breaks off. StoppedAtLimitError is not needed any more. This works as the limit is on the clock that counts suspensions.

--- a/features/steps/time_limit_steps.py
+++ b/features/steps/time_limit_steps.py
@@ -82,11 +82,11 @@
     return [BODY[:3], BODY[3:]]
 
 
-def _stop_in(end):
+def _stop_in(end, early_s=0.0, on_half=lambda: None):
     """Return a script that ends an answer in some way at its time limit."""
 
     def answer(peer, head, body, number):
-        end_s = _end_of_limit_s(head)
+        end_s = _end_of_limit_s(head) - early_s
         is_chunked = end == "close inside a chunk"
         pieces = _pieces(head)
         half = b"".join(pieces[: len(pieces) // 2])
@@ -100,6 +100,7 @@
             )
         if end not in ("close without an answer", "close behind a head"):
             peer.send(half)
+        on_half()
         _wait_until(end_s)
         if end == "reset":
             peer.reset()
@@ -161,11 +162,8 @@
     _start(context, _Server(early_s, is_whole=True))
 
 
-@behave.given(
-    "a gateway before a server that stops 0 ms before its time limit, for"
-    " {time_s:g} s of which the node is suspended"
-)
-def given_suspended(context, time_s):
+def _suspend(context, time_s):
+    """Return a function that suspends the node, as its clocks show it."""
     suspended_s = [0.0]
     boottime_s = leases.boottime_s
     patch = mock.patch.object(
@@ -177,8 +175,25 @@
     def suspend():
         suspended_s[0] = time_s
 
+    return suspend
+
+
+@behave.given(
+    "a gateway before a server that stops 0 ms before its time limit, for"
+    " {time_s:g} s of which the node is suspended"
+)
+def given_suspended(context, time_s):
     # The monotonic clock does not count that time.
-    _start(context, _Server(time_s, on_half=suspend))
+    _start(context, _Server(time_s, on_half=_suspend(context, time_s)))
+
+
+@behave.given(
+    "a gateway before {count:d} servers that {end} at their time limit, for"
+    " {time_s:g} s of which the node is suspended"
+)
+def given_suspended_ends(context, count, end, time_s):
+    suspend = _suspend(context, time_s)
+    _start_gateway(context, _stop_in(end, time_s, suspend), count)
 
 
 @behave.given("routes with a timeout and a target of {time_s:g} s")
--- a/features/time_limits.feature
+++ b/features/time_limits.feature
@@ -69,6 +69,22 @@
       | unsafe    | status 504 without a seal |
       | resumable | half of the stream        |
 
+  # Guards against requests that are sent again into time that is over.
+  Scenario Outline: The machine of the node is suspended, and servers <end> at the time limit of a <kind> request
+    Given a gateway before 2 servers that <end> at their time limit, for 2.0 s of which the node is suspended
+    And routes with a timeout of 2.6 s
+    When a caller sends a <kind> request
+    Then the caller sees <outcome>
+    And the servers got the request once
+
+    Examples:
+      | end                     | kind      | outcome                   |
+      | close without an answer | safe      | status 504 without a seal |
+      | close inside a chunk    | safe      | status 504 without a seal |
+      | close inside a chunk    | resumable | half of the stream        |
+      | close inside a chunk    | unsafe    | status 504 without a seal |
+      | reset                   | safe      | status 504 without a seal |
+
   # Guards against an end that was there when the node read no connection.
   Scenario Outline: The node stands still as a server stops at its time limit in a <kind> request
     Given a gateway before a server that stops 0 ms before its time limit
--- a/src/bilberryturn/gateway/answer_ends.py
+++ b/src/bilberryturn/gateway/answer_ends.py
@@ -42,10 +42,6 @@
     return head.has_framing or has_no_body
 
 
-class StoppedAtLimitError(upstream.UpstreamError):
-    """The server may have stopped work at the time limit that it was sent."""
-
-
 class EndedAnswer(NamedTuple):
     """An answer without length or chunks whose connection has ended.
 
@@ -78,11 +74,10 @@
         is_empty: Whether the answer has no body.
 
     Raises:
-        StoppedAtLimitError: The run may have been stopped at its time limit.
         UpstreamError: The answer may have been cut.
     """
     if answer.limit.may_have_stopped(answer.connection.ended_boottime_s):
-        raise StoppedAtLimitError(
+        raise upstream.UpstreamError(
             "answer may be cut: its time limit was over",
             was_sent=True,
             is_disconnect=True,
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -167,11 +167,10 @@
                 moved = await asyncio.shield(self._move)
                 if isinstance(moved, moves.MovedRun):
                     return moved
-            self._handle_failure(error)
+            is_at_limit = self._is_at_limit
+            self._handle_failure(error, is_at_limit)
             return attempt_types.AttemptFailed(
-                error.reason,
-                error.was_sent,
-                isinstance(error, answer_ends.StoppedAtLimitError),
+                error.reason, error.was_sent, is_at_limit
             )
         except TimeoutError:
             if not self._has_response:
@@ -433,11 +432,12 @@
         ended_s = self._connection.ended_boottime_s
         return bool(ended_s) and self._server_limit.may_have_stopped(ended_s)
 
-    def _handle_failure(self, error: upstream.UpstreamError) -> None:
+    def _handle_failure(
+        self, error: upstream.UpstreamError, is_at_limit: bool
+    ) -> None:
         """Release the server, and count a crash if it ended."""
         was_reused = bool(self._was_reused)
         is_path_failure = self._is_path_failure
-        is_at_limit = self._is_at_limit
         is_failure = error.was_sent and not (was_reused or is_path_failure)
         self._end_attempt(False if is_failure else None)
         if not error.was_sent or not error.may_be_crash or is_path_failure:
