Do not wait for a move once the time limit of a stream is over

Cause: the end at the limit is judged first and as a failed attempt, which waits for the reply to the move, outside of the attempt's timeout.

Change: it does not wait then.

--- a/features/moves.feature
+++ b/features/moves.feature
@@ -63,6 +63,15 @@
     Then the caller of the stream sees the whole stream
     And the second engine received the moved run behind event 2
 
+  # Guards against a caller who is kept waiting for a move that no longer helps,
+  # as the engine has stopped at the time limit.
+  Scenario: A stream without length or chunks stops at its time limit during a move
+    Given two engines, the first of which streams without length or chunks and stops at its time limit and never answers
+    And the caller's time limit is 1.0 s
+    When the first engine is reported to end in 9 s and its streams are moved
+    Then the caller of the stream sees a broken stream
+    And it sees that within 0.5 s after its time limit
+
   # Guards against a caller who has to send its request again, though its route
   # allows to resume the stream.
   Scenario: A resumable stream without length or chunks closes and its engine never answers
--- a/features/steps/move_steps.py
+++ b/features/steps/move_steps.py
@@ -313,6 +313,8 @@
         self._when = when
         self._has_chunks = has_chunks
         self._may_close = threading.Event()
+        # Monotonic time at which the time limit of the stream is over.
+        self.limit_end_s = 0.0
         self.has_closed = threading.Event()
         # Called before the request to move the run is answered.
         self.on_move = lambda: None
@@ -324,6 +326,8 @@
             self.released.append(head.split(" ", 2)[1])
             peer.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
             return "close"
+        limit_ms = int(scripted.header(head, "X-Bilberryturn-Deadline-Ms"))
+        self.limit_end_s = time.monotonic() + limit_ms / 1000
         events = [scripted.event(1), scripted.event(2)]
         if self._has_chunks:
             peer.start_stream(head)
@@ -349,6 +353,8 @@
         self.move = json.loads(body)
         self.on_move()
         answers_first = "after it has answered" in self._when
+        if "stops at its time limit" in self._when:
+            time.sleep(max(0.0, self.limit_end_s - time.monotonic()))
         if not answers_first:
             self._may_close.set()
             assert self.has_closed.wait(5)
@@ -382,6 +388,17 @@
     context.kind = "stream"
 
 
+@behave.given("the caller's time limit is {limit_s:g} s")
+def given_caller_limit(context, limit_s):
+    context.limit = f"X-Bilberryturn-Deadline-Ms: {int(limit_s * 1000)}\r\n"
+
+
+@behave.then("it sees that within {time_s:g} s after its time limit")
+def then_seen(context, time_s):
+    late_s = context.ended_s - context.first.limit_end_s
+    assert late_s < time_s, late_s
+
+
 @behave.given("other connections are waited for {wait_s:g} s")
 def given_wait(context, wait_s):
     for name in ("STREAM_WAIT_S", "ANSWER_WAIT_S"):
@@ -407,8 +424,9 @@
 )
 def when_moved_early(context):
     _start_engines(context, context.first.script, _second_engine(""))
+    extra = "X-Bilberryturn-Tokens: 9,9\r\n" + getattr(context, "limit", "")
     request = gateway_rig.request_text(
-        context.kind, f"m{next(_ids)}", extra="X-Bilberryturn-Tokens: 9,9\r\n"
+        context.kind, f"m{next(_ids)}", extra=extra
     )
     context.answers = []
     connection = gateway_rig.connect(context.rig.port)
@@ -417,6 +435,7 @@
         context.answers.append(
             gateway_rig.send_request(context.rig.port, request, connection)
         )
+        context.ended_s = time.monotonic()
 
     context.caller = threading.Thread(target=call, daemon=True)
     context.caller.start()
--- a/src/bilberryturn/gateway/attempts.py
+++ b/src/bilberryturn/gateway/attempts.py
@@ -162,12 +162,12 @@
             ) as self._time_limit:
                 return await self._receive()
         except upstream.UpstreamError as error:
-            if self._move is not None:
+            is_at_limit = self._is_at_limit
+            if self._move is not None and not is_at_limit:
                 # The move goes on if this request is cancelled meanwhile.
                 moved = await asyncio.shield(self._move)
                 if isinstance(moved, moves.MovedRun):
                     return moved
-            is_at_limit = self._is_at_limit
             self._handle_failure(error, is_at_limit)
             return attempt_types.AttemptFailed(
                 error.reason, error.was_sent, is_at_limit
