--- a/features/support/brittle_fleet.py
+++ b/features/support/brittle_fleet.py
@@ -165,6 +165,7 @@
         self._shared = shared
         self.was_sent = False
         self.is_framed = True
+        self.limit_left_s = None
         self.via = None
 
     def move_state(self):
